--- /dev/null
+++ b/src/base/json-reader.cc
@@ -0,0 +1,207 @@
+#include "base/json-reader.h"
+
+#include <algorithm>
+
+namespace eelgrasstrack {
+
+namespace {
+
+constexpr std::size_t kMaxNameBytes = 64;
+
+bool
+IsNameCharacter(char aCharacter)
+{
+  return (aCharacter >= 'a' && aCharacter <= 'z') ||
+         (aCharacter >= 'A' && aCharacter <= 'Z') ||
+         (aCharacter >= '0' && aCharacter <= '9') || aCharacter == '-' ||
+         aCharacter == '_' || aCharacter == '.';
+}
+
+} // namespace
+
+result<nlohmann::json>
+ParseJson(std::string_view aText)
+{
+  try {
+    return nlohmann::json::parse(aText);
+  } catch (const nlohmann::json::exception& problem) {
+    return Fail(error_kind::invalid_argument,
+                "not valid JSON: " + std::string(problem.what()));
+  }
+}
+
+json_reader::json_reader(const nlohmann::json& aObject, std::string aPlace)
+  : mObject(aObject)
+  , mPlace(std::move(aPlace))
+{
+  if (!aObject.is_object()) {
+    mError = mPlace + ": must be an object";
+  }
+}
+
+const nlohmann::json*
+json_reader::Find(const char* aField, bool aRequired)
+{
+  mKnown.insert(aField);
+  if (!mObject.is_object()) {
+    return nullptr;
+  }
+  auto found = mObject.find(aField);
+  if (found != mObject.end()) {
+    return &*found;
+  }
+  if (aRequired) {
+    Refuse(aField, "is missing");
+  }
+  return nullptr;
+}
+
+void
+json_reader::Refuse(const char* aField, const std::string& aReason)
+{
+  if (mError.empty()) {
+    mError = mPlace + "." + aField + ": " + aReason;
+  }
+}
+
+std::string
+json_reader::Text(const char* aField, std::size_t aMaxBytes)
+{
+  const nlohmann::json* value = Find(aField, true);
+  if (value == nullptr) {
+    return {};
+  }
+  if (!value->is_string()) {
+    Refuse(aField, "must be a text");
+    return {};
+  }
+  std::string text = value->get<std::string>();
+  if (text.empty() || text.size() > aMaxBytes) {
+    Refuse(aField, "must have 1 to " + std::to_string(aMaxBytes) + " bytes");
+  }
+  return text;
+}
+
+std::string
+json_reader::TextOr(const char* aField,
+                    std::size_t aMaxBytes,
+                    const std::string& aDefault)
+{
+  return Find(aField, false) == nullptr ? aDefault : Text(aField, aMaxBytes);
+}
+
+std::string
+json_reader::Name(const char* aField)
+{
+  std::string text = Text(aField, kMaxNameBytes);
+  if (!std::all_of(text.begin(), text.end(), IsNameCharacter)) {
+    Refuse(aField, "may have only letters, digits, '-', '_' and '.'");
+  }
+  return text;
+}
+
+std::int64_t
+json_reader::Integer(const char* aField, std::int64_t aLow, std::int64_t aHigh)
+{
+  const nlohmann::json* value = Find(aField, true);
+  if (value == nullptr) {
+    return aLow;
+  }
+  std::string range = "must be a whole number from " + std::to_string(aLow) +
+                      " to " + std::to_string(aHigh);
+  bool tooLarge = value->is_number_unsigned() &&
+                  value->get<std::uint64_t>() > std::uint64_t{ INT64_MAX };
+  if (!value->is_number_integer() || tooLarge) {
+    Refuse(aField, range);
+    return aLow;
+  }
+  std::int64_t number = value->get<std::int64_t>();
+  if (number < aLow || number > aHigh) {
+    Refuse(aField, range);
+    return aLow;
+  }
+  return number;
+}
+
+std::int64_t
+json_reader::IntegerOr(const char* aField,
+                       std::int64_t aLow,
+                       std::int64_t aHigh,
+                       std::int64_t aDefault)
+{
+  return Find(aField, false) == nullptr ? aDefault
+                                        : Integer(aField, aLow, aHigh);
+}
+
+bool
+json_reader::BooleanOr(const char* aField, bool aDefault)
+{
+  const nlohmann::json* value = Find(aField, false);
+  if (value == nullptr) {
+    return aDefault;
+  }
+  if (!value->is_boolean()) {
+    Refuse(aField, "must be true or false");
+    return aDefault;
+  }
+  return value->get<bool>();
+}
+
+std::vector<std::string>
+json_reader::TextsOr(const char* aField,
+                     std::size_t aMaxCount,
+                     std::vector<std::string> aDefault)
+{
+  if (Find(aField, false) == nullptr) {
+    return aDefault;
+  }
+  const nlohmann::json* array = Array(aField, aMaxCount);
+  std::vector<std::string> texts;
+  if (array == nullptr) {
+    return texts;
+  }
+  for (const nlohmann::json& item : *array) {
+    if (!item.is_string()) {
+      Refuse(aField, "must be a list of texts");
+      return texts;
+    }
+    texts.push_back(item.get<std::string>());
+  }
+  return texts;
+}
+
+const nlohmann::json*
+json_reader::Array(const char* aField, std::size_t aMaxCount)
+{
+  const nlohmann::json* value = Find(aField, true);
+  if (value == nullptr) {
+    return nullptr;
+  }
+  if (!value->is_array()) {
+    Refuse(aField, "must be a list");
+    return nullptr;
+  }
+  if (value->size() > aMaxCount) {
+    Refuse(aField, "must have at most " + std::to_string(aMaxCount) + " items");
+    return nullptr;
+  }
+  return value;
+}
+
+result<void>
+json_reader::Finish()
+{
+  if (mError.empty() && mObject.is_object()) {
+    for (const auto& item : mObject.items()) {
+      if (mKnown.count(item.key()) == 0) {
+        Refuse(item.key().c_str(), "is not a known field");
+      }
+    }
+  }
+  if (!mError.empty()) {
+    return Fail(error_kind::invalid_argument, mError);
+  }
+  return {};
+}
+
+} // namespace eelgrasstrack
--- /dev/null
+++ b/src/base/log.cc
@@ -0,0 +1,102 @@
+#include "base/log.h"
+
+#include <easylogging++.h>
+#include <nlohmann/json.hpp>
+
+INITIALIZE_EASYLOGGINGPP
+
+namespace eelgrasstrack {
+
+namespace {
+
+log_level sLowest = log_level::info;
+log_format sFormat = log_format::text;
+
+std::string
+TextLine(std::string_view aEvent, std::initializer_list<log_field> aFields)
+{
+  std::string line = "event=" + std::string(aEvent);
+  for (const log_field& field : aFields) {
+    line += ' ';
+    line += field.name;
+    line += '=';
+    bool quote = field.value.find_first_of(" \"\n=") != std::string::npos;
+    line +=
+      quote ? nlohmann::json(field.value)
+                .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace)
+            : field.value;
+  }
+  return line;
+}
+
+std::string
+JsonLine(std::string_view aEvent, std::initializer_list<log_field> aFields)
+{
+  nlohmann::json line = { { "event", aEvent } };
+  for (const log_field& field : aFields) {
+    line[std::string(field.name)] = field.value;
+  }
+  return line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+} // namespace
+
+std::optional<log_level>
+LogLevelFromName(std::string_view aName)
+{
+  if (aName == "debug") {
+    return log_level::debug;
+  }
+  if (aName == "info") {
+    return log_level::info;
+  }
+  if (aName == "warning") {
+    return log_level::warning;
+  }
+  if (aName == "error") {
+    return log_level::error;
+  }
+  return std::nullopt;
+}
+
+void
+ConfigureLog(log_level aLowest, log_format aFormat)
+{
+  sLowest = aLowest;
+  sFormat = aFormat;
+  el::Configurations settings;
+  settings.setToDefault();
+  settings.setGlobally(el::ConfigurationType::ToFile, "false");
+  settings.setGlobally(el::ConfigurationType::ToStandardOutput, "true");
+  settings.setGlobally(el::ConfigurationType::Format,
+                       aFormat == log_format::text
+                         ? "%datetime{%Y-%M-%dT%H:%m:%s.%g} %levshort %msg"
+                         : "%msg");
+  el::Loggers::reconfigureLogger("default", settings);
+}
+
+void
+LogEvent(log_level aLevel,
+         std::string_view aEvent,
+         std::initializer_list<log_field> aFields)
+{
+  if (aLevel < sLowest) {
+    return;
+  }
+  std::string line = sFormat == log_format::text ? TextLine(aEvent, aFields)
+                                                 : JsonLine(aEvent, aFields);
+  switch (aLevel) {
+    case log_level::debug:
+    case log_level::info:
+      LOG(INFO) << line;
+      break;
+    case log_level::warning:
+      LOG(WARNING) << line;
+      break;
+    case log_level::error:
+      LOG(ERROR) << line;
+      break;
+  }
+}
+
+} // namespace eelgrasstrack
--- /dev/null
+++ b/src/ctl/options.cc
@@ -0,0 +1,170 @@
+#include "ctl/options.h"
+
+#include <charconv>
+#include <cstdlib>
+#include <ctime>
+#include <cxxopts.hpp>
+
+namespace eelgrasstrack {
+
+namespace {
+
+constexpr const char* kCommands =
+  "Commands:\n"
+  "  apply FILE...                       put declarations in force\n"
+  "  config                              show the configuration in force\n"
+  "  rollout start SERVICE VERSION       move a service's callers (--by TIME)\n"
+  "  rollout status ID                   where a rollout stands\n"
+  "  rollout watch ID                    the same, until it ends\n"
+  "  rollout pause|resume|take-back ID   change a rollout\n"
+  "  rollout history                     all rollouts\n"
+  "  health | dump | metrics | schema    ask one node\n"
+  "\n"
+  "TIME is +90s, +10m, +2h, 2026-12-04T10:00:00Z or Unix milliseconds.\n"
+  "Exit status: 0 done; otherwise by the kind of error, see docs/errors.md.\n";
+
+std::string
+FromEnvironment(const char* aName, const char* aDefault)
+{
+  const char* value = std::getenv(aName);
+  return value == nullptr ? aDefault : value;
+}
+
+cxxopts::Options
+BuildOptions()
+{
+  cxxopts::Options options("eelgrasstrackctl",
+                           "Operates eelgrasstrack through any of its nodes.");
+  options.custom_help("[OPTION...]");
+  options.positional_help("COMMAND [ARGUMENT...]");
+  auto add = options.add_options();
+  add("node",
+      "operator address of a node, IP:port (environment EELGRASSTRACK_NODE)",
+      cxxopts::value<std::string>()->default_value(
+        FromEnvironment("EELGRASSTRACK_NODE", "127.0.0.1:7200")));
+  add("output",
+      "text or json",
+      cxxopts::value<std::string>()->default_value("text"));
+  add("operation-id",
+      "identity of this change; repeat it to repeat the change safely",
+      cxxopts::value<std::string>()->default_value(""));
+  add("expect",
+      "apply only if the configuration has this version",
+      cxxopts::value<std::string>()->default_value(""));
+  add("by",
+      "time by which all callers must have moved",
+      cxxopts::value<std::string>()->default_value(""));
+  add("route",
+      "limit a rollout to a route (may be repeated)",
+      cxxopts::value<std::vector<std::string>>());
+  add("remove",
+      "remove a document, such as service/NAME (may be repeated)",
+      cxxopts::value<std::vector<std::string>>());
+  add("dry-run", "check and compare only");
+  add("timeout-ms",
+      "longest wait for an answer, 1 to 600000 ms",
+      cxxopts::value<unsigned>()->default_value("30000"));
+  add("help", "show this text");
+  add("version", "show the version");
+  add("words", "", cxxopts::value<std::vector<std::string>>());
+  options.parse_positional({ "words" });
+  return options;
+}
+
+result<ctl_options>
+OptionsFrom(const cxxopts::ParseResult& aFlags)
+{
+  ctl_options parsed;
+  parsed.node = EndpointFromText(aFlags["node"].as<std::string>());
+  if (parsed.node.port == 0) {
+    return Fail(error_kind::invalid_argument,
+                "--node has the value '" + aFlags["node"].as<std::string>() +
+                  "'; allowed: IP:port");
+  }
+  std::string output = aFlags["output"].as<std::string>();
+  if (output != "text" && output != "json") {
+    return Fail(error_kind::invalid_argument,
+                "--output has the value '" + output +
+                  "'; allowed: text or json");
+  }
+  parsed.json_output = output == "json";
+  parsed.secret = FromEnvironment("EELGRASSTRACK_OPERATOR_SECRET", "");
+  parsed.operation_id = aFlags["operation-id"].as<std::string>();
+  parsed.expected_version = aFlags["expect"].as<std::string>();
+  parsed.by = aFlags["by"].as<std::string>();
+  if (aFlags.count("route") > 0) {
+    parsed.routes = aFlags["route"].as<std::vector<std::string>>();
+  }
+  if (aFlags.count("remove") > 0) {
+    parsed.removed = aFlags["remove"].as<std::vector<std::string>>();
+  }
+  parsed.dry_run = aFlags.count("dry-run") > 0;
+  parsed.timeout_ms = aFlags["timeout-ms"].as<unsigned>();
+  constexpr unsigned kLongestTimeoutMs = 600000;
+  if (parsed.timeout_ms == 0 || parsed.timeout_ms > kLongestTimeoutMs) {
+    return Fail(error_kind::invalid_argument,
+                "--timeout-ms must be from 1 to 600000 ms");
+  }
+  if (aFlags.count("words") > 0) {
+    parsed.words = aFlags["words"].as<std::vector<std::string>>();
+  }
+  return parsed;
+}
+
+} // namespace
+
+result<ctl_options>
+ParseCtlOptions(int aCount, const char* const* aArguments)
+{
+  cxxopts::Options options = BuildOptions();
+  try {
+    cxxopts::ParseResult flags = options.parse(aCount, aArguments);
+    ctl_options asked;
+    asked.help = flags.count("help") > 0;
+    asked.version = flags.count("version") > 0;
+    asked.help_text = options.help() + "\n" + kCommands;
+    if (asked.help || asked.version) {
+      return asked;
+    }
+    return OptionsFrom(flags);
+  } catch (const cxxopts::exceptions::exception& problem) {
+    return Fail(error_kind::invalid_argument, problem.what());
+  }
+}
+
+result<std::int64_t>
+ParseTime(const std::string& aText, std::int64_t aNowMs)
+{
+  std::tm calendar{};
+  const char* end = strptime(aText.c_str(), "%Y-%m-%dT%H:%M:%SZ", &calendar);
+  if (end != nullptr && *end == '\0') {
+    return static_cast<std::int64_t>(timegm(&calendar)) * 1000;
+  }
+  bool relative = !aText.empty() && aText[0] == '+';
+  const char* first = aText.data() + (relative ? 1 : 0);
+  const char* last = aText.data() + aText.size();
+  std::int64_t number = 0;
+  auto [rest, code] = std::from_chars(first, last, number);
+  std::string unit(rest, last);
+  constexpr std::int64_t kLargest = 1000000000000000;
+  if (code == std::errc() && number >= 0 && number < kLargest) {
+    if (!relative && unit.empty()) {
+      return number;
+    }
+    if (relative && unit == "s") {
+      return aNowMs + number * 1000;
+    }
+    if (relative && unit == "m") {
+      return aNowMs + number * 60000;
+    }
+    if (relative && unit == "h") {
+      return aNowMs + number * 3600000;
+    }
+  }
+  return Fail(error_kind::invalid_argument,
+              "'" + aText +
+                "' is not a time; allowed: +90s, +10m, +2h, "
+                "2026-12-04T10:00:00Z or Unix milliseconds");
+}
+
+} // namespace eelgrasstrack
--- /dev/null
+++ b/src/ctl/options.h
@@ -0,0 +1,44 @@
+#ifndef EELGRASSTRACK_CTL_OPTIONS_H_
+#define EELGRASSTRACK_CTL_OPTIONS_H_
+
+#include <string>
+#include <vector>
+
+#include "base/error.h"
+#include "http/message.h"
+
+namespace eelgrasstrack {
+
+/// What the command line asked for.
+struct ctl_options
+{
+  bool help = false;
+  bool version = false;
+  std::string help_text;
+  endpoint node;
+  std::string secret;
+  bool json_output = false;
+  std::string operation_id;
+  /// Empty if not given.
+  std::string expected_version;
+  std::string by;
+  std::vector<std::string> routes;
+  std::vector<std::string> removed;
+  bool dry_run = false;
+  unsigned timeout_ms = 0;
+  /// The command and its arguments.
+  std::vector<std::string> words;
+};
+
+/// Fails with `invalid_argument`.
+result<ctl_options>
+ParseCtlOptions(int aCount, const char* const* aArguments);
+
+/// Reads `+90s`, `+10m`, `+2h`, `2026-12-04T10:00:00Z` or Unix milliseconds.
+/// Fails with `invalid_argument`.
+result<std::int64_t>
+ParseTime(const std::string& aText, std::int64_t aNowMs);
+
+} // namespace eelgrasstrack
+
+#endif // EELGRASSTRACK_CTL_OPTIONS_H_
--- /dev/null
+++ b/src/daemon/hop-exchange.cc
@@ -0,0 +1,294 @@
+#include "daemon/hop-exchange.h"
+
+#include <algorithm>
+
+#include "base/invariant.h"
+
+namespace eelgrasstrack {
+
+namespace {
+
+/// A part of a body; a large body does not hold up what comes behind it.
+constexpr std::size_t kBodyPartBytes = 32768;
+
+} // namespace
+
+hop_exchange::hop_exchange(loop& aLoop,
+                           node_id aSelf,
+                           last_hop& aLastHop,
+                           std::size_t aMaxBodyBytes)
+  : mLoop(aLoop)
+  , mSelf(std::move(aSelf))
+  , mLastHop(aLastHop)
+  , mMaxBodyBytes(aMaxBodyBytes)
+{
+}
+
+hop_token
+hop_exchange::Send(const node_id& aNode,
+                   hop_call aCall,
+                   duration aTimeout,
+                   hop_callback aDone)
+{
+  hop_token token = mNextToken++;
+  outgoing_call& outgoing = mOutgoing[token];
+  outgoing.done = std::move(aDone);
+  outgoing.timer = mLoop.After(aTimeout, [this, token] {
+    auto found = mOutgoing.find(token);
+    if (found == mOutgoing.end()) {
+      return;
+    }
+    if (found->second.link != nullptr) {
+      mSwitch->SendOn(found->second.link, cancel_message{ token });
+    }
+    FinishWith(token,
+               error{ error_kind::deadline_exceeded,
+                      "no answer came back in time",
+                      execution::unknown });
+  });
+  aCall.head.id = token;
+  if (aNode == mSelf) {
+    SendLocal(token, std::move(aCall));
+    return token;
+  }
+  outgoing.link = mSwitch->LinkTo(aNode);
+  std::string body = std::move(aCall.body);
+  mSwitch->SendOn(outgoing.link, aCall.head);
+  SendBody(outgoing.link, token, false, body);
+  return token;
+}
+
+void
+hop_exchange::SendLocal(hop_token aToken, hop_call aCall)
+{
+  auto call = std::make_shared<hop_call>(std::move(aCall));
+  mLoop.After(duration(0), [this, aToken, call] {
+    if (mOutgoing.count(aToken) == 0) {
+      return;
+    }
+    admission_id admitted =
+      mLastHop.Handle(std::move(*call), [this, aToken](hop_answer aAnswer) {
+        Finish(aToken, std::move(aAnswer));
+      });
+    auto found = mOutgoing.find(aToken);
+    if (found != mOutgoing.end()) {
+      found->second.local = admitted;
+    }
+  });
+}
+
+void
+hop_exchange::SendBody(const link_ptr& aLink,
+                       std::uint64_t aId,
+                       bool aOfAnswer,
+                       const std::string& aBody)
+{
+  for (std::size_t at = 0; at < aBody.size(); at += kBodyPartBytes) {
+    mSwitch->SendOn(
+      aLink, body_message{ aId, aOfAnswer, aBody.substr(at, kBodyPartBytes) });
+  }
+}
+
+void
+hop_exchange::Cancel(hop_token aToken)
+{
+  auto found = mOutgoing.find(aToken);
+  if (found == mOutgoing.end()) {
+    return;
+  }
+  outgoing_call outgoing = std::move(found->second);
+  mOutgoing.erase(found);
+  mLoop.Cancel(outgoing.timer);
+  if (outgoing.link != nullptr) {
+    mSwitch->SendOn(outgoing.link, cancel_message{ aToken });
+  } else if (outgoing.local != 0) {
+    mLastHop.Cancel(outgoing.local);
+  }
+}
+
+void
+hop_exchange::Finish(hop_token aToken, hop_answer aAnswer)
+{
+  auto found = mOutgoing.find(aToken);
+  if (found == mOutgoing.end()) {
+    return;
+  }
+  CheckInvariant(invariant::answer_matches_request, aAnswer.head.id == aToken);
+  outgoing_call outgoing = std::move(found->second);
+  mOutgoing.erase(found);
+  mLoop.Cancel(outgoing.timer);
+  outgoing.done(std::move(aAnswer));
+}
+
+void
+hop_exchange::FinishWith(hop_token aToken, error aFailure)
+{
+  hop_answer answer;
+  answer.head.id = aToken;
+  answer.head.failure = std::move(aFailure);
+  answer.from_last_hop = false;
+  Finish(aToken, std::move(answer));
+}
+
+void
+hop_exchange::OnMessage(const link_ptr& aLink, peer_message& aMessage)
+{
+  if (auto* call = std::get_if<call_message>(&aMessage)) {
+    Receive(aLink, *call);
+  } else if (auto* answer = std::get_if<answer_message>(&aMessage)) {
+    Receive(aLink, *answer);
+  } else if (auto* body = std::get_if<body_message>(&aMessage)) {
+    Receive(aLink, *body);
+  } else if (auto* cancel = std::get_if<cancel_message>(&aMessage)) {
+    Receive(aLink, *cancel);
+  }
+}
+
+void
+hop_exchange::Receive(const link_ptr& aLink, call_message& aMessage)
+{
+  incoming_key key{ aLink.get(), aMessage.id };
+  if (aMessage.body_bytes > mMaxBodyBytes || mIncoming.count(key) != 0) {
+    aLink->Close();
+    return;
+  }
+  incoming_call& incoming = mIncoming[key];
+  incoming.arrived = mLoop.Now();
+  incoming.call.head = std::move(aMessage);
+  HandOnIfWhole(aLink, key);
+}
+
+void
+hop_exchange::HandOnIfWhole(const link_ptr& aLink, const incoming_key& aKey)
+{
+  incoming_call& incoming = mIncoming.at(aKey);
+  if (incoming.call.body.size() < incoming.call.head.body_bytes) {
+    return;
+  }
+  incoming.handed_on = true;
+  std::uint64_t id = aKey.id;
+  auto waited =
+    static_cast<std::uint64_t>(Milliseconds(mLoop.Now() - incoming.arrived));
+  std::uint64_t& timeout = incoming.call.head.timeout_ms;
+  timeout -= std::min(timeout, waited);
+  admission_id admitted = mLastHop.Handle(
+    std::move(incoming.call), [this, aLink, id](hop_answer aAnswer) {
+      ReturnAnswer(aLink, id, std::move(aAnswer));
+    });
+  auto found = mIncoming.find(aKey);
+  if (found != mIncoming.end()) {
+    found->second.admitted = admitted;
+  }
+}
+
+void
+hop_exchange::ReturnAnswer(const link_ptr& aLink,
+                           std::uint64_t aId,
+                           hop_answer aAnswer)
+{
+  mIncoming.erase(incoming_key{ aLink.get(), aId });
+  if (!aLink->Open()) {
+    return;
+  }
+  aAnswer.head.id = aId;
+  std::string body = std::move(aAnswer.body);
+  mSwitch->SendOn(aLink, aAnswer.head);
+  SendBody(aLink, aId, true, body);
+}
+
+void
+hop_exchange::Receive(const link_ptr& aLink, answer_message& aMessage)
+{
+  auto found = mOutgoing.find(aMessage.id);
+  // A late answer, or one on another link than its call, is dropped.
+  if (found == mOutgoing.end() || found->second.link != aLink ||
+      found->second.answer_begun) {
+    return;
+  }
+  if (aMessage.body_bytes > mMaxBodyBytes) {
+    FinishWith(aMessage.id,
+               MakeError(error_kind::upstream_broken,
+                         "the answer is larger than allowed"));
+    return;
+  }
+  found->second.answer_begun = true;
+  found->second.answer.head = std::move(aMessage);
+  if (found->second.answer.head.body_bytes == 0) {
+    Finish(found->first, std::move(found->second.answer));
+  }
+}
+
+void
+hop_exchange::Receive(const link_ptr& aLink, body_message& aMessage)
+{
+  if (!aMessage.of_answer) {
+    incoming_key key{ aLink.get(), aMessage.id };
+    auto found = mIncoming.find(key);
+    if (found == mIncoming.end() || found->second.handed_on) {
+      return;
+    }
+    found->second.call.body += aMessage.bytes;
+    HandOnIfWhole(aLink, key);
+    return;
+  }
+  auto found = mOutgoing.find(aMessage.id);
+  if (found == mOutgoing.end() || found->second.link != aLink ||
+      !found->second.answer_begun) {
+    return;
+  }
+  hop_answer& answer = found->second.answer;
+  answer.body += aMessage.bytes;
+  if (answer.body.size() < answer.head.body_bytes) {
+    return;
+  }
+  if (answer.body.size() > answer.head.body_bytes) {
+    aLink->Close();
+    return;
+  }
+  Finish(found->first, std::move(answer));
+}
+
+void
+hop_exchange::Receive(const link_ptr& aLink, const cancel_message& aMessage)
+{
+  auto found = mIncoming.find(incoming_key{ aLink.get(), aMessage.id });
+  if (found == mIncoming.end()) {
+    return;
+  }
+  admission_id admitted = found->second.admitted;
+  mIncoming.erase(found);
+  if (admitted != 0) {
+    mLastHop.Cancel(admitted);
+  }
+}
+
+void
+hop_exchange::OnLinkLost(const link_ptr& aLink, bool aWasOpen)
+{
+  std::vector<hop_token> lost;
+  for (const auto& [token, outgoing] : mOutgoing) {
+    if (outgoing.link == aLink) {
+      lost.push_back(token);
+    }
+  }
+  for (hop_token token : lost) {
+    FinishWith(token,
+               error{ error_kind::peer_lost,
+                      "the link to " + aLink->node + " broke",
+                      aWasOpen ? execution::unknown : execution::not_run });
+  }
+  std::vector<admission_id> abandoned;
+  for (auto entry = mIncoming.begin(); entry != mIncoming.end();) {
+    if (entry->first.link != aLink.get()) {
+      ++entry;
+      continue;
+    }
+    abandoned.push_back(entry->second.admitted);
+    entry = mIncoming.erase(entry);
+  }
+  for (admission_id admitted : abandoned) {
+    mLastHop.Cancel(admitted);
+  }
+}
+
+} // namespace eelgrasstrack
--- /dev/null
+++ b/src/daemon/peer-switch.cc
@@ -0,0 +1,169 @@
+#include "daemon/peer-switch.h"
+
+#include "base/log.h"
+
+namespace eelgrasstrack {
+
+peer_switch::peer_switch(loop& aLoop,
+                         peer_switch_observer& aObserver,
+                         node_id aSelf,
+                         peer_transport_options aOptions)
+  : mLoop(aLoop)
+  , mObserver(aObserver)
+  , mSelf(std::move(aSelf))
+  , mTransport(aLoop, *this, std::move(aOptions))
+{
+}
+
+link_ptr
+peer_switch::OpenLinkTo(const node_id& aNode) const
+{
+  link_ptr connecting;
+  auto [begin, end] = mByNode.equal_range(aNode);
+  for (auto entry = begin; entry != end; ++entry) {
+    if (entry->second->Open()) {
+      return entry->second;
+    }
+    connecting = entry->second;
+  }
+  return connecting;
+}
+
+bool
+peer_switch::Linked(const node_id& aNode) const
+{
+  link_ptr link = OpenLinkTo(aNode);
+  return link != nullptr && link->Open();
+}
+
+link_ptr
+peer_switch::LinkTo(const node_id& aNode)
+{
+  link_ptr link = OpenLinkTo(aNode);
+  if (link != nullptr) {
+    return link;
+  }
+  link = mTransport.Connect(EndpointFromText(aNode));
+  link->node = aNode;
+  mLinks[link.get()] = link_state{ link, mLoop.Now(), false };
+  mByNode.emplace(aNode, link);
+  return link;
+}
+
+void
+peer_switch::Connect(const node_id& aNode)
+{
+  if (aNode != mSelf) {
+    LinkTo(aNode);
+  }
+}
+
+void
+peer_switch::Send(const node_id& aNode, const peer_message& aMessage)
+{
+  if (aNode != mSelf) {
+    SendOn(LinkTo(aNode), aMessage);
+  }
+}
+
+void
+peer_switch::SendOn(const link_ptr& aLink, const peer_message& aMessage)
+{
+  std::string frame = EncodeMessage(aMessage);
+  traffic_count& count = mTraffic[aMessage.index()];
+  ++count.sent_messages;
+  count.sent_bytes += frame.size();
+  auto state = mLinks.find(aLink.get());
+  if (state != mLinks.end()) {
+    state->second.used = mLoop.Now();
+  }
+  if (std::holds_alternative<body_message>(aMessage)) {
+    aLink->SendBulk(std::move(frame));
+  } else {
+    aLink->SendControl(std::move(frame));
+  }
+}
+
+void
+peer_switch::CloseIdle(time_point aBefore)
+{
+  for (const auto& [key, state] : mLinks) {
+    if (state.link->Open() && state.used < aBefore) {
+      state.link->Close();
+    }
+  }
+}
+
+void
+peer_switch::OnLinkUp(const link_ptr& aLink)
+{
+  link_state& state = mLinks[aLink.get()];
+  state.link = aLink;
+  state.used = mLoop.Now();
+  state.was_open = true;
+  if (!aLink->node.empty()) {
+    mObserver.OnPeerUp(aLink->node);
+  }
+}
+
+void
+peer_switch::OnLinkDown(const link_ptr& aLink)
+{
+  auto found = mLinks.find(aLink.get());
+  if (found == mLinks.end()) {
+    return;
+  }
+  bool wasOpen = found->second.was_open;
+  mLinks.erase(found);
+  node_id node = aLink->node;
+  auto [begin, end] = mByNode.equal_range(node);
+  for (auto entry = begin; entry != end; ++entry) {
+    if (entry->second == aLink) {
+      mByNode.erase(entry);
+      break;
+    }
+  }
+  mObserver.OnLinkLost(aLink, wasOpen);
+  if (!node.empty() && OpenLinkTo(node) == nullptr) {
+    mObserver.OnPeerDown(node, wasOpen);
+  }
+}
+
+void
+peer_switch::Identify(const link_ptr& aLink, const node_id& aNode)
+{
+  aLink->node = aNode;
+  mByNode.emplace(aNode, aLink);
+  mObserver.OnPeerUp(aNode);
+}
+
+void
+peer_switch::OnFrame(const link_ptr& aLink, std::string_view aFrame)
+{
+  result<peer_message> message = DecodeMessage(aFrame);
+  if (!message) {
+    LogEvent(
+      log_level::warning,
+      "peer_message_refused",
+      { { "node", aLink->node }, { "reason", message.error().message } });
+    aLink->Close();
+    return;
+  }
+  traffic_count& count = mTraffic[message->index()];
+  ++count.received_messages;
+  count.received_bytes += aFrame.size();
+  mLinks[aLink.get()].used = mLoop.Now();
+  const auto* hello = std::get_if<hello_message>(&*message);
+  if (aLink->node.empty()) {
+    if (hello == nullptr || EndpointFromText(hello->self.node).port == 0) {
+      LogEvent(log_level::warning, "peer_without_hello");
+      aLink->Close();
+      return;
+    }
+    Identify(aLink, hello->self.node);
+  }
+  node_id node = aLink->node;
+  mObserver.OnPeerMessage(node, aLink, std::move(*message));
+}
+
+} // namespace eelgrasstrack
--- /dev/null
+++ b/src/daemon/state-dump.h
@@ -0,0 +1,42 @@
+#ifndef EELGRASSTRACK_DAEMON_STATE_DUMP_H_
+#define EELGRASSTRACK_DAEMON_STATE_DUMP_H_
+
+#include "call/first-hop.h"
+#include "call/last-hop.h"
+#include "daemon/peer-switch.h"
+#include "fleet/fleet-node.h"
+#include "store/http-object-store.h"
+
+namespace eelgrasstrack {
+
+/// The parts of a node that a dump shows.
+struct state_dump_sources
+{
+  const fleet_node& fleet;
+  const peer_switch& peers;
+  const last_hop& last;
+  const http_object_store& store;
+  const first_hop& first;
+  duration uptime{};
+  bool serving = false;
+};
+
+/// The whole state of the process, as JSON.
+std::string
+DumpState(const state_dump_sources& aSources);
+
+/// Counters and gauges in the text exposition format.
+std::string
+ExposeCounters(const state_dump_sources& aSources);
+
+/// Resident memory of this process in bytes, 0 if the system does not tell.
+std::uint64_t
+ResidentBytes();
+
+/// Processor time of this process.
+duration
+ProcessorTime();
+
+} // namespace eelgrasstrack
+
+#endif // EELGRASSTRACK_DAEMON_STATE_DUMP_H_
--- /dev/null
+++ b/src/daemon/upstream-directory.h
@@ -0,0 +1,38 @@
+#ifndef EELGRASSTRACK_DAEMON_UPSTREAM_DIRECTORY_H_
+#define EELGRASSTRACK_DAEMON_UPSTREAM_DIRECTORY_H_
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "membership/member-table.h"
+#include "routing/upstream-picker.h"
+
+namespace eelgrasstrack {
+
+/// Upstreams that take work, by service and version, built anew when the
+/// member table has changed.
+class upstream_directory
+{
+public:
+  const std::vector<upstream_candidate>& Find(const member_table& aMembers,
+                                              const std::string& aService,
+                                              const std::string& aVersion);
+
+private:
+  struct service_version
+  {
+    std::string service;
+    std::string version;
+    auto operator<=>(const service_version&) const = default;
+  };
+
+  void Rebuild(const member_table& aMembers);
+
+  std::uint64_t mGeneration = UINT64_MAX;
+  std::map<service_version, std::vector<upstream_candidate>> mCandidates;
+};
+
+} // namespace eelgrasstrack
+
+#endif // EELGRASSTRACK_DAEMON_UPSTREAM_DIRECTORY_H_
--- /dev/null
+++ b/src/distribution/config-replica.cc
@@ -0,0 +1,92 @@
+#include "distribution/config-replica.h"
+
+#include <algorithm>
+
+#include "base/invariant.h"
+
+namespace eelgrasstrack {
+
+namespace {
+
+constexpr std::size_t kKeptSnapshots = 16;
+
+bool
+ReferencesHold(const config_snapshot& aSnapshot)
+{
+  return std::all_of(aSnapshot.routes.begin(),
+                     aSnapshot.routes.end(),
+                     [&](const route_declaration& aRoute) {
+                       return aSnapshot.FindService(aRoute.service) != nullptr;
+                     });
+}
+
+} // namespace
+
+config_replica::config_replica()
+  : mCurrent(std::make_shared<config_snapshot>())
+{
+}
+
+bool
+config_replica::Install(const snapshot_ptr& aSnapshot)
+{
+  if (aSnapshot->version <= mCurrent->version) {
+    return false;
+  }
+  bool whole = CheckInvariant(invariant::snapshot_whole,
+                              HashOf(aSnapshot->documents) == aSnapshot->hash);
+  bool references = CheckInvariant(invariant::no_dangling_reference,
+                                   ReferencesHold(*aSnapshot));
+  if (!whole || !references) {
+    return false;
+  }
+  std::uint64_t before = mCurrent->version;
+  mHistory.push_back(mCurrent);
+  if (mHistory.size() > kKeptSnapshots) {
+    mHistory.pop_front();
+  }
+  mCurrent = aSnapshot;
+  CheckInvariant(invariant::version_only_rises, mCurrent->version > before);
+  return true;
+}
+
+std::optional<config_delta>
+config_replica::DeltaFrom(std::uint64_t aVersion) const
+{
+  for (const snapshot_ptr& old : mHistory) {
+    if (old->version == aVersion) {
+      return DeltaBetween(*old, *mCurrent);
+    }
+  }
+  return std::nullopt;
+}
+
+void
+version_floor::FromStore(std::uint64_t aVersion)
+{
+  mStoreAnswered = true;
+  mHighest = std::max(mHighest, aVersion);
+}
+
+void
+version_floor::FromPeer(const node_id& aNode,
+                        const std::string& aDomain,
+                        std::uint64_t aVersion)
+{
+  mPeers.insert(aNode);
+  mDomains.insert(aDomain);
+  mHighest = std::max(mHighest, aVersion);
+}
+
+std::optional<std::uint64_t>
+version_floor::Value() const
+{
+  bool peersSuffice =
+    mPeers.size() >= kLeastPeers && mDomains.size() >= kLeastDomains;
+  if (!mStoreAnswered && !peersSuffice) {
+    return std::nullopt;
+  }
+  return mHighest;
+}
+
+} // namespace eelgrasstrack
--- /dev/null
+++ b/src/distribution/config-writer.h
@@ -0,0 +1,77 @@
+#ifndef EELGRASSTRACK_DISTRIBUTION_CONFIG_WRITER_H_
+#define EELGRASSTRACK_DISTRIBUTION_CONFIG_WRITER_H_
+
+#include <functional>
+#include <memory>
+#include <optional>
+
+#include "distribution/config-state.h"
+#include "store/call-budget.h"
+#include "store/object-store.h"
+
+namespace eelgrasstrack {
+
+/// Runs tasks later. The loop in the daemon, a virtual one in tests.
+class delayed_tasks
+{
+public:
+  virtual ~delayed_tasks() = default;
+  virtual void RunAfter(duration aDelay, std::function<void()> aTask) = 0;
+};
+
+/// Changes the documents in place. Called again on newer documents if another
+/// write came first and the command allows that.
+using config_edit = std::function<result<void>(document_map&)>;
+
+/// One command that changes the configuration.
+struct config_command
+{
+  /// The same id is applied at most once.
+  std::string operation_id;
+  /// The version that the operator has seen; a mismatch is a `conflict`.
+  std::optional<std::uint64_t> expected_version;
+  config_edit edit;
+  /// Try again on top of another's write instead of answering `conflict`.
+  bool rebase_on_conflict = false;
+};
+
+/// The configuration that a command led to.
+struct accepted_config
+{
+  snapshot_ptr snapshot;
+  /// The operation had been applied before.
+  bool repeated = false;
+};
+
+using accept_callback = std::function<void(result<accepted_config>)>;
+
+/// Turns commands into conditional writes of the one configuration object.
+/// A write whose answer was lost is settled by reading: the operation id shows
+/// whether it took effect, and the store's version whether it still may.
+class config_writer
+{
+public:
+  config_writer(object_store& aStore,
+                delayed_tasks& aTasks,
+                std::uint64_t aSeed);
+
+  void Submit(config_command aCommand, accept_callback aDone);
+
+private:
+  struct attempt;
+
+  void Read(const std::shared_ptr<attempt>& aAttempt);
+  void Decide(const std::shared_ptr<attempt>& aAttempt, stored_object aObject);
+  void Write(const std::shared_ptr<attempt>& aAttempt,
+             config_state aNext,
+             std::uint64_t aStoreVersion);
+  void Retry(const std::shared_ptr<attempt>& aAttempt, error aCause);
+
+  object_store& mStore;
+  delayed_tasks& mTasks;
+  std::uint64_t mSeed;
+};
+
+} // namespace eelgrasstrack
+
+#endif // EELGRASSTRACK_DISTRIBUTION_CONFIG_WRITER_H_
--- /dev/null
+++ b/src/http/error-response.cc
@@ -0,0 +1,25 @@
+#include "http/error-response.h"
+
+#include <nlohmann/json.hpp>
+
+namespace eelgrasstrack {
+
+http_response
+ErrorResponse(const error& aFailure)
+{
+  nlohmann::json body = { { "error", NameOf(aFailure.kind) },
+                          { "message", aFailure.message },
+                          { "execution", NameOf(aFailure.ran) } };
+  http_response response;
+  response.status = AnswerOf(aFailure.kind).http_status;
+  response.headers = { { "content-type", "application/json" },
+                       { "x-execution", std::string(NameOf(aFailure.ran)) } };
+  if (aFailure.ran == execution::not_run) {
+    response.headers.push_back({ "x-not-run", "true" });
+  }
+  response.body =
+    body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+  return response;
+}
+
+} // namespace eelgrasstrack
--- /dev/null
+++ b/src/http/header-reader.cc
@@ -0,0 +1,92 @@
+#include "http/header-reader.h"
+
+#include <charconv>
+#include <libwebsockets.h>
+
+namespace eelgrasstrack::detail {
+
+namespace {
+
+struct known_header
+{
+  std::string_view name;
+  lws_token_indexes token;
+};
+
+constexpr known_header kKnownHeaders[] = {
+  { "content-type", WSI_TOKEN_HTTP_CONTENT_TYPE },
+  { "accept", WSI_TOKEN_HTTP_ACCEPT },
+  { "accept-language", WSI_TOKEN_HTTP_ACCEPT_LANGUAGE },
+  { "authorization", WSI_TOKEN_HTTP_AUTHORIZATION },
+  { "cookie", WSI_TOKEN_HTTP_COOKIE },
+  { "set-cookie", WSI_TOKEN_HTTP_SET_COOKIE },
+  { "user-agent", WSI_TOKEN_HTTP_USER_AGENT },
+  { "location", WSI_TOKEN_HTTP_LOCATION },
+  { "cache-control", WSI_TOKEN_HTTP_CACHE_CONTROL },
+  { "etag", WSI_TOKEN_HTTP_ETAG },
+  { "if-match", WSI_TOKEN_HTTP_IF_MATCH },
+  { "if-none-match", WSI_TOKEN_HTTP_IF_NONE_MATCH },
+  { "last-modified", WSI_TOKEN_HTTP_LAST_MODIFIED },
+  { "retry-after", WSI_TOKEN_HTTP_RETRY_AFTER },
+  { "host", WSI_TOKEN_HOST },
+  { "transfer-encoding", WSI_TOKEN_HTTP_TRANSFER_ENCODING },
+};
+
+constexpr std::string_view kCustomHeaders[] = {
+  "x-request-id:", "x-caller:",   "x-timeout-ms:", "x-not-run:",
+  "x-version:",    "x-upstream:", "traceparent:",  "tracestate:",
+};
+
+std::string
+KnownValue(lws* aConnection, lws_token_indexes aToken)
+{
+  int length = lws_hdr_total_length(aConnection, aToken);
+  std::string value(static_cast<std::size_t>(length) + 1, '\0');
+  int copied = lws_hdr_copy(aConnection, value.data(), length + 1, aToken);
+  value.resize(copied > 0 ? static_cast<std::size_t>(copied) : 0);
+  return value;
+}
+
+} // namespace
+
+http_headers
+ReadHeaders(lws* aConnection)
+{
+  http_headers headers;
+  for (const known_header& known : kKnownHeaders) {
+    if (lws_hdr_total_length(aConnection, known.token) > 0) {
+      headers.push_back(
+        { std::string(known.name), KnownValue(aConnection, known.token) });
+    }
+  }
+  for (std::string_view name : kCustomHeaders) {
+    int nameLength = static_cast<int>(name.size());
+    int length = lws_hdr_custom_length(aConnection, name.data(), nameLength);
+    if (length <= 0) {
+      continue;
+    }
+    std::string value(static_cast<std::size_t>(length) + 1, '\0');
+    int copied = lws_hdr_custom_copy(
+      aConnection, value.data(), length + 1, name.data(), nameLength);
+    value.resize(copied > 0 ? static_cast<std::size_t>(copied) : 0);
+    headers.push_back(
+      { std::string(name.substr(0, name.size() - 1)), std::move(value) });
+  }
+  return headers;
+}
+
+std::int64_t
+ReadContentLength(lws* aConnection)
+{
+  if (lws_hdr_total_length(aConnection, WSI_TOKEN_HTTP_CONTENT_LENGTH) <= 0) {
+    return -1;
+  }
+  std::string text = KnownValue(aConnection, WSI_TOKEN_HTTP_CONTENT_LENGTH);
+  std::int64_t length = -1;
+  auto [end, code] =
+    std::from_chars(text.data(), text.data() + text.size(), length);
+  bool whole = code == std::errc() && end == text.data() + text.size();
+  return whole && length >= 0 ? length : -1;
+}
+
+} // namespace eelgrasstrack::detail
--- /dev/null
+++ b/src/rollout/evidence-recorder.cc
@@ -0,0 +1,287 @@
+#include "rollout/evidence-recorder.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "base/hash.h"
+#include "rollout/rollout-state.h"
+
+namespace eelgrasstrack {
+
+namespace {
+
+constexpr duration kDedupePeriod = std::chrono::seconds(1);
+/// The mix of versions is remembered over about this many trials.
+constexpr double kMixMemory = 400;
+constexpr std::uint32_t kBaselineMemory = 2000;
+constexpr std::uint32_t kLeastBaseline = 20;
+constexpr double kSlowQuantile = 0.9;
+/// A call is slow above this multiple of the quantile, plus a fixed allowance.
+constexpr double kSlowMultiple = 1.5;
+constexpr duration kSlowAllowance = std::chrono::milliseconds(2);
+/// Bucket `i` of the baseline ends at `kFirstBucketUs * kBucketRatio^i`.
+constexpr double kFirstBucketUs = 50;
+constexpr double kBucketRatio = 1.2;
+
+std::size_t
+BucketOf(duration aTime, std::size_t aBuckets)
+{
+  double ratio = static_cast<double>(aTime.count()) / kFirstBucketUs;
+  if (ratio <= 1) {
+    return 0;
+  }
+  auto bucket = static_cast<std::size_t>(
+    std::ceil(std::log(ratio) / std::log(kBucketRatio)));
+  return std::min(bucket, aBuckets - 1);
+}
+
+} // namespace
+
+void
+latency_baseline::Add(duration aTime)
+{
+  ++mCounts[BucketOf(aTime, kBuckets)];
+  if (++mTotal < kBaselineMemory) {
+    return;
+  }
+  mTotal = 0;
+  for (std::uint32_t& count : mCounts) {
+    count /= 2;
+    mTotal += count;
+  }
+}
+
+duration
+latency_baseline::SlowThreshold() const
+{
+  if (mTotal < kLeastBaseline) {
+    return duration(0);
+  }
+  double wanted = mTotal * kSlowQuantile;
+  std::uint32_t below = 0;
+  std::size_t bucket = 0;
+  while (bucket + 1 < kBuckets && below + mCounts[bucket] < wanted) {
+    below += mCounts[bucket];
+    ++bucket;
+  }
+  double quantile =
+    kFirstBucketUs * std::pow(kBucketRatio, static_cast<double>(bucket));
+  return duration(static_cast<duration::rep>(quantile * kSlowMultiple)) +
+         kSlowAllowance;
+}
+
+evidence_recorder::evidence_recorder(time_point aNow)
+  : mBegan(aNow)
+  , mDedupeSince(aNow)
+{
+}
+
+bool
+evidence_recorder::FirstInWindow(const recorded_try& aTry, char aChannel)
+{
+  std::uint64_t seed = HashOf(aTry.route, aTry.exposed ? 1 : 0);
+  std::uint64_t key =
+    HashOf(aTry.caller, seed + static_cast<unsigned>(aChannel));
+  return mSeenInWindow.insert(key).second;
+}
+
+void
+evidence_recorder::Started(std::uint64_t aTry,
+                           const recorded_try& aBegun,
+                           time_point aNow)
+{
+  mOpen[aTry] = open_try{ aBegun, aNow };
+  std::uint64_t caller = HashOf(aBegun.caller);
+  mCallers.insert(caller);
+  if (aBegun.exposed) {
+    mExposedCallers.insert(caller);
+  }
+}
+
+void
+evidence_recorder::Finished(std::uint64_t aTry,
+                            const recorded_try& aEnded,
+                            bool aCounts)
+{
+  bool countedSlow = false;
+  auto open = mOpen.find(aTry);
+  if (open != mOpen.end()) {
+    countedSlow = open->second.counted_slow;
+    mOpen.erase(open);
+  }
+  if (!aCounts) {
+    return;
+  }
+  if (!aEnded.warming && !aEnded.failed) {
+    mWarmNodes.insert(aEnded.node);
+  }
+  mTotals.busy_us += static_cast<std::uint64_t>(aEnded.service_time.count());
+  CountTrial(aEnded);
+  route_state& state = mRoutes[aEnded.route];
+  if (!aEnded.exposed && !aEnded.failed) {
+    state.old_times.push_back(aEnded.service_time);
+  }
+  bool judged = state.slow_threshold.count() > 0 && !aEnded.warming &&
+                !aEnded.failed && !countedSlow;
+  if (judged) {
+    CountTimed(aEnded, aEnded.service_time > state.slow_threshold);
+  }
+}
+
+void
+evidence_recorder::CountTrial(const recorded_try& aTry)
+{
+  std::uint64_t caller = HashOf(aTry.caller);
+  bool failedBefore = mFailedOnOld.count(caller) != 0;
+  if (aTry.failed && !aTry.exposed) {
+    mFailedOnOld.insert(caller);
+  }
+  if (failedBefore || !FirstInWindow(aTry, 'f')) {
+    return;
+  }
+  route_state& state = mRoutes[aTry.route];
+  arm_counts one{ 1, aTry.failed ? 1U : 0U, 0, 0 };
+  if (aTry.exposed) {
+    state.new_window += one;
+    state.instances[aTry.node] += one;
+    ++mTotals.new_trials;
+    if (aTry.failed) {
+      mCallersWithEvents.insert(caller);
+    }
+  } else {
+    state.old_window += one;
+    ++mTotals.old_trials;
+  }
+}
+
+void
+evidence_recorder::CountTimed(const recorded_try& aTry, bool aSlow)
+{
+  if (!FirstInWindow(aTry, 's')) {
+    return;
+  }
+  route_state& state = mRoutes[aTry.route];
+  arm_counts one{ 0, 0, 1, aSlow ? 1U : 0U };
+  if (aTry.exposed) {
+    state.new_window += one;
+    state.instances[aTry.node] += one;
+    if (aSlow) {
+      mCallersWithEvents.insert(HashOf(aTry.caller));
+    }
+  } else {
+    state.old_window += one;
+  }
+}
+
+void
+evidence_recorder::CallerHurt(const std::string& aCaller)
+{
+  mHurtCallers.insert(HashOf(aCaller));
+}
+
+void
+evidence_recorder::ShareChanged(std::uint32_t aShare)
+{
+  if (aShare == mShare) {
+    return;
+  }
+  mShare = aShare;
+  for (auto& [route, state] : mRoutes) {
+    state.old_trials = 0;
+    state.new_trials = 0;
+    state.old_timed = 0;
+    state.new_timed = 0;
+  }
+}
+
+void
+evidence_recorder::CountOverdue(time_point aNow)
+{
+  for (auto& [id, open] : mOpen) {
+    const route_state& state = mRoutes[open.begun.route];
+    bool judged = state.slow_threshold.count() > 0 && !open.counted_slow &&
+                  mWarmNodes.count(open.begun.node) != 0;
+    bool overdue = judged && aNow - open.started > state.slow_threshold * 2;
+    if (overdue) {
+      open.counted_slow = true;
+      CountTimed(open.begun, true);
+    }
+  }
+}
+
+std::uint32_t
+evidence_recorder::ShareOf(double aOld, double aNew) const
+{
+  double total = aOld + aNew;
+  double observed = total > 0 ? aNew / total : 0;
+  auto share = static_cast<std::uint32_t>(std::ceil(observed * kWholeShare));
+  // The greater of the two is the cautious one.
+  return std::max(share, mShare);
+}
+
+evidence_window
+evidence_recorder::CloseWindow(const std::string& aRoute, route_state& aState)
+{
+  aState.old_trials += aState.old_window.trials;
+  aState.new_trials += aState.new_window.trials;
+  aState.old_timed += aState.old_window.timed;
+  aState.new_timed += aState.new_window.timed;
+  evidence_window window;
+  window.route = aRoute;
+  window.trial_share = ShareOf(aState.old_trials, aState.new_trials);
+  window.timed_share = ShareOf(aState.old_timed, aState.new_timed);
+  window.old_version = aState.old_window;
+  window.new_version = aState.new_window;
+  for (const auto& [node, counts] : aState.instances) {
+    window.instances.push_back({ node, counts });
+  }
+  if (aState.old_trials + aState.new_trials > kMixMemory) {
+    aState.old_trials /= 2;
+    aState.new_trials /= 2;
+    aState.old_timed /= 2;
+    aState.new_timed /= 2;
+  }
+  aState.old_window = {};
+  aState.new_window = {};
+  aState.instances.clear();
+  for (duration time : aState.old_times) {
+    aState.baseline.Add(time);
+  }
+  aState.old_times.clear();
+  aState.slow_threshold = aState.baseline.SlowThreshold();
+  return window;
+}
+
+std::vector<evidence_window>
+evidence_recorder::Flush(time_point aNow)
+{
+  CountOverdue(aNow);
+  std::vector<evidence_window> windows;
+  for (auto& [route, state] : mRoutes) {
+    evidence_window window = CloseWindow(route, state);
+    if (window.old_version.trials + window.new_version.trials +
+          window.old_version.timed + window.new_version.timed >
+        0) {
+      windows.push_back(std::move(window));
+    }
+  }
+  if (aNow - mDedupeSince >= kDedupePeriod) {
+    mDedupeSince = aNow;
+    mSeenInWindow.clear();
+  }
+  return windows;
+}
+
+evidence_totals
+evidence_recorder::Totals(time_point aNow) const
+{
+  evidence_totals totals = mTotals;
+  totals.covered_ms = static_cast<std::uint64_t>(Milliseconds(aNow - mBegan));
+  totals.callers = mCallers.size();
+  totals.callers_exposed = mExposedCallers.size();
+  totals.callers_hurt = mHurtCallers.size();
+  totals.callers_with_events = mCallersWithEvents.size();
+  return totals;
+}
+
+} // namespace eelgrasstrack
--- /dev/null
+++ b/src/rollout/evidence-recorder.h
@@ -0,0 +1,115 @@
+#ifndef EELGRASSTRACK_ROLLOUT_EVIDENCE_RECORDER_H_
+#define EELGRASSTRACK_ROLLOUT_EVIDENCE_RECORDER_H_
+
+#include <deque>
+#include <map>
+#include <set>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+#include "base/clock.h"
+#include "rollout/evidence.h"
+
+namespace eelgrasstrack {
+
+/// One finished or overdue try of a call, as far as evidence goes.
+struct recorded_try
+{
+  std::string route;
+  std::string caller;
+  /// Node beside the upstream.
+  std::string node;
+  bool exposed = false;
+  bool failed = false;
+  /// The upstream warms up; its speed is not judged.
+  bool warming = false;
+  duration service_time{};
+};
+
+/// How long an upstream takes on a route, from recent calls to the old version:
+/// counts in buckets of a constant ratio, halved from time to time.
+class latency_baseline
+{
+public:
+  void Add(duration aTime);
+  /// Calls above it are slow; zero while there are too few calls to tell.
+  duration SlowThreshold() const;
+
+private:
+  static constexpr std::size_t kBuckets = 96;
+  std::vector<std::uint32_t> mCounts = std::vector<std::uint32_t>(kBuckets);
+  std::uint32_t mTotal = 0;
+};
+
+/// Turns the tries of one rollout at one node into evidence windows. A caller
+/// counts once a second and version; callers that already failed on the old
+/// version do not count as failures.
+class evidence_recorder
+{
+public:
+  explicit evidence_recorder(time_point aNow);
+
+  /// A try began; until it ends, it may become overdue.
+  void Started(std::uint64_t aTry, const recorded_try& aBegun, time_point aNow);
+  /// A try ended with evidence, or without any (`aCounts` false).
+  void Finished(std::uint64_t aTry, const recorded_try& aEnded, bool aCounts);
+  void CallerHurt(const std::string& aCaller);
+
+  /// The share changed, so the recent mix of versions no longer holds.
+  void ShareChanged(std::uint32_t aShare);
+
+  /// Ends a window. Returns the windows that hold events.
+  std::vector<evidence_window> Flush(time_point aNow);
+
+  evidence_totals Totals(time_point aNow) const;
+
+private:
+  struct open_try
+  {
+    recorded_try begun;
+    time_point started{};
+    bool counted_slow = false;
+  };
+
+  struct route_state
+  {
+    latency_baseline baseline;
+    duration slow_threshold{};
+    arm_counts old_window;
+    arm_counts new_window;
+    std::map<std::string, arm_counts> instances;
+    /// Recent mix, halved as it grows.
+    double old_trials = 0;
+    double new_trials = 0;
+    double old_timed = 0;
+    double new_timed = 0;
+    std::vector<duration> old_times;
+  };
+
+  bool FirstInWindow(const recorded_try& aTry, char aChannel);
+  void CountTrial(const recorded_try& aTry);
+  void CountTimed(const recorded_try& aTry, bool aSlow);
+  void CountOverdue(time_point aNow);
+  evidence_window CloseWindow(const std::string& aRoute, route_state& aState);
+  std::uint32_t ShareOf(double aOld, double aNew) const;
+
+  time_point mBegan;
+  time_point mDedupeSince;
+  std::uint32_t mShare = 0;
+  std::map<std::string, route_state> mRoutes;
+  std::unordered_map<std::uint64_t, open_try> mOpen;
+  std::unordered_set<std::uint64_t> mSeenInWindow;
+  std::unordered_set<std::uint64_t> mCallers;
+  std::unordered_set<std::uint64_t> mExposedCallers;
+  std::unordered_set<std::uint64_t> mHurtCallers;
+  std::unordered_set<std::uint64_t> mCallersWithEvents;
+  std::unordered_set<std::uint64_t> mFailedOnOld;
+  /// Nodes whose upstream has answered after its warm-up time.
+  std::set<std::string> mWarmNodes;
+  evidence_totals mTotals;
+};
+
+} // namespace eelgrasstrack
+
+#endif // EELGRASSTRACK_ROLLOUT_EVIDENCE_RECORDER_H_
--- /dev/null
+++ b/src/rollout/rollout-description.cc
@@ -0,0 +1,135 @@
+#include "rollout/rollout-description.h"
+
+#include <cstdio>
+
+namespace eelgrasstrack {
+
+namespace {
+
+std::string
+Percent(std::uint32_t aShare)
+{
+  char text[32];
+  std::snprintf(text, sizeof(text), "%.2f %%", aShare / 100.0);
+  return text;
+}
+
+std::string
+InSeconds(std::int64_t aMilliseconds)
+{
+  char text[32];
+  std::snprintf(
+    text, sizeof(text), "%.1f s", static_cast<double>(aMilliseconds) / 1000);
+  return text;
+}
+
+std::string
+EndedText(const rollout_declaration& aRollout)
+{
+  std::string counts = std::to_string(aRollout.callers_exposed) +
+                       " callers were exposed, " +
+                       std::to_string(aRollout.callers_hurt) + " of them hurt.";
+  if (aRollout.phase == rollout_phase::done) {
+    return "Done: every caller of " + aRollout.service + " gets " +
+           aRollout.to_version + ". " + counts;
+  }
+  return "Taken back: every caller of " + aRollout.service + " gets " +
+         aRollout.from_version + ". Reason: " + aRollout.reason + ". " + counts;
+}
+
+std::string
+StepText(const rollout_status& aStatus, std::int64_t aNowMs)
+{
+  std::string due =
+    " Next step in " +
+    InSeconds(std::max<std::int64_t>(0, aStatus.plan.next_ms - aNowMs)) + ".";
+  switch (aStatus.plan.step) {
+    case plan_step::waiting_for_upstreams:
+      return "Waiting for upstreams of " + aStatus.declared.to_version +
+             ": their slots can carry " + Percent(aStatus.capacity_share) +
+             " of the callers.";
+    case plan_step::waiting_for_evidence:
+      return "The next step waits, because the evidence is suspicious.";
+    case plan_step::paused:
+      return "Paused by an operator.";
+    case plan_step::complete:
+      return "The move is complete.";
+    case plan_step::hold:
+    case plan_step::raise:
+      break;
+  }
+  return due.substr(1);
+}
+
+std::string
+EvidenceText(const rollout_status& aStatus)
+{
+  std::string text;
+  for (const auto& [route, evidence] : aStatus.routes) {
+    const arm_counts& newer = evidence.new_version;
+    const arm_counts& older = evidence.old_version;
+    text +=
+      " Route " + route + ": new version " + std::to_string(newer.failures) +
+      " failed and " + std::to_string(newer.slow) + " slow of " +
+      std::to_string(newer.trials) + " sampled calls, old version " +
+      std::to_string(older.failures) + " and " + std::to_string(older.slow) +
+      " of " + std::to_string(older.trials) + ".";
+  }
+  char strength[96];
+  std::snprintf(strength,
+                sizeof(strength),
+                " Evidence against the new version: %.3g of %.3g needed.",
+                aStatus.strongest,
+                aStatus.threshold);
+  return text + strength;
+}
+
+} // namespace
+
+std::string
+StandingOf(const rollout_status& aStatus)
+{
+  if (!aStatus.declared.Open()) {
+    return std::string(NameOf(aStatus.declared.phase));
+  }
+  if (aStatus.state.halted) {
+    return "taken_back_not_recorded";
+  }
+  if (aStatus.state.complete) {
+    return "done_not_recorded";
+  }
+  return std::string(NameOf(aStatus.declared.phase));
+}
+
+std::string
+DescribeRollout(const rollout_status& aStatus, std::int64_t aNowMs)
+{
+  const rollout_declaration& rollout = aStatus.declared;
+  if (!rollout.Open()) {
+    return EndedText(rollout);
+  }
+  if (aStatus.state.halted) {
+    return "Taken back, not yet recorded in the store: every caller of " +
+           rollout.service + " gets " + rollout.from_version +
+           ". Reason: " + aStatus.state.halt_reason + ".";
+  }
+  if (aStatus.state.complete) {
+    return "Done, not yet recorded in the store: every caller of " +
+           rollout.service + " gets " + rollout.to_version + ".";
+  }
+  std::string text = rollout.service + " moves from " + rollout.from_version +
+                     " to " + rollout.to_version + ": " +
+                     Percent(aStatus.state.share) + " of its callers share (" +
+                     std::to_string(aStatus.totals.callers_exposed) + " of " +
+                     std::to_string(aStatus.totals.callers) + " seen so far). ";
+  text += StepText(aStatus, aNowMs);
+  text += aStatus.plan.on_time ? " It makes its time, due in "
+                               : " It is late, due in ";
+  text += InSeconds(rollout.by_unix_ms - aNowMs) + ".";
+  for (const std::string& node : aStatus.state.ejected) {
+    text += " The upstream at " + node + " is left out as bad.";
+  }
+  return text + EvidenceText(aStatus);
+}
+
+} // namespace eelgrasstrack
--- /dev/null
+++ b/src/rollout/rollout-driver.cc
@@ -0,0 +1,441 @@
+#include "rollout/rollout-driver.h"
+
+#include <algorithm>
+
+#include "base/log.h"
+
+namespace eelgrasstrack {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// Windows without events are reported this often, and more seldom in a large
+/// fleet, so that a collector's inbound bytes stay bounded.
+constexpr duration kQuietPeriod = seconds(1);
+constexpr duration kQuietPerNode = milliseconds(10);
+constexpr duration kResendAfter = seconds(1);
+constexpr duration kOutcomeRetry = seconds(3);
+constexpr std::size_t kKeptWindows = 4096;
+constexpr std::size_t kWindowsPerReport = 64;
+
+bool
+HasEvents(const evidence_window& aWindow)
+{
+  return aWindow.old_version.failures + aWindow.old_version.slow +
+           aWindow.new_version.failures + aWindow.new_version.slow >
+         0;
+}
+
+void
+AddTo(evidence_window& aSum, const evidence_window& aWindow)
+{
+  aSum.route = aWindow.route;
+  aSum.trial_share = aWindow.trial_share;
+  aSum.timed_share = aWindow.timed_share;
+  aSum.old_version += aWindow.old_version;
+  aSum.new_version += aWindow.new_version;
+  for (const instance_counts& instance : aWindow.instances) {
+    auto known = std::find_if(aSum.instances.begin(),
+                              aSum.instances.end(),
+                              [&](const instance_counts& aOther) {
+                                return aOther.node == instance.node;
+                              });
+    if (known == aSum.instances.end()) {
+      aSum.instances.push_back(instance);
+    } else {
+      known->counts += instance.counts;
+    }
+  }
+}
+
+} // namespace
+
+rollout_driver::rollout_driver(rollout_environment& aEnvironment,
+                               const clock_source& aClock)
+  : mEnvironment(aEnvironment)
+  , mClock(aClock)
+{
+}
+
+const rollout_state&
+rollout_driver::StateOf(const std::string& aId) const
+{
+  static const rollout_state sNone;
+  const rollout_state* state = mEnvironment.Board().Find(aId);
+  return state == nullptr ? sNone : *state;
+}
+
+bool
+rollout_driver::Collects(const std::string& aId) const
+{
+  std::vector<std::string> collectors = mEnvironment.CollectorsOf(aId);
+  return std::find(collectors.begin(),
+                   collectors.end(),
+                   mEnvironment.SelfNode()) != collectors.end();
+}
+
+std::size_t
+rollout_driver::CoveredRoutes(const rollout_declaration& aRollout) const
+{
+  const std::vector<route_declaration>& routes =
+    mEnvironment.RolloutConfig()->routes;
+  return static_cast<std::size_t>(std::count_if(
+    routes.begin(), routes.end(), [&](const route_declaration& aRoute) {
+      return aRoute.service == aRollout.service && aRollout.Covers(aRoute.name);
+    }));
+}
+
+void
+rollout_driver::SyncWithConfig(time_point aNow)
+{
+  const auto& rollouts = mEnvironment.RolloutConfig()->rollouts;
+  for (auto open = mOpen.begin(); open != mOpen.end();) {
+    auto declared = rollouts.find(open->first);
+    bool ended = declared == rollouts.end() || !declared->second.Open();
+    open = ended ? mOpen.erase(open) : std::next(open);
+  }
+  for (const auto& [id, declared] : rollouts) {
+    if (declared.Open()) {
+      mOpen.try_emplace(id, aNow);
+    }
+  }
+}
+
+void
+rollout_driver::Tick()
+{
+  time_point now = mClock.Now();
+  SyncWithConfig(now);
+  for (auto& [id, open] : mOpen) {
+    const rollout_state& state = StateOf(id);
+    if (state.share != open.seen_share) {
+      open.seen_share = state.share;
+      open.raised_ms = mClock.UnixMilliseconds();
+      open.recorder.ShareChanged(state.share);
+    }
+    Report(id, open, now);
+    JudgeAt(mEnvironment.RolloutConfig()->rollouts.at(id), open, now);
+    RecordIfDecided(id, open, now);
+  }
+}
+
+void
+rollout_driver::AddWindow(open_rollout& aOpen, evidence_window aWindow)
+{
+  aOpen.windows.push_back({ aOpen.next_window++, std::move(aWindow) });
+  if (aOpen.windows.size() > kKeptWindows) {
+    aOpen.windows.pop_front();
+  }
+}
+
+void
+rollout_driver::Report(const std::string& aId,
+                       open_rollout& aOpen,
+                       time_point aNow)
+{
+  for (evidence_window& window : aOpen.recorder.Flush(aNow)) {
+    aOpen.own_judge.Count(window);
+    if (HasEvents(window)) {
+      AddWindow(aOpen, std::move(window));
+    } else {
+      AddTo(aOpen.quiet[window.route], window);
+    }
+  }
+  duration quietPeriod = std::max(
+    kQuietPeriod, kQuietPerNode * static_cast<int>(mEnvironment.FleetSize()));
+  bool quietDue = aNow - aOpen.last_quiet >= quietPeriod;
+  if (quietDue) {
+    aOpen.last_quiet = aNow;
+    for (auto& [route, window] : aOpen.quiet) {
+      AddWindow(aOpen, std::move(window));
+    }
+    aOpen.quiet.clear();
+  }
+  std::vector<std::string> collectors = mEnvironment.CollectorsOf(aId);
+  for (const std::string& collector : collectors) {
+    SendTo(collector, aId, aOpen, quietDue, aNow);
+  }
+}
+
+void
+rollout_driver::SendTo(const std::string& aCollector,
+                       const std::string& aId,
+                       open_rollout& aOpen,
+                       bool aQuietDue,
+                       time_point aNow)
+{
+  collector_view& view = aOpen.collectors[aCollector];
+  bool unsent = view.sent_up_to < aOpen.next_window;
+  bool unacknowledged = view.next_window < aOpen.next_window &&
+                        aNow - view.last_sent >= kResendAfter;
+  bool calls = aOpen.next_window > 0;
+  if (!unsent && !unacknowledged && !(aQuietDue && calls)) {
+    return;
+  }
+  evidence_report report;
+  report.rollout = aId;
+  report.reporter = mEnvironment.SelfNode();
+  report.incarnation = mEnvironment.SelfIncarnation();
+  report.report = aOpen.next_report++;
+  report.totals = aOpen.recorder.Totals(aNow);
+  std::uint64_t first = unacknowledged ? view.next_window : view.sent_up_to;
+  std::uint64_t oldest =
+    aOpen.windows.empty() ? aOpen.next_window : aOpen.windows.front().number;
+  report.first_window = std::max(first, oldest);
+  for (const numbered_window& numbered : aOpen.windows) {
+    if (numbered.number >= report.first_window &&
+        report.windows.size() < kWindowsPerReport) {
+      report.windows.push_back(numbered.window);
+    }
+  }
+  view.sent_up_to = report.first_window + report.windows.size();
+  view.last_sent = aNow;
+  mEnvironment.SendReport(aCollector, std::move(report));
+}
+
+void
+rollout_driver::OnAck(const std::string& aCollector,
+                      const std::string& aRollout,
+                      std::uint64_t aIncarnation,
+                      std::uint64_t aNextWindow)
+{
+  auto open = mOpen.find(aRollout);
+  if (open == mOpen.end() || aIncarnation != mEnvironment.SelfIncarnation()) {
+    return;
+  }
+  collector_view& view = open->second.collectors[aCollector];
+  if (aNextWindow < view.next_window) {
+    // The collector lost its memory and needs everything again.
+    view.sent_up_to = aNextWindow;
+  }
+  view.next_window = aNextWindow;
+}
+
+void
+rollout_driver::OnReport(const evidence_report& aReport)
+{
+  auto open = mOpen.find(aReport.rollout);
+  if (open == mOpen.end()) {
+    return;
+  }
+  std::uint64_t next = open->second.fleet_judge.Take(aReport);
+  mEnvironment.SendAck(
+    aReport.reporter, aReport.rollout, aReport.incarnation, next);
+  if (StateOf(aReport.rollout).halted) {
+    return;
+  }
+  judge_outcome outcome = open->second.fleet_judge.Judge();
+  ActOn(aReport.rollout, outcome);
+}
+
+void
+rollout_driver::ActOn(const std::string& aId, const judge_outcome& aOutcome)
+{
+  rollout_state state = StateOf(aId);
+  state.id = aId;
+  if (aOutcome.verdict == judgement::halt) {
+    LogEvent(log_level::warning,
+             "rollout_halted",
+             { { "rollout", aId }, { "reason", aOutcome.reason } });
+    state.halted = true;
+    state.halt_reason = aOutcome.reason;
+    mEnvironment.PublishState(state);
+  }
+  if (aOutcome.verdict == judgement::eject_instance) {
+    LogEvent(log_level::warning,
+             "upstream_ejected",
+             { { "rollout", aId },
+               { "node", aOutcome.node },
+               { "reason", aOutcome.reason } });
+    state.ejected.insert(aOutcome.node);
+    mEnvironment.PublishState(state);
+  }
+}
+
+void
+rollout_driver::JudgeAt(const rollout_declaration& aRollout,
+                        open_rollout& aOpen,
+                        time_point aNow)
+{
+  double planned =
+    static_cast<double>(aRollout.by_unix_ms - aRollout.start_unix_ms);
+  duration passed =
+    aOpen.last_tick == time_point{} ? duration(0) : aNow - aOpen.last_tick;
+  aOpen.last_tick = aNow;
+  double part =
+    planned > 0 ? static_cast<double>(Milliseconds(passed)) / planned : 0.0;
+  judge_options options;
+  options.routes = CoveredRoutes(aRollout);
+  aOpen.fleet_judge.SetOptions(options);
+  // Every node judges by its own calls too, so the rate is split over all.
+  options.judges = mEnvironment.FleetSize() + 1;
+  aOpen.own_judge.SetOptions(options);
+  aOpen.fleet_judge.TimePassed(part);
+  aOpen.own_judge.TimePassed(part);
+  const rollout_state& state = StateOf(aRollout.id);
+  if (state.halted) {
+    return;
+  }
+  judge_outcome own = aOpen.own_judge.Judge();
+  if (own.verdict == judgement::halt) {
+    ActOn(aRollout.id, own);
+    return;
+  }
+  if (!Collects(aRollout.id)) {
+    return;
+  }
+  judge_outcome fleet = aOpen.fleet_judge.Judge();
+  ActOn(aRollout.id, fleet);
+  if (!StateOf(aRollout.id).halted) {
+    Plan(aRollout, aOpen, fleet.verdict == judgement::suspicious);
+  }
+}
+
+plan_input
+rollout_driver::PlanInput(const rollout_declaration& aRollout,
+                          const open_rollout& aOpen,
+                          bool aSuspicious) const
+{
+  const rollout_state& state = StateOf(aRollout.id);
+  evidence_totals totals = aOpen.fleet_judge.Totals();
+  plan_input input;
+  input.start_ms = aRollout.start_unix_ms;
+  input.by_ms = aRollout.by_unix_ms;
+  input.now_ms = mClock.UnixMilliseconds();
+  input.share = state.share;
+  input.raised_ms = aOpen.raised_ms;
+  input.paused = aRollout.phase == rollout_phase::paused;
+  input.old_slots =
+    mEnvironment.SlotsOf(aRollout.service, aRollout.from_version);
+  input.new_slots = mEnvironment.SlotsOf(aRollout.service, aRollout.to_version);
+  input.suspicious = aSuspicious;
+  if (totals.covered_ms > 0) {
+    double covered = static_cast<double>(totals.covered_ms);
+    input.busy_slots = static_cast<double>(totals.busy_us) / 1000 / covered;
+    double quietest = -1;
+    for (const auto& [route, evidence] : aOpen.fleet_judge.Routes()) {
+      double trials = evidence.old_version.trials + evidence.new_version.trials;
+      double rate = trials * 1000 / covered;
+      if (quietest < 0 || rate < quietest) {
+        quietest = rate;
+        input.quiet_route_rate = rate;
+        input.quiet_route_trials = evidence.new_version.trials;
+      }
+    }
+  }
+  return input;
+}
+
+void
+rollout_driver::Plan(const rollout_declaration& aRollout,
+                     open_rollout& aOpen,
+                     bool aSuspicious)
+{
+  aOpen.plan = PlanNext(PlanInput(aRollout, aOpen, aSuspicious));
+  const rollout_state& known = StateOf(aRollout.id);
+  evidence_totals totals = aOpen.fleet_judge.Totals();
+  rollout_state state = known;
+  state.id = aRollout.id;
+  state.share = aOpen.plan.share;
+  state.complete = state.complete || aOpen.plan.step == plan_step::complete;
+  bool step = state.share != known.share || state.complete != known.complete;
+  if (step) {
+    // Counts travel with the steps, not on their own.
+    state.callers_exposed =
+      std::max(state.callers_exposed, totals.callers_exposed);
+    state.callers_hurt = std::max(state.callers_hurt, totals.callers_hurt);
+    LogEvent(log_level::info,
+             "rollout_step",
+             { { "rollout", aRollout.id },
+               { "share", std::to_string(state.share) },
+               { "complete", state.complete ? "true" : "false" } });
+    mEnvironment.PublishState(state);
+  }
+}
+
+void
+rollout_driver::RecordIfDecided(const std::string& aId,
+                                open_rollout& aOpen,
+                                time_point aNow)
+{
+  rollout_state state = StateOf(aId);
+  bool decided = state.halted || state.complete;
+  bool due = aOpen.last_outcome == time_point{} ||
+             aNow - aOpen.last_outcome >= kOutcomeRetry;
+  if (!decided || !due || !Collects(aId)) {
+    return;
+  }
+  aOpen.last_outcome = aNow;
+  evidence_totals totals = aOpen.fleet_judge.Totals();
+  state.callers_exposed =
+    std::max(state.callers_exposed, totals.callers_exposed);
+  state.callers_hurt = std::max(state.callers_hurt, totals.callers_hurt);
+  mEnvironment.RecordOutcome(
+    aId, state.halted ? rollout_phase::taken_back : rollout_phase::done, state);
+}
+
+void
+rollout_driver::TryStarted(const std::string& aRollout,
+                           std::uint64_t aTry,
+                           const recorded_try& aBegun)
+{
+  auto open = mOpen.find(aRollout);
+  if (open != mOpen.end()) {
+    open->second.recorder.Started(aTry, aBegun, mClock.Now());
+  }
+}
+
+void
+rollout_driver::TryFinished(const std::string& aRollout,
+                            std::uint64_t aTry,
+                            const recorded_try& aEnded,
+                            bool aCounts)
+{
+  auto open = mOpen.find(aRollout);
+  if (open != mOpen.end()) {
+    open->second.recorder.Finished(aTry, aEnded, aCounts);
+  }
+}
+
+void
+rollout_driver::CallerHurt(const std::string& aRollout,
+                           const std::string& aCaller)
+{
+  auto open = mOpen.find(aRollout);
+  if (open != mOpen.end()) {
+    open->second.recorder.CallerHurt(aCaller);
+  }
+}
+
+std::optional<rollout_status>
+rollout_driver::StatusOf(const std::string& aRollout) const
+{
+  const auto& rollouts = mEnvironment.RolloutConfig()->rollouts;
+  auto declared = rollouts.find(aRollout);
+  if (declared == rollouts.end()) {
+    return std::nullopt;
+  }
+  rollout_status status;
+  status.declared = declared->second;
+  status.state = StateOf(aRollout);
+  auto open = mOpen.find(aRollout);
+  if (open == mOpen.end()) {
+    return status;
+  }
+  status.collector = Collects(aRollout);
+  const rollout_judge& judge =
+    status.collector ? open->second.fleet_judge : open->second.own_judge;
+  status.plan = open->second.plan;
+  status.strongest = judge.Strongest();
+  status.threshold = judge.Threshold();
+  status.routes = judge.Routes();
+  status.totals = status.collector ? judge.Totals()
+                                   : open->second.recorder.Totals(mClock.Now());
+  status.capacity_share =
+    CapacityShare(PlanInput(declared->second, open->second, false));
+  return status;
+}
+
+} // namespace eelgrasstrack
--- /dev/null
+++ b/src/rollout/rollout-driver.h
@@ -0,0 +1,162 @@
+#ifndef EELGRASSTRACK_ROLLOUT_ROLLOUT_DRIVER_H_
+#define EELGRASSTRACK_ROLLOUT_ROLLOUT_DRIVER_H_
+
+#include <deque>
+#include <map>
+#include <optional>
+
+#include "config/snapshot.h"
+#include "rollout/evidence-recorder.h"
+#include "rollout/rollout-judge.h"
+#include "rollout/rollout-plan.h"
+#include "rollout/rollout-state.h"
+
+namespace eelgrasstrack {
+
+/// What the driver needs of the rest of the node.
+class rollout_environment
+{
+public:
+  virtual ~rollout_environment() = default;
+  virtual const std::string& SelfNode() const = 0;
+  virtual std::uint64_t SelfIncarnation() const = 0;
+  virtual const snapshot_ptr& RolloutConfig() const = 0;
+  virtual const rollout_board& Board() const = 0;
+  virtual std::size_t FleetSize() const = 0;
+  /// The nodes that collect the evidence of a rollout, best first.
+  virtual std::vector<std::string> CollectorsOf(
+    const std::string& aRollout) const = 0;
+  /// Slots of the upstreams of a version that take work.
+  virtual std::uint32_t SlotsOf(const std::string& aService,
+                                const std::string& aVersion) const = 0;
+  virtual void PublishState(const rollout_state& aState) = 0;
+  virtual void SendReport(const std::string& aCollector,
+                          evidence_report aReport) = 0;
+  virtual void SendAck(const std::string& aReporter,
+                       const std::string& aRollout,
+                       std::uint64_t aIncarnation,
+                       std::uint64_t aNextWindow) = 0;
+  /// Writes the outcome of a rollout; asked again until it shows in the
+  /// configuration.
+  virtual void RecordOutcome(const std::string& aRollout,
+                             rollout_phase aPhase,
+                             const rollout_state& aState) = 0;
+};
+
+/// Where a rollout stands, for operators.
+struct rollout_status
+{
+  rollout_declaration declared;
+  rollout_state state;
+  plan_output plan;
+  bool collector = false;
+  double strongest = 0;
+  double threshold = 0;
+  std::map<std::string, route_evidence> routes;
+  evidence_totals totals;
+  std::uint32_t capacity_share = 0;
+};
+
+/// Runs the open rollouts at one node: reports what this node sees, halts on
+/// its own evidence, and collects, judges and moves on if it is a collector.
+class rollout_driver
+{
+public:
+  rollout_driver(rollout_environment& aEnvironment, const clock_source& aClock);
+
+  /// To be called about four times a second.
+  void Tick();
+
+  void TryStarted(const std::string& aRollout,
+                  std::uint64_t aTry,
+                  const recorded_try& aBegun);
+  void TryFinished(const std::string& aRollout,
+                   std::uint64_t aTry,
+                   const recorded_try& aEnded,
+                   bool aCounts);
+  void CallerHurt(const std::string& aRollout, const std::string& aCaller);
+
+  void OnReport(const evidence_report& aReport);
+  void OnAck(const std::string& aCollector,
+             const std::string& aRollout,
+             std::uint64_t aIncarnation,
+             std::uint64_t aNextWindow);
+
+  std::optional<rollout_status> StatusOf(const std::string& aRollout) const;
+
+private:
+  /// A window that collectors may still miss.
+  struct numbered_window
+  {
+    std::uint64_t number;
+    evidence_window window;
+  };
+
+  struct collector_view
+  {
+    std::uint64_t next_window = 0;
+    time_point last_sent{};
+    std::uint64_t sent_up_to = 0;
+  };
+
+  struct open_rollout
+  {
+    explicit open_rollout(time_point aNow)
+      : recorder(aNow)
+      , own_judge(judge_options{})
+      , fleet_judge(judge_options{})
+      , began(aNow)
+    {
+    }
+
+    evidence_recorder recorder;
+    rollout_judge own_judge;
+    rollout_judge fleet_judge;
+    std::deque<numbered_window> windows;
+    /// Windows without events, summed by route until the next quiet report.
+    std::map<std::string, evidence_window> quiet;
+    std::uint64_t next_window = 0;
+    std::uint64_t next_report = 1;
+    std::map<std::string, collector_view> collectors;
+    time_point began{};
+    time_point last_quiet{};
+    time_point last_tick{};
+    std::int64_t raised_ms = 0;
+    std::uint32_t seen_share = 0;
+    plan_output plan;
+    time_point last_outcome{};
+  };
+
+  void SyncWithConfig(time_point aNow);
+  void Report(const std::string& aId, open_rollout& aOpen, time_point aNow);
+  void AddWindow(open_rollout& aOpen, evidence_window aWindow);
+  void SendTo(const std::string& aCollector,
+              const std::string& aId,
+              open_rollout& aOpen,
+              bool aQuietDue,
+              time_point aNow);
+  void JudgeAt(const rollout_declaration& aRollout,
+               open_rollout& aOpen,
+               time_point aNow);
+  void ActOn(const std::string& aId, const judge_outcome& aOutcome);
+  void Plan(const rollout_declaration& aRollout,
+            open_rollout& aOpen,
+            bool aSuspicious);
+  plan_input PlanInput(const rollout_declaration& aRollout,
+                       const open_rollout& aOpen,
+                       bool aSuspicious) const;
+  void RecordIfDecided(const std::string& aId,
+                       open_rollout& aOpen,
+                       time_point aNow);
+  std::size_t CoveredRoutes(const rollout_declaration& aRollout) const;
+  bool Collects(const std::string& aId) const;
+  const rollout_state& StateOf(const std::string& aId) const;
+
+  rollout_environment& mEnvironment;
+  const clock_source& mClock;
+  std::map<std::string, open_rollout> mOpen;
+};
+
+} // namespace eelgrasstrack
+
+#endif // EELGRASSTRACK_ROLLOUT_ROLLOUT_DRIVER_H_
--- /dev/null
+++ b/src/rollout/sequential-test.cc
@@ -0,0 +1,59 @@
+#include "rollout/sequential-test.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace eelgrasstrack {
+
+namespace {
+
+constexpr double kWeightOfStart = 0.5;
+/// Keeps the statistic finite.
+constexpr double kGreatest = 1e30;
+
+} // namespace
+
+sequential_test::sequential_test()
+  : mWeightLeft(1 - kWeightOfStart)
+{
+  mValues.fill(kWeightOfStart);
+}
+
+void
+sequential_test::Count(double aShare,
+                       std::uint32_t aOldEvents,
+                       std::uint32_t aNewEvents)
+{
+  bool silent = aShare <= 0 || aShare >= 1;
+  if (silent || (aOldEvents == 0 && aNewEvents == 0)) {
+    return;
+  }
+  for (std::size_t i = 0; i < kRatioCount; ++i) {
+    double q = kRatios[i];
+    double norm = std::log(q * aShare + 1 - aShare);
+    double logFactor = aNewEvents * (std::log(q) - norm) - aOldEvents * norm;
+    mValues[i] = std::min(mValues[i] * std::exp(logFactor), kGreatest);
+  }
+}
+
+void
+sequential_test::AddStartingWeight(double aPart)
+{
+  double weight = std::clamp(aPart, 0.0, mWeightLeft);
+  mWeightLeft -= weight;
+  for (double& value : mValues) {
+    value += weight;
+  }
+}
+
+double
+sequential_test::Value() const
+{
+  double sum = 0;
+  for (double value : mValues) {
+    sum += value;
+  }
+  return sum / kRatioCount;
+}
+
+} // namespace eelgrasstrack
--- /dev/null
+++ b/src/rpc/operator-api.cc
@@ -0,0 +1,364 @@
+#include "rpc/operator-api.h"
+
+#include <nlohmann/json.hpp>
+
+#include "base/hash.h"
+#include "http/error-response.h"
+#include "rollout/rollout-description.h"
+
+namespace eelgrasstrack {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr int kAccepted = 202;
+
+void
+RespondJson(http_exchange& aExchange, const json& aBody, int aStatus = 200)
+{
+  http_response response;
+  response.status = aStatus;
+  response.headers.push_back({ "content-type", "application/json" });
+  response.body =
+    aBody.dump(2, ' ', false, json::error_handler_t::replace) + "\n";
+  aExchange.Respond(std::move(response));
+}
+
+void
+RespondText(http_exchange& aExchange, std::string aText, const char* aType)
+{
+  http_response response;
+  response.headers.push_back({ "content-type", aType });
+  response.body = std::move(aText);
+  aExchange.Respond(std::move(response));
+}
+
+change_callback
+RespondWithChange(const std::shared_ptr<http_exchange>& aExchange)
+{
+  return [aExchange](result<change_answer> aAnswer) {
+    if (!aAnswer) {
+      aExchange->Respond(ErrorResponse(aAnswer.error()));
+      return;
+    }
+    json body = { { "version", aAnswer->version },
+                  { "changed", aAnswer->changed },
+                  { "repeated", aAnswer->repeated },
+                  { "recorded", aAnswer->recorded } };
+    RespondJson(*aExchange, body, aAnswer->recorded ? 200 : kAccepted);
+  };
+}
+
+json
+RenderStatus(const rollout_status& aStatus, std::int64_t aNowMs)
+{
+  const rollout_declaration& rollout = aStatus.declared;
+  json routes = json::object();
+  for (const auto& [route, evidence] : aStatus.routes) {
+    auto counts = [](const arm_counts& aCounts) {
+      return json{ { "trials", aCounts.trials },
+                   { "failures", aCounts.failures },
+                   { "timed", aCounts.timed },
+                   { "slow", aCounts.slow } };
+    };
+    routes[route] = { { "old", counts(evidence.old_version) },
+                      { "new", counts(evidence.new_version) } };
+  }
+  std::uint64_t exposed =
+    rollout.Open() ? aStatus.totals.callers_exposed : rollout.callers_exposed;
+  std::uint64_t hurt =
+    rollout.Open() ? aStatus.totals.callers_hurt : rollout.callers_hurt;
+  return { { "id", rollout.id },
+           { "service", rollout.service },
+           { "from", rollout.from_version },
+           { "to", rollout.to_version },
+           { "standing", StandingOf(aStatus) },
+           { "says", DescribeRollout(aStatus, aNowMs) },
+           { "share_percent", aStatus.state.share / 100.0 },
+           { "start_ms", rollout.start_unix_ms },
+           { "by_ms", rollout.by_unix_ms },
+           { "ended_ms", rollout.ended_unix_ms },
+           { "reason", rollout.reason },
+           { "callers_exposed", exposed },
+           { "callers_hurt", hurt },
+           { "step", NameOf(aStatus.plan.step) },
+           { "next_ms", aStatus.plan.next_ms },
+           { "on_time", aStatus.plan.on_time },
+           { "collector", aStatus.collector },
+           { "ejected", aStatus.state.ejected },
+           { "evidence",
+             { { "strongest", aStatus.strongest },
+               { "threshold", aStatus.threshold },
+               { "routes", std::move(routes) } } } };
+}
+
+std::vector<std::string_view>
+Segments(std::string_view aPath)
+{
+  std::vector<std::string_view> segments;
+  while (!aPath.empty()) {
+    std::size_t end = aPath.find('/', 1);
+    segments.push_back(aPath.substr(0, end));
+    aPath =
+      end == std::string_view::npos ? std::string_view{} : aPath.substr(end);
+  }
+  return segments;
+}
+
+/// Whether a path fits a pattern; `aId` receives the segment at `{id}`.
+bool
+PathFits(std::string_view aPattern, std::string_view aPath, std::string& aId)
+{
+  std::vector<std::string_view> pattern = Segments(aPattern);
+  std::vector<std::string_view> path = Segments(aPath);
+  if (pattern.size() != path.size()) {
+    return false;
+  }
+  for (std::size_t i = 0; i < path.size(); ++i) {
+    if (pattern[i] == "/{id}") {
+      aId = std::string(path[i].substr(1));
+    } else if (pattern[i] != path[i]) {
+      return false;
+    }
+  }
+  return true;
+}
+
+} // namespace
+
+operator_api::operator_api(operator_backend& aBackend,
+                           operator_api_options aOptions)
+  : mBackend(aBackend)
+  , mOptions(std::move(aOptions))
+{
+}
+
+const std::vector<operator_api::rpc_row>&
+operator_api::Rows()
+{
+  using api = operator_api;
+  static const std::vector<rpc_row> sRows{
+    { "GET", "/v1/health", "", false, &api::Health },
+    { "GET", "/v1/schema", "", true, &api::Schema },
+    { "GET", "/v1/config", "", true, &api::GetConfig },
+    { "POST", "/v1/config/apply", "ApplyRequest", true, &api::Apply },
+    { "GET", "/v1/rollouts", "", true, &api::ListRollouts },
+    { "POST", "/v1/rollouts", "StartRolloutRequest", true, &api::StartRollout },
+    { "GET", "/v1/rollouts/{id}", "", true, &api::GetRollout },
+    { "POST",
+      "/v1/rollouts/{id}/pause",
+      "RolloutCommandRequest",
+      true,
+      &api::PauseRollout },
+    { "POST",
+      "/v1/rollouts/{id}/resume",
+      "RolloutCommandRequest",
+      true,
+      &api::ResumeRollout },
+    { "POST",
+      "/v1/rollouts/{id}/take-back",
+      "RolloutCommandRequest",
+      true,
+      &api::TakeBackRollout },
+    { "POST", "/v1/upstream", "UpstreamAnnouncement", false, &api::Announce },
+    { "GET", "/v1/dump", "", true, &api::Dump },
+    { "GET", "/metrics", "", true, &api::Metrics },
+  };
+  return sRows;
+}
+
+bool
+operator_api::Authorized(const http_request& aRequest) const
+{
+  return EqualInConstantTime(HeaderValue(aRequest.headers, "authorization"),
+                             "Bearer " + mOptions.secret);
+}
+
+void
+operator_api::Handle(std::shared_ptr<http_exchange> aExchange)
+{
+  const http_request& request = aExchange->Request();
+  for (const rpc_row& row : Rows()) {
+    std::string id;
+    if (row.method != request.method || !PathFits(row.path, request.path, id)) {
+      continue;
+    }
+    if (row.needs_secret && !Authorized(request)) {
+      aExchange->Respond(ErrorResponse(
+        MakeError(error_kind::unauthorized, "the operator secret is wrong")));
+      return;
+    }
+    if (!row.schema.empty()) {
+      result<void> checked =
+        mValidator.Check(std::string(row.schema), request.body);
+      if (!checked) {
+        aExchange->Respond(ErrorResponse(checked.error()));
+        return;
+      }
+    }
+    (this->*row.call)(aExchange, id);
+    return;
+  }
+  aExchange->Respond(ErrorResponse(
+    MakeError(error_kind::not_found,
+              "there is no " + request.method + " " + request.path)));
+}
+
+void
+operator_api::Health(const exchange_ptr& aExchange, const std::string&)
+{
+  bool serving = mBackend.Serving();
+  RespondJson(*aExchange, { { "serving", serving } }, serving ? 200 : 503);
+}
+
+void
+operator_api::Schema(const exchange_ptr& aExchange, const std::string&)
+{
+  RespondText(
+    *aExchange, std::string(OperatorSchemaText()), "application/json");
+}
+
+void
+operator_api::GetConfig(const exchange_ptr& aExchange, const std::string&)
+{
+  snapshot_ptr config = mBackend.CurrentConfig();
+  json documents = json::object();
+  for (const auto& [key, text] : config->documents) {
+    documents[key] = json::parse(text);
+  }
+  RespondJson(*aExchange,
+              { { "version", config->version },
+                { "hash", HexOf(config->hash) },
+                { "documents", std::move(documents) } });
+}
+
+void
+operator_api::Apply(const exchange_ptr& aExchange, const std::string&)
+{
+  json body = json::parse(aExchange->Request().body);
+  apply_request request;
+  request.operation_id = body["operation_id"].get<std::string>();
+  request.dry_run = body.value("dry_run", false);
+  if (body.contains("expected_version")) {
+    request.expected_version = body["expected_version"].get<std::uint64_t>();
+  }
+  request.removed = body.value("removed", std::vector<std::string>{});
+  if (body.contains("documents") && !body["documents"].empty()) {
+    result<std::vector<config_document>> documents =
+      ReadDeclarations(body["documents"].dump());
+    if (!documents) {
+      aExchange->Respond(ErrorResponse(documents.error()));
+      return;
+    }
+    request.documents = std::move(*documents);
+  }
+  mBackend.Apply(std::move(request), RespondWithChange(aExchange));
+}
+
+void
+operator_api::ListRollouts(const exchange_ptr& aExchange, const std::string&)
+{
+  json list = json::array();
+  for (const auto& [id, rollout] : mBackend.CurrentConfig()->rollouts) {
+    std::optional<rollout_status> status = mBackend.RolloutStatus(id);
+    list.push_back(RenderStatus(*status, mBackend.UnixTime()));
+  }
+  RespondJson(*aExchange, { { "rollouts", std::move(list) } });
+}
+
+void
+operator_api::StartRollout(const exchange_ptr& aExchange, const std::string&)
+{
+  json body = json::parse(aExchange->Request().body);
+  start_rollout_request request;
+  request.operation_id = body["operation_id"].get<std::string>();
+  request.service = body["service"].get<std::string>();
+  request.to_version = body["to"].get<std::string>();
+  request.by_unix_ms = body["by_ms"].get<std::int64_t>();
+  request.routes = body.value("routes", std::vector<std::string>{});
+  mBackend.StartRollout(std::move(request), RespondWithChange(aExchange));
+}
+
+void
+operator_api::GetRollout(const exchange_ptr& aExchange, const std::string& aId)
+{
+  std::optional<rollout_status> status = mBackend.RolloutStatus(aId);
+  if (!status) {
+    aExchange->Respond(ErrorResponse(
+      MakeError(error_kind::not_found, "there is no rollout '" + aId + "'")));
+    return;
+  }
+  RespondJson(*aExchange, RenderStatus(*status, mBackend.UnixTime()));
+}
+
+void
+operator_api::Change(const exchange_ptr& aExchange,
+                     const std::string& aId,
+                     rollout_command aCommand)
+{
+  json body = json::parse(aExchange->Request().body);
+  mBackend.ChangeRollout(aId,
+                         aCommand,
+                         body["operation_id"].get<std::string>(),
+                         RespondWithChange(aExchange));
+}
+
+void
+operator_api::PauseRollout(const exchange_ptr& aExchange,
+                           const std::string& aId)
+{
+  Change(aExchange, aId, rollout_command::pause);
+}
+
+void
+operator_api::ResumeRollout(const exchange_ptr& aExchange,
+                            const std::string& aId)
+{
+  Change(aExchange, aId, rollout_command::resume);
+}
+
+void
+operator_api::TakeBackRollout(const exchange_ptr& aExchange,
+                              const std::string& aId)
+{
+  Change(aExchange, aId, rollout_command::take_back);
+}
+
+void
+operator_api::Announce(const exchange_ptr& aExchange, const std::string&)
+{
+  if (aExchange->Request().sender != mOptions.upstream_address) {
+    aExchange->Respond(ErrorResponse(MakeError(
+      error_kind::unauthorized,
+      "announcements are taken from " + mOptions.upstream_address + " only")));
+    return;
+  }
+  json body = json::parse(aExchange->Request().body);
+  upstream_announcement upstream;
+  upstream.service = body["service"].get<std::string>();
+  upstream.version = body["version"].get<std::string>();
+  upstream.address = body["address"].get<std::string>();
+  upstream.slots = body.value("slots", 0U);
+  upstream.leaving = body.value("leaving", false);
+  result<void> taken = mBackend.Announce(upstream);
+  if (!taken) {
+    aExchange->Respond(ErrorResponse(taken.error()));
+    return;
+  }
+  RespondJson(*aExchange, { { "taken", true } });
+}
+
+void
+operator_api::Dump(const exchange_ptr& aExchange, const std::string&)
+{
+  RespondText(*aExchange, mBackend.Dump(), "application/json");
+}
+
+void
+operator_api::Metrics(const exchange_ptr& aExchange, const std::string&)
+{
+  RespondText(*aExchange, mBackend.Metrics(), "text/plain; version=0.0.4");
+}
+
+} // namespace eelgrasstrack
--- /dev/null
+++ b/src/rpc/schema-validator.cc
@@ -0,0 +1,71 @@
+#include "rpc/schema-validator.h"
+
+#include <map>
+#include <valijson/adapters/nlohmann_json_adapter.hpp>
+#include <valijson/schema.hpp>
+#include <valijson/schema_parser.hpp>
+#include <valijson/validator.hpp>
+
+#include "base/json-reader.h"
+
+namespace eelgrasstrack {
+
+namespace {
+
+constexpr std::string_view kSchemaText =
+#include "operator-api.inc"
+  ;
+
+} // namespace
+
+struct schema_validator::parts
+{
+  std::map<std::string, valijson::Schema> schemas;
+};
+
+std::string_view
+OperatorSchemaText()
+{
+  return kSchemaText;
+}
+
+schema_validator::schema_validator()
+  : mParts(std::make_unique<parts>())
+{
+  nlohmann::json document = nlohmann::json::parse(kSchemaText);
+  for (const auto& [name, body] : document["components"]["schemas"].items()) {
+    valijson::SchemaParser parser;
+    valijson::adapters::NlohmannJsonAdapter adapter(body);
+    parser.populateSchema(adapter, mParts->schemas[name]);
+  }
+}
+
+schema_validator::~schema_validator() = default;
+
+result<void>
+schema_validator::Check(const std::string& aSchema,
+                        std::string_view aBody) const
+{
+  result<nlohmann::json> body = ParseJson(aBody);
+  if (!body) {
+    return tl::unexpected<error>(body.error());
+  }
+  valijson::Validator validator;
+  valijson::ValidationResults results;
+  valijson::adapters::NlohmannJsonAdapter adapter(*body);
+  if (validator.validate(mParts->schemas.at(aSchema), adapter, &results)) {
+    return {};
+  }
+  std::string message;
+  valijson::ValidationResults::Error problem;
+  while (results.popError(problem)) {
+    message += message.empty() ? "" : "; ";
+    for (const std::string& place : problem.context) {
+      message += place;
+    }
+    message += ": " + problem.description;
+  }
+  return Fail(error_kind::invalid_argument, message);
+}
+
+} // namespace eelgrasstrack
--- /dev/null
+++ b/src/settings/settings.cc
@@ -0,0 +1,432 @@
+#include "settings/settings.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cstdlib>
+#include <cxxopts.hpp>
+
+namespace eelgrasstrack {
+
+namespace {
+
+enum class value_kind
+{
+  endpoint,
+  endpoints,
+  name,
+  secret,
+  address,
+  choice,
+  number,
+};
+
+/// One row of the table of settings.
+struct setting_row
+{
+  const char* flag;
+  value_kind kind;
+  /// Null if the setting must be given.
+  const char* default_value;
+  const char* unit;
+  long low;
+  long high;
+  /// Allowed values of a choice, parted by `|`.
+  const char* choices;
+  const char* help;
+};
+
+constexpr setting_row kRows[] = {
+  { "caller-listen",
+    value_kind::endpoint,
+    "127.0.0.1:7100",
+    "IP:port",
+    0,
+    0,
+    "",
+    "where callers send requests" },
+  { "operator-listen",
+    value_kind::endpoint,
+    "127.0.0.1:7200",
+    "IP:port",
+    0,
+    0,
+    "",
+    "where operators and the upstream beside this node talk to it" },
+  { "peer-listen",
+    value_kind::endpoint,
+    "127.0.0.1:7300",
+    "IP:port",
+    0,
+    0,
+    "",
+    "where other nodes connect; also this node's name" },
+  { "store",
+    value_kind::endpoint,
+    nullptr,
+    "IP:port",
+    0,
+    0,
+    "",
+    "the platform's object store" },
+  { "domain",
+    value_kind::name,
+    nullptr,
+    "name",
+    0,
+    0,
+    "",
+    "failure domain of this host" },
+  { "region",
+    value_kind::name,
+    "main",
+    "name",
+    0,
+    0,
+    "",
+    "region of this host" },
+  { "peer-secret",
+    value_kind::secret,
+    nullptr,
+    "text",
+    16,
+    256,
+    "",
+    "shared secret of all nodes; give it by environment" },
+  { "operator-secret",
+    value_kind::secret,
+    nullptr,
+    "text",
+    16,
+    256,
+    "",
+    "secret that operators present; give it by environment" },
+  { "seeds",
+    value_kind::endpoints,
+    "",
+    "IP:port,...",
+    0,
+    0,
+    "",
+    "peer endpoints to try while the store is out" },
+  { "upstream-address",
+    value_kind::address,
+    "127.0.0.1",
+    "IP",
+    0,
+    0,
+    "",
+    "address that upstream announcements must come from" },
+  { "distribution",
+    value_kind::choice,
+    "overlay",
+    "",
+    0,
+    0,
+    "overlay|watch-all|poll",
+    "how configurations arrive; all but 'overlay' are for comparison only" },
+  { "log-level",
+    value_kind::choice,
+    "info",
+    "",
+    0,
+    0,
+    "debug|info|warning|error",
+    "lowest level that is written" },
+  { "log-format",
+    value_kind::choice,
+    "text",
+    "",
+    0,
+    0,
+    "text|json",
+    "form of a log line" },
+  { "max-connections",
+    value_kind::number,
+    "2048",
+    "connections",
+    64,
+    65536,
+    "",
+    "sockets that the process holds at a time" },
+  { "max-body-kb",
+    value_kind::number,
+    "8192",
+    "KB",
+    1,
+    65536,
+    "",
+    "largest body of a request or an answer" },
+  { "drain-ms",
+    value_kind::number,
+    "30000",
+    "ms",
+    0,
+    600000,
+    "",
+    "longest wait for running calls after SIGTERM" },
+  { "ping-ms",
+    value_kind::number,
+    "2000",
+    "ms",
+    100,
+    60000,
+    "",
+    "time between probes of a neighbour" },
+  { "store-calls",
+    value_kind::number,
+    "4",
+    "calls/s",
+    1,
+    1000,
+    "",
+    "this node's budget of calls to the store" },
+  { "random-seed",
+    value_kind::number,
+    "0",
+    "",
+    0,
+    2147483647,
+    "",
+    "seed of random choices; 0 takes one from the system" },
+};
+
+std::string
+EnvironmentName(const char* aFlag)
+{
+  std::string name = "EELGRASSTRACK_";
+  for (const char* letter = aFlag; *letter != '\0'; ++letter) {
+    name += *letter == '-' ? '_' : static_cast<char>(std::toupper(*letter));
+  }
+  return name;
+}
+
+std::string
+AllowedText(const setting_row& aRow)
+{
+  switch (aRow.kind) {
+    case value_kind::endpoint:
+      return "an IP address and a port, such as 127.0.0.1:7100";
+    case value_kind::endpoints:
+      return "IP addresses with ports, parted by commas";
+    case value_kind::name:
+      return "1 to 64 letters, digits, '-', '_' or '.'";
+    case value_kind::secret:
+      return std::to_string(aRow.low) + " to " + std::to_string(aRow.high) +
+             " bytes";
+    case value_kind::address:
+      return "an IP address";
+    case value_kind::choice:
+      return std::string("one of ") + aRow.choices;
+    case value_kind::number:
+      return "a whole number from " + std::to_string(aRow.low) + " to " +
+             std::to_string(aRow.high) + " " + aRow.unit;
+  }
+  return "";
+}
+
+std::vector<std::string>
+Split(const std::string& aText, char aSeparator)
+{
+  std::vector<std::string> parts;
+  std::size_t begin = 0;
+  while (begin < aText.size()) {
+    std::size_t end = std::min(aText.find(aSeparator, begin), aText.size());
+    parts.push_back(aText.substr(begin, end - begin));
+    begin = end + 1;
+  }
+  return parts;
+}
+
+bool
+ValidName(const std::string& aText)
+{
+  constexpr std::size_t kMaxBytes = 64;
+  return !aText.empty() && aText.size() <= kMaxBytes &&
+         std::all_of(aText.begin(), aText.end(), [](unsigned char aLetter) {
+           return std::isalnum(aLetter) != 0 || aLetter == '-' ||
+                  aLetter == '_' || aLetter == '.';
+         });
+}
+
+bool
+Allowed(const setting_row& aRow, const std::string& aValue)
+{
+  switch (aRow.kind) {
+    case value_kind::endpoint:
+      return EndpointFromText(aValue).port != 0;
+    case value_kind::endpoints: {
+      std::vector<std::string> parts = Split(aValue, ',');
+      return std::all_of(
+        parts.begin(), parts.end(), [](const std::string& aPart) {
+          return EndpointFromText(aPart).port != 0;
+        });
+    }
+    case value_kind::name:
+      return ValidName(aValue);
+    case value_kind::secret:
+      return static_cast<long>(aValue.size()) >= aRow.low &&
+             static_cast<long>(aValue.size()) <= aRow.high;
+    case value_kind::address:
+      return EndpointFromText(aValue + ":1").port != 0;
+    case value_kind::choice: {
+      std::vector<std::string> choices = Split(aRow.choices, '|');
+      return std::find(choices.begin(), choices.end(), aValue) != choices.end();
+    }
+    case value_kind::number: {
+      long number = 0;
+      auto [end, code] =
+        std::from_chars(aValue.data(), aValue.data() + aValue.size(), number);
+      return code == std::errc() && end == aValue.data() + aValue.size() &&
+             number >= aRow.low && number <= aRow.high;
+    }
+  }
+  return false;
+}
+
+cxxopts::Options
+BuildOptions()
+{
+  cxxopts::Options options(
+    "eelgrasstrackd",
+    "The node of eelgrasstrack: takes callers' requests, holds the accepted "
+    "configuration and guards the upstream beside it.");
+  for (const setting_row& row : kRows) {
+    std::string help = std::string(row.help) + " (" + AllowedText(row) + "; ";
+    help += row.default_value == nullptr
+              ? "required"
+              : "default '" + std::string(row.default_value) + "'";
+    help += "; environment " + EnvironmentName(row.flag) + ")";
+    options.add_options()(row.flag, help, cxxopts::value<std::string>());
+  }
+  options.add_options()("help", "show this text");
+  options.add_options()("version", "show the version");
+  return options;
+}
+
+/// Values by flag, checked.
+class setting_values
+{
+public:
+  result<void> Read(const cxxopts::ParseResult& aParsed)
+  {
+    for (const setting_row& row : kRows) {
+      result<std::string> value = ReadOne(row, aParsed);
+      if (!value) {
+        return tl::unexpected<error>(value.error());
+      }
+      mValues.push_back(std::move(*value));
+    }
+    return {};
+  }
+
+  const std::string& operator[](std::string_view aFlag) const
+  {
+    std::size_t index = 0;
+    while (kRows[index].flag != aFlag) {
+      ++index;
+    }
+    return mValues[index];
+  }
+
+  long Number(std::string_view aFlag) const
+  {
+    return std::stol((*this)[aFlag]);
+  }
+
+private:
+  static result<std::string> ReadOne(const setting_row& aRow,
+                                     const cxxopts::ParseResult& aParsed)
+  {
+    std::string source = std::string("--") + aRow.flag;
+    std::string value;
+    const char* variable = std::getenv(EnvironmentName(aRow.flag).c_str());
+    if (aParsed.count(aRow.flag) > 0) {
+      value = aParsed[aRow.flag].as<std::string>();
+    } else if (variable != nullptr) {
+      value = variable;
+      source = EnvironmentName(aRow.flag);
+    } else if (aRow.default_value != nullptr) {
+      return std::string(aRow.default_value);
+    } else {
+      return Fail(error_kind::invalid_argument,
+                  source + " (or " + EnvironmentName(aRow.flag) +
+                    ") is required: " + AllowedText(aRow));
+    }
+    if (!Allowed(aRow, value)) {
+      bool secret = aRow.kind == value_kind::secret;
+      return Fail(error_kind::invalid_argument,
+                  source + " has the value '" + (secret ? "***" : value) +
+                    "'; allowed: " + AllowedText(aRow));
+    }
+    return value;
+  }
+
+  std::vector<std::string> mValues;
+};
+
+node_settings
+SettingsFrom(const setting_values& aValues)
+{
+  node_settings settings;
+  settings.caller_listen = EndpointFromText(aValues["caller-listen"]);
+  settings.operator_listen = EndpointFromText(aValues["operator-listen"]);
+  settings.peer_listen = EndpointFromText(aValues["peer-listen"]);
+  settings.store = EndpointFromText(aValues["store"]);
+  settings.domain = aValues["domain"];
+  settings.region = aValues["region"];
+  settings.peer_secret = aValues["peer-secret"];
+  settings.operator_secret = aValues["operator-secret"];
+  settings.seeds = Split(aValues["seeds"], ',');
+  settings.upstream_address = aValues["upstream-address"];
+  settings.distribution = aValues["distribution"];
+  settings.lowest_log = *LogLevelFromName(aValues["log-level"]);
+  settings.logs =
+    aValues["log-format"] == "json" ? log_format::json : log_format::text;
+  settings.max_connections =
+    static_cast<unsigned>(aValues.Number("max-connections"));
+  settings.max_body_bytes =
+    static_cast<std::size_t>(aValues.Number("max-body-kb")) * 1024;
+  settings.drain_ms = static_cast<unsigned>(aValues.Number("drain-ms"));
+  settings.ping_ms = static_cast<unsigned>(aValues.Number("ping-ms"));
+  settings.store_calls_per_second =
+    static_cast<double>(aValues.Number("store-calls"));
+  settings.random_seed =
+    static_cast<std::uint64_t>(aValues.Number("random-seed"));
+  return settings;
+}
+
+} // namespace
+
+result<parsed_settings>
+ParseSettings(int aCount, const char* const* aArguments)
+{
+  cxxopts::Options options = BuildOptions();
+  parsed_settings parsed;
+  try {
+    cxxopts::ParseResult flags = options.parse(aCount, aArguments);
+    if (flags.count("help") > 0) {
+      parsed.request = settings_request::help;
+      parsed.text = options.help();
+      return parsed;
+    }
+    if (flags.count("version") > 0) {
+      parsed.request = settings_request::version;
+      return parsed;
+    }
+    if (!flags.unmatched().empty()) {
+      return Fail(error_kind::invalid_argument,
+                  "unknown argument '" + flags.unmatched().front() + "'");
+    }
+    setting_values values;
+    result<void> read = values.Read(flags);
+    if (!read) {
+      return tl::unexpected<error>(read.error());
+    }
+    parsed.settings = SettingsFrom(values);
+    return parsed;
+  } catch (const cxxopts::exceptions::exception& problem) {
+    return Fail(error_kind::invalid_argument, problem.what());
+  }
+}
+
+} // namespace eelgrasstrack
--- /dev/null
+++ b/src/store/call-budget.h
@@ -0,0 +1,45 @@
+#ifndef EELGRASSTRACK_STORE_CALL_BUDGET_H_
+#define EELGRASSTRACK_STORE_CALL_BUDGET_H_
+
+#include <random>
+
+#include "base/clock.h"
+
+namespace eelgrasstrack {
+
+/// A token bucket: how many calls a node may make.
+class call_budget
+{
+public:
+  call_budget(double aCallsPerSecond, double aBurst);
+
+  /// Takes one call if there is one.
+  bool Take(time_point aNow);
+
+private:
+  double mRate;
+  double mBurst;
+  double mTokens;
+  time_point mLast{};
+};
+
+/// Waiting times that grow after each failure, each drawn evenly from an eighth
+/// of the current bound to the whole of it, so that a herd spreads out.
+class jittered_backoff
+{
+public:
+  jittered_backoff(duration aFirst, duration aLongest, std::uint64_t aSeed);
+
+  duration NextDelay();
+  void Reset();
+
+private:
+  duration mFirst;
+  duration mLongest;
+  duration mBound;
+  std::mt19937_64 mRandom;
+};
+
+} // namespace eelgrasstrack
+
+#endif // EELGRASSTRACK_STORE_CALL_BUDGET_H_
