--- /dev/null
+++ b/bench/demo-main.cc
@@ -0,0 +1,276 @@
+// Runs the whole path on stand-ins, for both example deployments, and tells
+// what happened at each step. Exit status 0 only if every step was seen.
+#include <cstdio>
+#include <nlohmann/json.hpp>
+
+#include "harness/load-generator.h"
+#include "harness/local-fleet.h"
+
+namespace {
+
+using namespace eelgrasstrack;
+using namespace eelgrasstrack::harness;
+using nlohmann::json;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::size_t kNodes = 8;
+constexpr std::size_t kOldNodes = 4;
+
+struct deployment
+{
+  std::string name;
+  std::string title;
+  std::string service;
+  std::string method;
+  std::string path;
+  std::size_t body_bytes;
+  unsigned slots;
+  int service_ms;
+};
+
+class demo
+{
+public:
+  demo(const std::string& aPrograms,
+       const std::string& aExamples,
+       const deployment& aDeployment)
+    : mExamples(aExamples)
+    , mDeployment(aDeployment)
+    , mFleet(aPrograms, fleet_shape{ kNodes, 4 })
+  {
+  }
+
+  bool Run()
+  {
+    std::printf("\n== %s ==\n", mDeployment.title.c_str());
+    return Start() && ApplyDeclaration() && ServeOneCall() && MoveGood() &&
+           TakeBackBad();
+  }
+
+private:
+  bool Say(bool aSeen, const std::string& aText)
+  {
+    std::printf("%s %s\n", aSeen ? "[seen]   " : "[NOT SEEN]", aText.c_str());
+    std::fflush(stdout);
+    return aSeen;
+  }
+
+  std::string FaultFlag(double aPercent)
+  {
+    return "--fail-percent=" + std::to_string(aPercent);
+  }
+
+  void StartUpstreams(std::size_t aFirstNode,
+                      const std::string& aVersion,
+                      double aFailPercent)
+  {
+    for (std::size_t i = 0; i < kOldNodes; ++i) {
+      upstream_spec spec{ mDeployment.service, aVersion, mDeployment.slots, {} };
+      spec.flags = { "--delay-ms=" + std::to_string(mDeployment.service_ms),
+                     FaultFlag(aFailPercent) };
+      mFleet.StartUpstream(aFirstNode + i, spec);
+    }
+  }
+
+  bool Start()
+  {
+    mFleet.StartStore();
+    mFleet.StartNodes();
+    StartUpstreams(0, "v1", 0);
+    bool serving = mFleet.WaitServing(seconds(15));
+    return Say(serving,
+               std::to_string(kNodes) +
+                 " nodes in 4 failure domains serve; " +
+                 std::to_string(kOldNodes) + " upstreams of " +
+                 mDeployment.service + " v1 run beside them");
+  }
+
+  bool ApplyDeclaration()
+  {
+    auto applied = mFleet.Ctl(
+      0, { "apply", mExamples + "/" + mDeployment.name + ".json" });
+    time_point begun = mFleet.Loop().Now();
+    bool everywhere =
+      applied.status == 0 && mFleet.WaitVersion(1, seconds(10));
+    double took = std::chrono::duration<double, std::milli>(
+                    mFleet.Loop().Now() - begun)
+                    .count();
+    char text[160];
+    std::snprintf(text,
+                  sizeof(text),
+                  "an operator applied %s.json at one node; version 1 was seen "
+                  "in force at all %zu nodes within %.0f ms",
+                  mDeployment.name.c_str(),
+                  kNodes,
+                  took);
+    return Say(everywhere, text);
+  }
+
+  bool ServeOneCall()
+  {
+    load_options options = Load();
+    options.callers = 1;
+    options.calls_per_second = 20;
+    load_generator load(mFleet.Loop(), options);
+    mFleet.WaitUntil(seconds(5), [&] {
+      return SlotsSeen("v1") >= kOldNodes;
+    });
+    load.Start();
+    mFleet.RunFor(seconds(1));
+    load.Stop();
+    mFleet.RunFor(milliseconds(300));
+    const load_report& report = load.Report();
+    char text[160];
+    std::snprintf(text,
+                  sizeof(text),
+                  "%llu of %llu calls went node -> node -> upstream and came "
+                  "back whole, median %.1f ms",
+                  static_cast<unsigned long long>(report.good),
+                  static_cast<unsigned long long>(report.begun),
+                  report.Quantile(0.5));
+    bool whole = report.begun > 0 && report.good == report.begun &&
+                 report.wrong == 0;
+    return Say(whole, text);
+  }
+
+  load_options Load()
+  {
+    load_options options;
+    for (std::size_t i = 0; i < kNodes; ++i) {
+      options.targets.push_back(mFleet.Place(i).callers);
+    }
+    options.method = mDeployment.method;
+    options.path = mDeployment.path;
+    options.body_bytes = mDeployment.body_bytes;
+    options.callers = 200;
+    options.calls_per_second = 150;
+    return options;
+  }
+
+  std::size_t SlotsSeen(const std::string& aVersion)
+  {
+    json dump = mFleet.RpcJson(0, "GET", "/v1/dump");
+    std::size_t upstreams = 0;
+    for (const json& member : dump["members"]) {
+      bool counts = member.contains("upstream") &&
+                    member["upstream"]["version"] == aVersion &&
+                    !member["upstream"]["leaving"].get<bool>();
+      upstreams += counts ? 1 : 0;
+    }
+    return upstreams;
+  }
+
+  /// Moves to a version and reports; returns the standing at the end.
+  std::string Move(const std::string& aVersion, int aSeconds)
+  {
+    load_options options = Load();
+    options.name = "to-" + aVersion;
+    load_generator load(mFleet.Loop(), options);
+    load.SetNewVersion(aVersion);
+    load.Start();
+    std::string id = "move-to-" + aVersion;
+    auto started =
+      mFleet.Ctl(2,
+                 { "rollout",
+                   "start",
+                   mDeployment.service,
+                   aVersion,
+                   "--by=+" + std::to_string(aSeconds) + "s",
+                   "--operation-id=" + id });
+    if (started.status != 0) {
+      std::printf("%s", started.output.c_str());
+      return "refused";
+    }
+    time_point begun = mFleet.Loop().Now();
+    std::string standing;
+    double share = -1;
+    mFleet.WaitUntil(seconds(aSeconds + 10), [&] {
+      json status = mFleet.RpcJson(1, "GET", "/v1/rollouts/" + id);
+      standing = status.value("standing", "");
+      double now = status.value("share_percent", 0.0);
+      if (now != share && standing == "running") {
+        share = now;
+        std::printf("           %4.1f s: %.2f %% of callers share\n",
+                    Since(begun),
+                    share);
+      }
+      return standing == "done" || standing == "taken_back";
+    });
+    std::printf("           %4.1f s: %s (set time %d s)\n",
+                Since(begun),
+                standing.c_str(),
+                aSeconds);
+    json status = mFleet.RpcJson(1, "GET", "/v1/rollouts/" + id);
+    std::printf("           %s\n", status.value("says", "").c_str());
+    mOnTime = Since(begun) <= aSeconds;
+    load.Stop();
+    mFleet.RunFor(milliseconds(500));
+    const load_report& report = load.Report();
+    std::printf("           callers saw: %llu good, %llu failed; %zu of 200 "
+                "callers were exposed, %zu hurt\n",
+                static_cast<unsigned long long>(report.good),
+                static_cast<unsigned long long>(report.failed_not_run +
+                                                report.failed_unknown),
+                report.exposed.size(),
+                report.hurt.size());
+    return standing;
+  }
+
+  double Since(time_point aBegun)
+  {
+    return std::chrono::duration<double>(mFleet.Loop().Now() - aBegun).count();
+  }
+
+  bool MoveGood()
+  {
+    StartUpstreams(kOldNodes, "v2", 0);
+    mFleet.WaitUntil(seconds(5), [&] { return SlotsSeen("v2") >= kOldNodes; });
+    std::string standing = Move("v2", 20);
+    return Say(standing == "done" && mOnTime,
+               "the good version v2 took all traffic by its time: " + standing);
+  }
+
+  bool TakeBackBad()
+  {
+    for (std::size_t i = 0; i < kOldNodes; ++i) {
+      mFleet.Upstream(i).Signal(15);
+    }
+    mFleet.RunFor(seconds(3));
+    StartUpstreams(0, "v3", 40);
+    mFleet.WaitUntil(seconds(5), [&] { return SlotsSeen("v3") >= kOldNodes; });
+    std::string standing = Move("v3", 20);
+    return Say(standing == "taken_back",
+               "the bad version v3 (40 % of its calls fail) was taken back: " +
+                 standing);
+  }
+
+  std::string mExamples;
+  deployment mDeployment;
+  local_fleet mFleet;
+  bool mOnTime = false;
+};
+
+} // namespace
+
+int
+main(int aCount, char** aArguments)
+{
+  if (aCount != 3) {
+    std::fprintf(stderr, "usage: eelgrasstrack-demo PROGRAMS EXAMPLES\n");
+    return 2;
+  }
+  const deployment deployments[] = {
+    { "seri-kenanga", "Seri Kenanga: the rota board", "rota-board", "GET",
+      "/status/branch-7", 0, 12, 3 },
+    { "kwaaiman", "Kwaaiman: orders, which must not be repeated", "orders",
+      "POST", "/orders", 200, 6, 8 },
+  };
+  bool seen = true;
+  for (const deployment& each : deployments) {
+    seen = demo(aArguments[1], aArguments[2], each).Run() && seen;
+  }
+  std::printf("\n%s\n", seen ? "every step was seen to happen"
+                             : "some step was NOT seen to happen");
+  return seen ? 0 : 1;
+}
--- a/src/config/snapshot.cc
+++ b/src/config/snapshot.cc
@@ -51,7 +51,9 @@
 CheckRollouts(const config_snapshot& aSnapshot)
 {
   std::set<std::string> open;
-  for (const auto& [id, rollout] : aSnapshot.rollouts) {
+  for (const auto& entry : aSnapshot.rollouts) {
+    const std::string& id = entry.first;
+    const rollout_declaration& rollout = entry.second;
     if (!rollout.Open()) {
       continue;
     }
--- a/src/daemon/hop-exchange.h
+++ b/src/daemon/hop-exchange.h
@@ -1,6 +1,8 @@
 #ifndef EELGRASSTRACK_DAEMON_HOP_EXCHANGE_H_
 #define EELGRASSTRACK_DAEMON_HOP_EXCHANGE_H_
 
+#include <tuple>
+
 #include "call/call-types.h"
 #include "call/last-hop.h"
 #include "daemon/peer-switch.h"
@@ -57,7 +59,10 @@
   {
     peer_link* link;
     std::uint64_t id;
-    auto operator<=>(const incoming_key&) const = default;
+    bool operator<(const incoming_key& aOther) const
+    {
+      return std::tie(link, id) < std::tie(aOther.link, aOther.id);
+    }
   };
 
   void SendLocal(hop_token aToken, hop_call aCall);
--- a/src/daemon/upstream-directory.h
+++ b/src/daemon/upstream-directory.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "membership/member-table.h"
@@ -24,7 +25,11 @@
   {
     std::string service;
     std::string version;
-    auto operator<=>(const service_version&) const = default;
+    bool operator<(const service_version& aOther) const
+    {
+      return std::tie(service, version) <
+             std::tie(aOther.service, aOther.version);
+    }
   };
 
   void Rebuild(const member_table& aMembers);
--- /dev/null
+++ b/test/harness/local-fleet.cc
@@ -0,0 +1,288 @@
+#include "harness/local-fleet.h"
+
+#include <arpa/inet.h>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace eelgrasstrack::harness {
+
+namespace {
+
+constexpr unsigned kFirstPort = 10000;
+constexpr unsigned kPortsPerProcess = 1500;
+constexpr unsigned kPortBlocks = 14;
+constexpr unsigned kLoopConnections = 4096;
+constexpr duration kPoll = std::chrono::milliseconds(20);
+
+bool
+PortFree(const endpoint& aPlace)
+{
+  int handle = socket(AF_INET, SOCK_STREAM, 0);
+  int yes = 1;
+  setsockopt(handle, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof(yes));
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(aPlace.port);
+  inet_pton(AF_INET, aPlace.address.c_str(), &address.sin_addr);
+  int failed =
+    bind(handle, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+  close(handle);
+  return failed == 0;
+}
+
+} // namespace
+
+local_fleet::local_fleet(std::string aPrograms, fleet_shape aShape)
+  : mPrograms(std::move(aPrograms))
+  , mShape(std::move(aShape))
+  , mNextPort(kFirstPort + static_cast<unsigned>(getpid()) % kPortBlocks *
+                             kPortsPerProcess)
+  , mLoop(std::make_unique<loop>(kLoopConnections))
+{
+  setenv("EELGRASSTRACK_PEER_SECRET", kFleetSecret, 1);
+  setenv("EELGRASSTRACK_OPERATOR_SECRET", kFleetSecret, 1);
+  std::string pattern =
+    (std::filesystem::temp_directory_path() / "eelgrasstrack-XXXXXX").string();
+  mFolder = mkdtemp(pattern.data());
+  mStorePlace = NextPlace();
+  for (std::size_t i = 0; i < mShape.nodes; ++i) {
+    node_place place;
+    place.callers = NextPlace();
+    place.operators = NextPlace();
+    place.peers = NextPlace();
+    place.domain = "domain-" + std::to_string(i % mShape.domains);
+    place.region = "main";
+    mPlaces.push_back(place);
+  }
+}
+
+local_fleet::~local_fleet()
+{
+  mClients.clear();
+  mNodes.clear();
+  mUpstreams.clear();
+  mStore.reset();
+  if (std::getenv("EELGRASSTRACK_KEEP_LOGS") == nullptr) {
+    std::error_code ignored;
+    std::filesystem::remove_all(mFolder, ignored);
+  }
+}
+
+endpoint
+local_fleet::NextPlace()
+{
+  endpoint place{ "127.0.0.1", static_cast<std::uint16_t>(mNextPort++) };
+  while (!PortFree(place)) {
+    place.port = static_cast<std::uint16_t>(mNextPort++);
+  }
+  return place;
+}
+
+void
+local_fleet::StartStore()
+{
+  mStore = std::make_unique<process>(
+    mPrograms + "/object-store-stand-in",
+    std::vector<std::string>{ "--listen=" + TextOf(mStorePlace),
+                              "--reads=" + std::to_string(mShape.store_reads),
+                              "--writes=" + std::to_string(mShape.store_writes) },
+    mFolder + "/store.log");
+}
+
+void
+local_fleet::StartNode(std::size_t aNode)
+{
+  const node_place& place = mPlaces.at(aNode);
+  std::vector<std::string> flags{
+    "--store=" + TextOf(mShape.store_through.value_or(mStorePlace)),
+    "--domain=" + place.domain,
+    "--region=" + place.region,
+    "--caller-listen=" + TextOf(place.callers),
+    "--operator-listen=" + TextOf(place.operators),
+    "--peer-listen=" + TextOf(place.peers),
+    "--random-seed=" + std::to_string(aNode + 1),
+  };
+  flags.insert(
+    flags.end(), mShape.node_flags.begin(), mShape.node_flags.end());
+  mNodes[aNode] =
+    std::make_unique<process>(mPrograms + "/eelgrasstrackd",
+                              flags,
+                              mFolder + "/node-" + std::to_string(aNode) +
+                                ".log");
+}
+
+void
+local_fleet::StartNodes()
+{
+  for (std::size_t i = 0; i < mPlaces.size(); ++i) {
+    StartNode(i);
+  }
+}
+
+std::size_t
+local_fleet::StartUpstream(std::size_t aNode, const upstream_spec& aSpec)
+{
+  std::size_t index = mUpstreamPlaces.size();
+  mUpstreamPlaces.push_back(NextPlace());
+  std::vector<std::string> flags{
+    "--service=" + aSpec.service,
+    "--version=" + aSpec.version,
+    "--slots=" + std::to_string(aSpec.slots),
+    "--listen=" + TextOf(mUpstreamPlaces.back()),
+    "--node=" + TextOf(mPlaces.at(aNode).operators),
+    "--log=" + mFolder + "/executions.log",
+  };
+  flags.insert(flags.end(), aSpec.flags.begin(), aSpec.flags.end());
+  mUpstreams[index] = std::make_unique<process>(
+    mPrograms + "/upstream-stand-in", flags, mFolder + "/upstreams.log");
+  return index;
+}
+
+void
+local_fleet::RunFor(duration aTime)
+{
+  mLoop->After(aTime, [this] { mLoop->Stop(); });
+  mLoop->Run();
+}
+
+http_result
+local_fleet::Call(const endpoint& aTarget,
+                  http_request aRequest,
+                  duration aTimeout)
+{
+  std::unique_ptr<http_client>& client = mClients[TextOf(aTarget)];
+  if (client == nullptr) {
+    client =
+      std::make_unique<http_client>(*mLoop, aTarget, http_client_options{});
+  }
+  http_result outcome = Fail(error_kind::internal, "no answer");
+  client->Start(std::move(aRequest), aTimeout, [&](http_result aResult) {
+    outcome = std::move(aResult);
+    mLoop->Stop();
+  });
+  mLoop->Run();
+  return outcome;
+}
+
+http_result
+local_fleet::Rpc(std::size_t aNode,
+                 const std::string& aMethod,
+                 const std::string& aPath,
+                 const nlohmann::json* aBody)
+{
+  http_request request;
+  request.method = aMethod;
+  request.path = aPath;
+  request.headers.push_back(
+    { "authorization", std::string("Bearer ") + kFleetSecret });
+  if (aBody != nullptr) {
+    request.body = aBody->dump();
+    request.headers.push_back({ "content-type", "application/json" });
+  }
+  return Call(mPlaces.at(aNode).operators, std::move(request));
+}
+
+nlohmann::json
+local_fleet::RpcJson(std::size_t aNode,
+                     const std::string& aMethod,
+                     const std::string& aPath,
+                     const nlohmann::json* aBody)
+{
+  http_result answer = Rpc(aNode, aMethod, aPath, aBody);
+  if (!answer) {
+    return nullptr;
+  }
+  return nlohmann::json::parse(answer->body, nullptr, false);
+}
+
+void
+local_fleet::Control(const endpoint& aTarget, const nlohmann::json& aFaults)
+{
+  http_request request;
+  request.method = "POST";
+  request.path = "/control";
+  request.body = aFaults.dump();
+  Call(aTarget, std::move(request));
+}
+
+nlohmann::json
+local_fleet::StoreCounts()
+{
+  http_request request;
+  request.method = "GET";
+  request.path = "/counts";
+  http_result answer = Call(mStorePlace, std::move(request));
+  return answer ? nlohmann::json::parse(answer->body) : nlohmann::json();
+}
+
+std::int64_t
+local_fleet::VersionAt(std::size_t aNode)
+{
+  nlohmann::json config = RpcJson(aNode, "GET", "/v1/config");
+  return config.is_object() ? config.value("version", std::int64_t{ -1 }) : -1;
+}
+
+bool
+local_fleet::WaitUntil(duration aLongest,
+                       const std::function<bool()>& aCondition)
+{
+  time_point end = mLoop->Now() + aLongest;
+  while (!aCondition()) {
+    if (mLoop->Now() > end) {
+      return false;
+    }
+    RunFor(kPoll);
+  }
+  return true;
+}
+
+bool
+local_fleet::WaitServing(duration aLongest)
+{
+  return WaitUntil(aLongest, [this] {
+    for (const auto& [index, node] : mNodes) {
+      http_result health = Rpc(index, "GET", "/v1/health");
+      if (!health || health->status != 200) {
+        return false;
+      }
+    }
+    return true;
+  });
+}
+
+bool
+local_fleet::WaitVersion(std::int64_t aVersion, duration aLongest)
+{
+  return WaitUntil(aLongest, [&] {
+    for (const auto& [index, node] : mNodes) {
+      if (VersionAt(index) < aVersion) {
+        return false;
+      }
+    }
+    return true;
+  });
+}
+
+local_fleet::command_result
+local_fleet::Ctl(std::size_t aNode, std::vector<std::string> aWords)
+{
+  std::string output = mFolder + "/ctl-" + std::to_string(mCommands++) + ".log";
+  aWords.insert(aWords.begin(),
+                "--node=" + TextOf(mPlaces.at(aNode).operators));
+  process command(mPrograms + "/eelgrasstrackctl", aWords, output);
+  command_result outcome;
+  constexpr double kLongestCommandSeconds = 300;
+  outcome.status = command.WaitForExit(kLongestCommandSeconds);
+  std::ifstream file(output);
+  std::stringstream text;
+  text << file.rdbuf();
+  outcome.output = text.str();
+  return outcome;
+}
+
+} // namespace eelgrasstrack::harness
