Keep a restarted node from serving an older version while the store is out

Change: a digest says whether its node vouches. A node vouches once it knows its own floor and not after it lost two and a tenth of all members at once, until the store or, ten seconds later, a vouching node speaks. Peers count two seconds after the start. An accepted command names the version that it made. Ruled out: more peers or more domains in the quorum; whatever the number, the holders of the newest version can be the ones that were killed.

--- a/bench/demo-main.cc
+++ b/bench/demo-main.cc
@@ -66,7 +66,9 @@
                       double aFailPercent)
   {
     for (std::size_t i = 0; i < kOldNodes; ++i) {
-      upstream_spec spec{ mDeployment.service, aVersion, mDeployment.slots, {} };
+      upstream_spec spec{
+        mDeployment.service, aVersion, mDeployment.slots, {}
+      };
       spec.flags = { "--delay-ms=" + std::to_string(mDeployment.service_ms),
                      FaultFlag(aFailPercent) };
       mFleet.StartUpstream(aFirstNode + i, spec);
@@ -80,22 +82,20 @@
     StartUpstreams(0, "v1", 0);
     bool serving = mFleet.WaitServing(seconds(15));
     return Say(serving,
-               std::to_string(kNodes) +
-                 " nodes in 4 failure domains serve; " +
+               std::to_string(kNodes) + " nodes in 4 failure domains serve; " +
                  std::to_string(kOldNodes) + " upstreams of " +
                  mDeployment.service + " v1 run beside them");
   }
 
   bool ApplyDeclaration()
   {
-    auto applied = mFleet.Ctl(
-      0, { "apply", mExamples + "/" + mDeployment.name + ".json" });
+    auto applied =
+      mFleet.Ctl(0, { "apply", mExamples + "/" + mDeployment.name + ".json" });
     time_point begun = mFleet.Loop().Now();
-    bool everywhere =
-      applied.status == 0 && mFleet.WaitVersion(1, seconds(10));
-    double took = std::chrono::duration<double, std::milli>(
-                    mFleet.Loop().Now() - begun)
-                    .count();
+    bool everywhere = applied.status == 0 && mFleet.WaitVersion(1, seconds(10));
+    double took =
+      std::chrono::duration<double, std::milli>(mFleet.Loop().Now() - begun)
+        .count();
     char text[160];
     std::snprintf(text,
                   sizeof(text),
@@ -113,9 +113,7 @@
     options.callers = 1;
     options.calls_per_second = 20;
     load_generator load(mFleet.Loop(), options);
-    mFleet.WaitUntil(seconds(5), [&] {
-      return SlotsSeen("v1") >= kOldNodes;
-    });
+    mFleet.WaitUntil(seconds(5), [&] { return SlotsSeen("v1") >= kOldNodes; });
     load.Start();
     mFleet.RunFor(seconds(1));
     load.Stop();
@@ -129,8 +127,8 @@
                   static_cast<unsigned long long>(report.good),
                   static_cast<unsigned long long>(report.begun),
                   report.Quantile(0.5));
-    bool whole = report.begun > 0 && report.good == report.begun &&
-                 report.wrong == 0;
+    bool whole =
+      report.begun > 0 && report.good == report.begun && report.wrong == 0;
     return Say(whole, text);
   }
 
@@ -170,14 +168,13 @@
     load.SetNewVersion(aVersion);
     load.Start();
     std::string id = "move-to-" + aVersion;
-    auto started =
-      mFleet.Ctl(2,
-                 { "rollout",
-                   "start",
-                   mDeployment.service,
-                   aVersion,
-                   "--by=+" + std::to_string(aSeconds) + "s",
-                   "--operation-id=" + id });
+    auto started = mFleet.Ctl(2,
+                              { "rollout",
+                                "start",
+                                mDeployment.service,
+                                aVersion,
+                                "--by=+" + std::to_string(aSeconds) + "s",
+                                "--operation-id=" + id });
     if (started.status != 0) {
       std::printf("%s", started.output.c_str());
       return "refused";
@@ -261,16 +258,29 @@
     return 2;
   }
   const deployment deployments[] = {
-    { "seri-kenanga", "Seri Kenanga: the rota board", "rota-board", "GET",
-      "/status/branch-7", 0, 12, 3 },
-    { "kwaaiman", "Kwaaiman: orders, which must not be repeated", "orders",
-      "POST", "/orders", 200, 6, 8 },
+    { "seri-kenanga",
+      "Seri Kenanga: the rota board",
+      "rota-board",
+      "GET",
+      "/status/branch-7",
+      0,
+      12,
+      3 },
+    { "kwaaiman",
+      "Kwaaiman: orders, which must not be repeated",
+      "orders",
+      "POST",
+      "/orders",
+      200,
+      6,
+      8 },
   };
   bool seen = true;
   for (const deployment& each : deployments) {
     seen = demo(aArguments[1], aArguments[2], each).Run() && seen;
   }
-  std::printf("\n%s\n", seen ? "every step was seen to happen"
-                             : "some step was NOT seen to happen");
+  std::printf("\n%s\n",
+              seen ? "every step was seen to happen"
+                   : "some step was NOT seen to happen");
   return seen ? 0 : 1;
 }
--- a/src/daemon/node.cc
+++ b/src/daemon/node.cc
@@ -450,7 +450,7 @@
     std::move(aCommand), [before, aDone](result<accepted_config> aAccepted) {
       aDone(aAccepted.map([&](const accepted_config& aConfig) {
         change_answer answer;
-        answer.version = aConfig.snapshot->version;
+        answer.version = aConfig.version;
         answer.changed =
           DifferingKeys(before->documents, aConfig.snapshot->documents);
         answer.repeated = aConfig.repeated;
--- a/src/distribution/config-writer.cc
+++ b/src/distribution/config-writer.cc
@@ -89,7 +89,9 @@
     bool repeated = !aAttempt->write_in_doubt;
     aAttempt->done(BuildSnapshot(current.version, current.documents)
                      .map([&](snapshot_ptr aSnapshot) {
-                       return accepted_config{ std::move(aSnapshot), repeated };
+                       return accepted_config{ std::move(aSnapshot),
+                                               earlier->version,
+                                               repeated };
                      }));
     return;
   }
@@ -144,23 +146,24 @@
     return;
   }
   snapshot_ptr snapshot = *built;
-  mStore.Put(kConfigKey,
-             std::move(text),
-             aStoreVersion,
-             [this, aAttempt, snapshot](result<std::uint64_t> aVersion) {
-               if (aVersion) {
-                 aAttempt->done(accepted_config{ snapshot, false });
-                 return;
-               }
-               if (aVersion.error().ran == execution::unknown) {
-                 aAttempt->write_in_doubt = true;
-               }
-               if (aVersion.error().kind == error_kind::conflict) {
-                 Read(aAttempt);
-                 return;
-               }
-               Retry(aAttempt, aVersion.error());
-             });
+  mStore.Put(
+    kConfigKey,
+    std::move(text),
+    aStoreVersion,
+    [this, aAttempt, snapshot](result<std::uint64_t> aVersion) {
+      if (aVersion) {
+        aAttempt->done(accepted_config{ snapshot, snapshot->version, false });
+        return;
+      }
+      if (aVersion.error().ran == execution::unknown) {
+        aAttempt->write_in_doubt = true;
+      }
+      if (aVersion.error().kind == error_kind::conflict) {
+        Read(aAttempt);
+        return;
+      }
+      Retry(aAttempt, aVersion.error());
+    });
 }
 
 void
--- a/src/distribution/config-writer.h
+++ b/src/distribution/config-writer.h
@@ -38,7 +38,10 @@
 /// The configuration that a command led to.
 struct accepted_config
 {
+  /// The newest configuration known, at `version` or later.
   snapshot_ptr snapshot;
+  /// The version that the command made.
+  std::uint64_t version = 0;
   /// The operation had been applied before.
   bool repeated = false;
 };
--- a/src/fleet/fleet-node.cc
+++ b/src/fleet/fleet-node.cc
@@ -26,6 +26,15 @@
 constexpr duration kPauseGap = seconds(3);
 /// A node that nobody answers serves what it has after this long.
 constexpr duration kFreshnessPatience = seconds(3);
+/// Losses at one time that put a node in doubt.
+constexpr std::size_t kLeastLostForDoubt = 2;
+constexpr std::size_t kLostPercentForDoubt = 10;
+/// After this long every reachable node knows of the losses, so that one that
+/// vouches has heard from the store since.
+constexpr duration kDoubtSpreadTime = seconds(10);
+/// Peers count towards the version floor this long after the start, when a
+/// change that was spreading has reached them.
+constexpr duration kFloorSettleTime = seconds(2);
 constexpr duration kBaselinePollPeriod = seconds(5);
 const node_id kNobody;
 
@@ -81,7 +90,45 @@
 digest
 fleet_node::Held() const
 {
-  return { mReplica.Version(), mMembers.Hash(), mBoard.Hash() };
+  bool vouches =
+    mFloor.Value() && !mInDoubt && mReplica.Version() >= *mFloor.Value();
+  return { mReplica.Version(), mMembers.Hash(), mBoard.Hash(), vouches };
+}
+
+void
+fleet_node::CheckForDoubt(time_point aNow)
+{
+  if (mDoubtGeneration == mMembers.Generation()) {
+    return;
+  }
+  mDoubtGeneration = mMembers.Generation();
+  std::size_t known = 0;
+  std::size_t lost = 0;
+  for (const auto& [node, entry] : mMembers.Entries()) {
+    member_state state = entry.record.state;
+    bool gone = state == member_state::suspect || state == member_state::dead;
+    known += state != member_state::left ? 1 : 0;
+    lost += gone && entry.changed > mDoubtEnded ? 1 : 0;
+  }
+  bool many =
+    lost >= kLeastLostForDoubt && lost * 100 >= known * kLostPercentForDoubt;
+  if (many && !mInDoubt) {
+    LogEvent(
+      log_level::info,
+      "many_members_lost",
+      { { "lost", std::to_string(lost) }, { "known", std::to_string(known) } });
+  }
+  if (many && !mInDoubt) {
+    mInDoubt = true;
+    mDoubtSince = aNow;
+  }
+}
+
+void
+fleet_node::EndDoubt()
+{
+  mInDoubt = false;
+  mDoubtEnded = mClock.Now();
 }
 
 bool
@@ -102,6 +149,7 @@
   mLastTick = now;
   CheckNeighbours(now);
   ExpireSuspects(now);
+  CheckForDoubt(now);
   if (now >= mNextOverlay) {
     mNextOverlay = now + kOverlayPeriod;
     RefreshOverlay();
@@ -147,6 +195,9 @@
 void
 fleet_node::ExpireSuspects(time_point aNow)
 {
+  if (mMembers.SuspectCount() == 0) {
+    return;
+  }
   std::vector<member_record> expired;
   for (const auto& [node, entry] : mMembers.Entries()) {
     bool due = entry.record.state == member_state::suspect &&
@@ -305,8 +356,16 @@
 void
 fleet_node::CountTowardsFloor(const node_id& aPeer, const digest& aTheirs)
 {
+  if (!aTheirs.vouches) {
+    return;
+  }
+  bool shared = mClock.Now() - mDoubtSince >= kDoubtSpreadTime;
+  if (mInDoubt && shared && aTheirs.config_version <= mReplica.Version()) {
+    EndDoubt();
+  }
   const member_entry* entry = mMembers.Find(aPeer);
-  if (aTheirs.config_version > 0 && entry != nullptr) {
+  bool settled = mClock.Now() - mStarted >= kFloorSettleTime;
+  if (settled && entry != nullptr) {
     mFloor.FromPeer(aPeer, entry->record.domain, aTheirs.config_version);
   }
 }
@@ -622,6 +681,7 @@
 fleet_node::OnStoreConfig(const config_state& aState)
 {
   mFloor.FromStore(aState.version);
+  EndDoubt();
   mAwaitingFresh = false;
   if (aState.version <= mReplica.Version()) {
     return;
@@ -639,6 +699,7 @@
 void
 fleet_node::OnStoreEmpty()
 {
+  EndDoubt();
   mFloor.FromStore(0);
 }
 
--- a/src/fleet/fleet-node.h
+++ b/src/fleet/fleet-node.h
@@ -133,6 +133,8 @@
   bool InstallConfig(const snapshot_ptr& aSnapshot, const node_id& aFrom);
   void SpreadConfig(const node_id& aExcept);
   void CountTowardsFloor(const node_id& aPeer, const digest& aTheirs);
+  void CheckForDoubt(time_point aNow);
+  void EndDoubt();
 
   bool MergeMember(const member_record& aRecord);
   void ChangeSelf();
@@ -176,6 +178,12 @@
   /// After a pause nothing is served until a peer or the store was heard from.
   bool mAwaitingFresh = false;
   time_point mAwaitingSince{};
+  /// Many members were lost at once, and with them perhaps versions that only
+  /// they had; ends with a word from the store or from a node without doubt.
+  bool mInDoubt = false;
+  time_point mDoubtSince{};
+  std::uint64_t mDoubtGeneration = UINT64_MAX;
+  time_point mDoubtEnded{};
   bool mLeft = false;
 };
 
--- a/src/membership/member-table.cc
+++ b/src/membership/member-table.cc
@@ -70,6 +70,7 @@
     mAliveCount += step;
   } else {
     domain.suspect += step;
+    mSuspectCount += step;
   }
 }
 
--- a/src/membership/member-table.h
+++ b/src/membership/member-table.h
@@ -37,6 +37,7 @@
   /// Nodes that are alive, in order.
   std::vector<node_id> Alive() const;
   std::size_t AliveCount() const { return mAliveCount; }
+  std::size_t SuspectCount() const { return mSuspectCount; }
 
   /// Rises with every change.
   std::uint64_t Generation() const { return mGeneration; }
@@ -67,6 +68,7 @@
   std::uint64_t mHash = 0;
   std::uint64_t mGeneration = 0;
   std::size_t mAliveCount = 0;
+  std::size_t mSuspectCount = 0;
 };
 
 /// The bucket that a node belongs to.
--- a/src/peer/codec.cc
+++ b/src/peer/codec.cc
@@ -39,7 +39,10 @@
 json
 Encode(const digest& aDigest)
 {
-  return { aDigest.config_version, aDigest.member_hash, aDigest.rollout_hash };
+  return { aDigest.config_version,
+           aDigest.member_hash,
+           aDigest.rollout_hash,
+           aDigest.vouches ? 1 : 0 };
 }
 
 digest
@@ -47,7 +50,8 @@
 {
   return { aValue.at(0).get<std::uint64_t>(),
            aValue.at(1).get<std::uint64_t>(),
-           aValue.at(2).get<std::uint64_t>() };
+           aValue.at(2).get<std::uint64_t>(),
+           aValue.at(3).get<int>() != 0 };
 }
 
 json
--- a/src/peer/messages.h
+++ b/src/peer/messages.h
@@ -22,6 +22,9 @@
   std::uint64_t config_version = 0;
   std::uint64_t member_hash = 0;
   std::uint64_t rollout_hash = 0;
+  /// A restarted node may take `config_version` as a lower bound of what its
+  /// predecessor had in force.
+  bool vouches = false;
 
   bool operator==(const digest&) const = default;
 };
--- /dev/null
+++ b/test/harness/fake-store.cc
@@ -0,0 +1,164 @@
+#include "harness/fake-store.h"
+
+#include <algorithm>
+
+namespace eelgrasstrack::harness {
+
+namespace {
+
+/// The platform's rates, from the users' description.
+constexpr double kReadsPerSecond = 2000;
+constexpr double kWritesPerSecond = 300;
+
+result<stored_object>
+Unavailable(execution aRan)
+{
+  return tl::unexpected<error>(
+    error{ error_kind::store_unavailable, "the store is out", aRan });
+}
+
+} // namespace
+
+fake_store::fake_store(virtual_time& aTime, std::uint64_t aSeed)
+  : mTime(aTime)
+  , mRandom(aSeed)
+  , mReads(kReadsPerSecond, kReadsPerSecond)
+  , mWrites(kWritesPerSecond, kWritesPerSecond)
+{
+}
+
+duration
+fake_store::Latency()
+{
+  std::uniform_int_distribution<duration::rep> draw(mDelay.count() / 2,
+                                                    mDelay.count() * 2);
+  return duration(draw(mRandom));
+}
+
+bool
+fake_store::Admit(bool aWrite)
+{
+  ++mCalls;
+  std::int64_t second = mTime.UnixMilliseconds() / 1000;
+  if (second != mSecond) {
+    mSecond = second;
+    mReadsInSecond = 0;
+    mWritesInSecond = 0;
+  }
+  if (aWrite) {
+    mPeakWrites = std::max(mPeakWrites, ++mWritesInSecond);
+  } else {
+    mPeakReads = std::max(mPeakReads, ++mReadsInSecond);
+  }
+  bool admitted = (aWrite ? mWrites : mReads).Take(mTime.Now());
+  mRefused += admitted ? 0 : 1;
+  return admitted;
+}
+
+void
+fake_store::Get(const std::string& aKey, get_callback aDone)
+{
+  if (mOut) {
+    Reply<stored_object>(aDone, Unavailable(execution::unknown));
+    return;
+  }
+  if (!Admit(false)) {
+    Reply<stored_object>(aDone, Fail(error_kind::overloaded, "refused"));
+    return;
+  }
+  Reply<stored_object>(aDone, mObjects[aKey]);
+}
+
+void
+fake_store::Put(const std::string& aKey,
+                std::string aValue,
+                std::uint64_t aExpectedVersion,
+                put_callback aDone)
+{
+  auto lost = [&](execution aRan) {
+    return result<std::uint64_t>(
+      tl::unexpected<error>(Unavailable(aRan).error()));
+  };
+  if (mOut) {
+    Reply<std::uint64_t>(aDone, lost(execution::unknown));
+    return;
+  }
+  if (!Admit(true)) {
+    Reply<std::uint64_t>(aDone, Fail(error_kind::overloaded, "refused"));
+    return;
+  }
+  // The write reaches the store a moment later, so that calls can cross.
+  mTime.RunAfter(
+    Latency(),
+    [this, aKey, value = std::move(aValue), aExpectedVersion, aDone, lost] {
+      stored_object& stored = mObjects[aKey];
+      if (stored.version != aExpectedVersion) {
+        Reply<std::uint64_t>(aDone, Fail(error_kind::conflict, "version"));
+        return;
+      }
+      stored.version = ++mNextVersion;
+      stored.value = value;
+      for (auto each = mWatches.begin(); each != mWatches.end();) {
+        if (each->key != aKey) {
+          ++each;
+          continue;
+        }
+        Reply<stored_object>(each->done, stored);
+        each = mWatches.erase(each);
+      }
+      std::uniform_real_distribution<double> draw(0, 1);
+      if (draw(mRandom) < mLostAnswers) {
+        Reply<std::uint64_t>(aDone, lost(execution::unknown));
+        return;
+      }
+      Reply<std::uint64_t>(aDone, stored.version);
+    });
+}
+
+void
+fake_store::Watch(const std::string& aKey,
+                  std::uint64_t aKnownVersion,
+                  duration aWait,
+                  get_callback aDone)
+{
+  if (mOut) {
+    Reply<stored_object>(aDone, Unavailable(execution::unknown));
+    return;
+  }
+  if (!Admit(false)) {
+    Reply<stored_object>(aDone, Fail(error_kind::overloaded, "refused"));
+    return;
+  }
+  if (mObjects[aKey].version != aKnownVersion) {
+    Reply<stored_object>(aDone, mObjects[aKey]);
+    return;
+  }
+  std::uint64_t id = ++mNextWatch;
+  mWatches.push_back({ aKey, aKnownVersion, id, aDone });
+  mTime.RunAfter(aWait, [this, id, aKey] {
+    auto found =
+      std::find_if(mWatches.begin(), mWatches.end(), [&](const watch& aWatch) {
+        return aWatch.id == id;
+      });
+    if (found != mWatches.end()) {
+      get_callback done = found->done;
+      mWatches.erase(found);
+      Reply<stored_object>(done, mObjects[aKey]);
+    }
+  });
+}
+
+void
+fake_store::SetOut(bool aOut)
+{
+  mOut = aOut;
+  if (!mOut) {
+    return;
+  }
+  for (const watch& each : mWatches) {
+    Reply<stored_object>(each.done, Unavailable(execution::unknown));
+  }
+  mWatches.clear();
+}
+
+} // namespace eelgrasstrack::harness
--- /dev/null
+++ b/test/harness/fake-store.h
@@ -0,0 +1,85 @@
+#ifndef EELGRASSTRACK_HARNESS_FAKE_STORE_H_
+#define EELGRASSTRACK_HARNESS_FAKE_STORE_H_
+
+#include <list>
+#include <map>
+#include <random>
+
+#include "harness/virtual-time.h"
+#include "store/call-budget.h"
+#include "store/object-store.h"
+
+namespace eelgrasstrack::harness {
+
+/// The object store in memory, with faults and the platform's limits.
+class fake_store final : public object_store
+{
+public:
+  fake_store(virtual_time& aTime, std::uint64_t aSeed);
+
+  void Get(const std::string& aKey, get_callback aDone) override;
+  void Put(const std::string& aKey,
+           std::string aValue,
+           std::uint64_t aExpectedVersion,
+           put_callback aDone) override;
+  void Watch(const std::string& aKey,
+             std::uint64_t aKnownVersion,
+             duration aWait,
+             get_callback aDone) override;
+
+  void SetOut(bool aOut);
+  void SetDelay(duration aDelay) { mDelay = aDelay; }
+  /// Chance that a write takes effect and its answer is lost.
+  void SetLostAnswers(double aChance) { mLostAnswers = aChance; }
+
+  const std::string& ValueOf(const std::string& aKey)
+  {
+    return mObjects[aKey].value;
+  }
+  std::uint64_t Calls() const { return mCalls; }
+  std::uint64_t Refused() const { return mRefused; }
+  std::uint64_t Waiting() const { return mWatches.size(); }
+  /// Most calls in any second so far.
+  std::uint64_t PeakReads() const { return mPeakReads; }
+  std::uint64_t PeakWrites() const { return mPeakWrites; }
+
+private:
+  struct watch
+  {
+    std::string key;
+    std::uint64_t known;
+    std::uint64_t id;
+    get_callback done;
+  };
+
+  duration Latency();
+  bool Admit(bool aWrite);
+  template<typename T>
+  void Reply(std::function<void(result<T>)> aDone, result<T> aResult)
+  {
+    mTime.RunAfter(Latency(), [aDone, aResult] { aDone(aResult); });
+  }
+
+  virtual_time& mTime;
+  std::mt19937_64 mRandom;
+  std::map<std::string, stored_object> mObjects;
+  std::list<watch> mWatches;
+  call_budget mReads;
+  call_budget mWrites;
+  duration mDelay = std::chrono::milliseconds(3);
+  double mLostAnswers = 0;
+  bool mOut = false;
+  std::uint64_t mNextVersion = 0;
+  std::uint64_t mNextWatch = 0;
+  std::uint64_t mCalls = 0;
+  std::uint64_t mRefused = 0;
+  std::int64_t mSecond = 0;
+  std::uint64_t mReadsInSecond = 0;
+  std::uint64_t mWritesInSecond = 0;
+  std::uint64_t mPeakReads = 0;
+  std::uint64_t mPeakWrites = 0;
+};
+
+} // namespace eelgrasstrack::harness
+
+#endif // EELGRASSTRACK_HARNESS_FAKE_STORE_H_
--- a/test/harness/load-generator.cc
+++ b/test/harness/load-generator.cc
@@ -91,9 +91,8 @@
                          const http_result& aResult)
 {
   --mOutstanding;
-  double took = std::chrono::duration<double, std::milli>(
-                  mLoop.Now() - aBegun)
-                  .count();
+  double took =
+    std::chrono::duration<double, std::milli>(mLoop.Now() - aBegun).count();
   bool notRun = aResult
                   ? HeaderValue(aResult->headers, "x-execution") == "not_run"
                   : aResult.error().ran == execution::not_run;
--- a/test/harness/load-generator.h
+++ b/test/harness/load-generator.h
@@ -61,7 +61,10 @@
     mOptions.calls_per_second = aCallsPerSecond;
   }
   /// The version that counts as new in the report.
-  void SetNewVersion(std::string aVersion) { mNewVersion = std::move(aVersion); }
+  void SetNewVersion(std::string aVersion)
+  {
+    mNewVersion = std::move(aVersion);
+  }
   void KeepIds() { mKeepIds = true; }
   void ResetReport() { mReport = load_report{}; }
 
--- a/test/harness/local-fleet.cc
+++ b/test/harness/local-fleet.cc
@@ -40,8 +40,8 @@
 local_fleet::local_fleet(std::string aPrograms, fleet_shape aShape)
   : mPrograms(std::move(aPrograms))
   , mShape(std::move(aShape))
-  , mNextPort(kFirstPort + static_cast<unsigned>(getpid()) % kPortBlocks *
-                             kPortsPerProcess)
+  , mNextPort(kFirstPort +
+              static_cast<unsigned>(getpid()) % kPortBlocks * kPortsPerProcess)
   , mLoop(std::make_unique<loop>(kLoopConnections))
 {
   setenv("EELGRASSTRACK_PEER_SECRET", kFleetSecret, 1);
@@ -90,7 +90,8 @@
     mPrograms + "/object-store-stand-in",
     std::vector<std::string>{ "--listen=" + TextOf(mStorePlace),
                               "--reads=" + std::to_string(mShape.store_reads),
-                              "--writes=" + std::to_string(mShape.store_writes) },
+                              "--writes=" +
+                                std::to_string(mShape.store_writes) },
     mFolder + "/store.log");
 }
 
@@ -107,13 +108,11 @@
     "--peer-listen=" + TextOf(place.peers),
     "--random-seed=" + std::to_string(aNode + 1),
   };
-  flags.insert(
-    flags.end(), mShape.node_flags.begin(), mShape.node_flags.end());
-  mNodes[aNode] =
-    std::make_unique<process>(mPrograms + "/eelgrasstrackd",
-                              flags,
-                              mFolder + "/node-" + std::to_string(aNode) +
-                                ".log");
+  flags.insert(flags.end(), mShape.node_flags.begin(), mShape.node_flags.end());
+  mNodes[aNode] = std::make_unique<process>(mPrograms + "/eelgrasstrackd",
+                                            flags,
+                                            mFolder + "/node-" +
+                                              std::to_string(aNode) + ".log");
 }
 
 void
--- a/test/harness/process.cc
+++ b/test/harness/process.cc
@@ -97,8 +97,8 @@
 int
 process::WaitForExit(double aSeconds)
 {
-  auto end = std::chrono::steady_clock::now() +
-             std::chrono::duration<double>(aSeconds);
+  auto end =
+    std::chrono::steady_clock::now() + std::chrono::duration<double>(aSeconds);
   while (Running()) {
     if (std::chrono::steady_clock::now() > end) {
       return -1;
--- /dev/null
+++ b/test/harness/virtual-fleet.cc
@@ -0,0 +1,383 @@
+#include "harness/virtual-fleet.h"
+
+#include "peer/codec.h"
+
+namespace eelgrasstrack::harness {
+
+namespace {
+
+constexpr duration kConnectTimeout = std::chrono::seconds(5);
+constexpr std::size_t kFirstPort = 10000;
+
+} // namespace
+
+/// The interfaces of one node, bound to its host and life.
+class virtual_fleet::port final
+  : public peer_network
+  , public fleet_observer
+  , public delayed_tasks
+  , public object_store
+{
+public:
+  port(virtual_fleet& aFleet, std::size_t aNode, std::uint64_t aLife)
+    : mFleet(aFleet)
+    , mNode(aNode)
+    , mLife(aLife)
+  {
+  }
+
+  void Connect(const node_id& aNode) override
+  {
+    mFleet.Connect(mNode, IndexOf(aNode));
+  }
+  void Send(const node_id& aNode, const peer_message& aMessage) override
+  {
+    mFleet.Send(mNode, IndexOf(aNode), aMessage);
+  }
+  bool Linked(const node_id& aNode) const override
+  {
+    return mFleet.mHosts[mNode].links.count(IndexOf(aNode)) != 0;
+  }
+  void RunAfter(duration aDelay, std::function<void()> aTask) override
+  {
+    mFleet.RunOn(mNode, mLife, aDelay, std::move(aTask));
+  }
+  void Get(const std::string& aKey, get_callback aDone) override
+  {
+    mFleet.mStore.Get(aKey, OnLoop<stored_object>(std::move(aDone)));
+  }
+  void Put(const std::string& aKey,
+           std::string aValue,
+           std::uint64_t aExpectedVersion,
+           put_callback aDone) override
+  {
+    mFleet.mStore.Put(aKey,
+                      std::move(aValue),
+                      aExpectedVersion,
+                      OnLoop<std::uint64_t>(std::move(aDone)));
+  }
+  void Watch(const std::string& aKey,
+             std::uint64_t aKnownVersion,
+             duration aWait,
+             get_callback aDone) override
+  {
+    mFleet.mStore.Watch(
+      aKey, aKnownVersion, aWait, OnLoop<stored_object>(std::move(aDone)));
+  }
+  void OnConfig(const snapshot_ptr&) override {}
+  void OnRollouts() override {}
+  void OnMembers() override {}
+  void OnEvidence(const node_id&, const evidence_report&) override {}
+  void OnEvidenceAck(const node_id&, const evidence_ack_message&) override {}
+
+private:
+  template<typename T>
+  std::function<void(result<T>)> OnLoop(std::function<void(result<T>)> aDone)
+  {
+    return [this, fleet = &mFleet, node = mNode, life = mLife, aDone](
+             result<T> aResult) {
+      fleet->RunOn(
+        node, life, duration(0), [aDone, aResult] { aDone(aResult); });
+    };
+  }
+
+  virtual_fleet& mFleet;
+  std::size_t mNode;
+  std::uint64_t mLife;
+};
+
+virtual_fleet::virtual_fleet(virtual_fleet_options aOptions)
+  : mOptions(aOptions)
+  , mStore(mTime, aOptions.seed + 1)
+  , mRandom(aOptions.seed)
+  , mHosts(aOptions.nodes)
+{
+}
+
+virtual_fleet::~virtual_fleet() = default;
+
+node_id
+virtual_fleet::NameOf(std::size_t aNode)
+{
+  return "10.0.0.1:" + std::to_string(kFirstPort + aNode);
+}
+
+std::size_t
+virtual_fleet::IndexOf(const node_id& aNode)
+{
+  return std::stoul(aNode.substr(aNode.rfind(':') + 1)) - kFirstPort;
+}
+
+duration
+virtual_fleet::Latency()
+{
+  std::uniform_int_distribution<duration::rep> draw(
+    mOptions.latency.count(), mOptions.latency.count() * 2);
+  return duration(draw(mRandom));
+}
+
+void
+virtual_fleet::RunOn(std::size_t aNode,
+                     std::uint64_t aLife,
+                     duration aDelay,
+                     std::function<void()> aTask)
+{
+  mTime.RunAfter(aDelay, [this, aNode, aLife, aTask = std::move(aTask)] {
+    host& each = mHosts[aNode];
+    if (each.life != aLife || each.node == nullptr) {
+      return;
+    }
+    if (mTime.Now() < each.paused_until) {
+      RunOn(aNode, aLife, each.paused_until - mTime.Now(), aTask);
+      return;
+    }
+    aTask();
+    CheckServed(aNode);
+  });
+}
+
+void
+virtual_fleet::Start(std::size_t aNode)
+{
+  host& each = mHosts[aNode];
+  ++each.life;
+  each.paused_until = time_point{};
+  each.wires = std::make_unique<port>(*this, aNode, each.life);
+  fleet_options options;
+  options.self.node = NameOf(aNode);
+  options.self.domain = "domain-" + std::to_string(DomainOf(aNode));
+  options.self.region = "main";
+  options.self.incarnation =
+    static_cast<std::uint64_t>(mTime.UnixMilliseconds());
+  options.mode = mOptions.mode;
+  options.random_seed = mRandom();
+  // What settings would list for a time when the store is out.
+  for (std::size_t i = 0; i < mHosts.size(); ++i) {
+    if (i < mOptions.domains * 2) {
+      options.seeds.push_back(NameOf(i));
+    }
+  }
+  each.node = std::make_unique<fleet_node>(
+    options, *each.wires, *each.wires, *each.wires, mTime, *each.wires);
+  std::uint64_t life = each.life;
+  RunOn(aNode, life, duration(0), [this, aNode, life] {
+    mHosts[aNode].node->Start();
+    Tick(aNode, life);
+  });
+}
+
+void
+virtual_fleet::StartAll()
+{
+  for (std::size_t i = 0; i < mHosts.size(); ++i) {
+    Start(i);
+  }
+}
+
+void
+virtual_fleet::Tick(std::size_t aNode, std::uint64_t aLife)
+{
+  mHosts[aNode].node->Tick();
+  RunOn(aNode, aLife, fleet_node::kTickPeriod, [this, aNode, aLife] {
+    Tick(aNode, aLife);
+  });
+}
+
+void
+virtual_fleet::CheckServed(std::size_t aNode)
+{
+  host& each = mHosts[aNode];
+  if (each.node == nullptr || !each.node->Ready()) {
+    return;
+  }
+  std::uint64_t version = each.node->Config()->version;
+  if (version < each.served) {
+    mBroken.push_back("host " + std::to_string(aNode) + " served version " +
+                      std::to_string(version) + " after " +
+                      std::to_string(each.served));
+  }
+  each.served = std::max(each.served, version);
+}
+
+void
+virtual_fleet::BreakLinks(std::size_t aNode)
+{
+  std::set<std::size_t> others = std::move(mHosts[aNode].links);
+  mHosts[aNode].links.clear();
+  for (std::size_t other : others) {
+    mHosts[other].links.erase(aNode);
+    RunOn(other, mHosts[other].life, Latency(), [this, other, aNode] {
+      mHosts[other].node->OnLinkDown(NameOf(aNode), true);
+    });
+  }
+}
+
+void
+virtual_fleet::Kill(std::size_t aNode)
+{
+  host& each = mHosts[aNode];
+  if (each.node == nullptr) {
+    return;
+  }
+  BreakLinks(aNode);
+  each.node.reset();
+  each.connecting.clear();
+  ++each.life;
+}
+
+void
+virtual_fleet::Leave(std::size_t aNode)
+{
+  if (mHosts[aNode].node == nullptr) {
+    return;
+  }
+  mHosts[aNode].node->Leave();
+  Advance(std::chrono::milliseconds(200));
+  Kill(aNode);
+}
+
+void
+virtual_fleet::Pause(std::size_t aNode, duration aTime)
+{
+  mHosts[aNode].paused_until = mTime.Now() + aTime;
+}
+
+void
+virtual_fleet::SetDomainCut(std::size_t aDomain, bool aCut)
+{
+  if (aCut) {
+    mCutDomains.insert(aDomain);
+    return;
+  }
+  mCutDomains.erase(aDomain);
+  // Links that were silent for so long do not come back.
+  for (std::size_t i = 0; i < mHosts.size(); ++i) {
+    if (DomainOf(i) == aDomain) {
+      BreakLinks(i);
+    }
+  }
+}
+
+bool
+virtual_fleet::Reachable(std::size_t aFrom, std::size_t aTo) const
+{
+  std::size_t from = DomainOf(aFrom);
+  std::size_t to = DomainOf(aTo);
+  bool cut = mCutDomains.count(from) != 0 || mCutDomains.count(to) != 0;
+  return from == to || !cut;
+}
+
+void
+virtual_fleet::Connect(std::size_t aFrom, std::size_t aTo)
+{
+  host& from = mHosts[aFrom];
+  if (aFrom == aTo || from.links.count(aTo) != 0 ||
+      !from.connecting.insert(aTo).second) {
+    return;
+  }
+  std::uint64_t life = from.life;
+  bool reachable = Reachable(aFrom, aTo);
+  duration wait = reachable ? Latency() : kConnectTimeout;
+  RunOn(aFrom, life, wait, [this, aFrom, aTo, reachable] {
+    host& self = mHosts[aFrom];
+    host& other = mHosts[aTo];
+    self.connecting.erase(aTo);
+    bool up = reachable && Reachable(aFrom, aTo) && other.node != nullptr;
+    if (!up) {
+      self.node->OnLinkDown(NameOf(aTo), false);
+      return;
+    }
+    bool fresh = self.links.insert(aTo).second;
+    other.links.insert(aFrom);
+    if (fresh) {
+      self.node->OnLinkUp(NameOf(aTo));
+      RunOn(aTo, other.life, duration(0), [this, aFrom, aTo] {
+        mHosts[aTo].node->OnLinkUp(NameOf(aFrom));
+      });
+    }
+  });
+}
+
+void
+virtual_fleet::Send(std::size_t aFrom,
+                    std::size_t aTo,
+                    const peer_message& aMessage)
+{
+  host& from = mHosts[aFrom];
+  if (from.links.count(aTo) == 0) {
+    Connect(aFrom, aTo);
+    return;
+  }
+  ++from.sent.messages[aMessage.index()];
+  if (mOptions.count_bytes) {
+    from.sent.bytes[aMessage.index()] += EncodeMessage(aMessage).size();
+  }
+  std::uint64_t life = mHosts[aTo].life;
+  duration latency = Latency();
+  RunOn(aTo, life, latency, [this, aFrom, aTo, aMessage] {
+    bool linked = mHosts[aTo].links.count(aFrom) != 0;
+    if (linked && Reachable(aFrom, aTo)) {
+      mHosts[aTo].node->OnMessage(NameOf(aFrom), aMessage);
+    }
+  });
+}
+
+duration
+virtual_fleet::TimeUntilEverywhere(std::uint64_t aVersion, duration aLongest)
+{
+  constexpr duration kStep = std::chrono::milliseconds(1);
+  time_point begun = mTime.Now();
+  while (mTime.Now() - begun < aLongest) {
+    bool everywhere = true;
+    for (const host& each : mHosts) {
+      bool behind =
+        each.node != nullptr && each.node->Config()->version < aVersion;
+      everywhere = everywhere && !behind;
+    }
+    if (everywhere) {
+      return mTime.Now() - begun;
+    }
+    Advance(kStep);
+  }
+  return aLongest;
+}
+
+std::string
+virtual_fleet::Disagreement()
+{
+  const fleet_node* first = nullptr;
+  std::set<node_id> running;
+  for (std::size_t i = 0; i < mHosts.size(); ++i) {
+    if (mHosts[i].node != nullptr) {
+      running.insert(NameOf(i));
+      first = first == nullptr ? mHosts[i].node.get() : first;
+    }
+  }
+  for (const host& each : mHosts) {
+    if (each.node == nullptr) {
+      continue;
+    }
+    const fleet_node& node = *each.node;
+    if (node.Config()->hash != first->Config()->hash ||
+        node.Config()->version != first->Config()->version) {
+      return node.Self().node + " has version " +
+             std::to_string(node.Config()->version) + ", " +
+             first->Self().node + " has " +
+             std::to_string(first->Config()->version);
+    }
+    std::vector<node_id> alive = node.Members().Alive();
+    if (std::set<node_id>(alive.begin(), alive.end()) != running) {
+      return node.Self().node + " sees " + std::to_string(alive.size()) +
+             " nodes alive, " + std::to_string(running.size()) + " run";
+    }
+    if (!node.Ready()) {
+      return node.Self().node + " does not serve";
+    }
+    if (node.Rollouts().Hash() != first->Rollouts().Hash()) {
+      return node.Self().node + " has other rollout states";
+    }
+  }
+  return {};
+}
+
+} // namespace eelgrasstrack::harness
--- a/test/integration/whole-path-test.cc
+++ b/test/integration/whole-path-test.cc
@@ -35,7 +35,8 @@
   load.Start();
   fleet.RunFor(seconds(2));
   load.Stop();
-  REQUIRE(fleet.WaitUntil(seconds(10), [&] { return load.Outstanding() == 0; }));
+  REQUIRE(
+    fleet.WaitUntil(seconds(10), [&] { return load.Outstanding() == 0; }));
   REQUIRE(load.Report().begun > 0);
   REQUIRE(load.Report().good == load.Report().begun);
   REQUIRE(load.Report().wrong == 0);
