Tell the new version's share of calls from the callers, and prove before widening

After each raise a node estimated the new version's share of calls from the few calls since then, and the cautious estimate (up to 1) threw the first failures away; meanwhile the share grew fourfold each second for the quietest route. Change: the share is worked out from the buckets of the callers that made the last calls, whatever version answered. A raise waits for 12 answered calls at the present share or for 6 % of the planned time. An upstream with a quarter of its calls failing, and three times the others', is left out by the first hop. Ruled out: a lower threshold; the evidence was discarded, not weak.

--- /dev/null
+++ b/bench/experiments.h
@@ -0,0 +1,29 @@
+#ifndef EELGRASSTRACK_BENCH_EXPERIMENTS_H_
+#define EELGRASSTRACK_BENCH_EXPERIMENTS_H_
+
+#include <cstdint>
+#include <string>
+
+namespace eelgrasstrack::bench {
+
+struct experiment_options
+{
+  /// Folder of the built programs.
+  std::string programs;
+  /// More sizes, rows and seeds than fit into 50 s.
+  bool full = false;
+  std::uint64_t seed = 1;
+  /// Runs only the rows whose name holds this text.
+  std::string only;
+  /// Runs of each row; 0 for the experiment's own number.
+  unsigned runs = 0;
+};
+
+/// Outcomes of rollouts over faults, loads and platform faults, on a virtual
+/// clock, against baselines.
+int
+RunRollout(const experiment_options& aOptions);
+
+} // namespace eelgrasstrack::bench
+
+#endif // EELGRASSTRACK_BENCH_EXPERIMENTS_H_
--- a/src/rollout/evidence-recorder.cc
+++ b/src/rollout/evidence-recorder.cc
@@ -11,8 +11,11 @@
 namespace {
 
 constexpr duration kDedupePeriod = std::chrono::seconds(1);
-/// The mix of versions is remembered over about this many trials.
-constexpr double kMixMemory = 400;
+/// The mix of callers is remembered over about this many calls.
+constexpr float kMixMemory = 4000;
+/// Until calls tell, each share has its own part of the calls; this many calls
+/// weigh as much as that guess.
+constexpr double kMixPrior = 5;
 constexpr std::uint32_t kBaselineMemory = 2000;
 constexpr std::uint32_t kLeastBaseline = 20;
 constexpr double kSlowQuantile = 0.9;
@@ -70,8 +73,41 @@
          kSlowAllowance;
 }
 
-evidence_recorder::evidence_recorder(time_point aNow)
-  : mBegan(aNow)
+void
+caller_mix::Add(std::uint32_t aBucket)
+{
+  mCells[aBucket * kCells / kWholeShare] += 1;
+  mTotal += 1;
+  if (mTotal < kMixMemory) {
+    return;
+  }
+  mTotal = 0;
+  for (float& cell : mCells) {
+    cell /= 2;
+    mTotal += cell;
+  }
+}
+
+std::uint32_t
+caller_mix::PartBelow(std::uint32_t aShare) const
+{
+  double edge = static_cast<double>(aShare) * kCells / kWholeShare;
+  auto whole = static_cast<std::size_t>(edge);
+  double below = 0;
+  for (std::size_t i = 0; i < whole; ++i) {
+    below += mCells[i];
+  }
+  if (whole < kCells) {
+    below += mCells[whole] * (edge - static_cast<double>(whole));
+  }
+  double guess = static_cast<double>(aShare) / kWholeShare;
+  double part = (below + kMixPrior * guess) / (mTotal + kMixPrior);
+  return static_cast<std::uint32_t>(std::ceil(part * kWholeShare));
+}
+
+evidence_recorder::evidence_recorder(std::string aRollout, time_point aNow)
+  : mRollout(std::move(aRollout))
+  , mBegan(aNow)
   , mDedupeSince(aNow)
 {
 }
@@ -140,6 +176,7 @@
     return;
   }
   route_state& state = mRoutes[aTry.route];
+  state.trial_mix.Add(BucketOfCaller(mRollout, aTry.caller));
   arm_counts one{ 1, aTry.failed ? 1U : 0U, 0, 0 };
   if (aTry.exposed) {
     state.new_window += one;
@@ -161,6 +198,7 @@
     return;
   }
   route_state& state = mRoutes[aTry.route];
+  state.timed_mix.Add(BucketOfCaller(mRollout, aTry.caller));
   arm_counts one{ 0, 0, 1, aSlow ? 1U : 0U };
   if (aTry.exposed) {
     state.new_window += one;
@@ -179,21 +217,6 @@
   mHurtCallers.insert(HashOf(aCaller));
 }
 
-void
-evidence_recorder::ShareChanged(std::uint32_t aShare)
-{
-  if (aShare == mShare) {
-    return;
-  }
-  mShare = aShare;
-  for (auto& [route, state] : mRoutes) {
-    state.old_trials = 0;
-    state.new_trials = 0;
-    state.old_timed = 0;
-    state.new_timed = 0;
-  }
-}
-
 void
 evidence_recorder::CountOverdue(time_point aNow)
 {
@@ -209,38 +232,18 @@
   }
 }
 
-std::uint32_t
-evidence_recorder::ShareOf(double aOld, double aNew) const
-{
-  double total = aOld + aNew;
-  double observed = total > 0 ? aNew / total : 0;
-  auto share = static_cast<std::uint32_t>(std::ceil(observed * kWholeShare));
-  // The greater of the two is the cautious one.
-  return std::max(share, mShare);
-}
-
 evidence_window
 evidence_recorder::CloseWindow(const std::string& aRoute, route_state& aState)
 {
-  aState.old_trials += aState.old_window.trials;
-  aState.new_trials += aState.new_window.trials;
-  aState.old_timed += aState.old_window.timed;
-  aState.new_timed += aState.new_window.timed;
   evidence_window window;
   window.route = aRoute;
-  window.trial_share = ShareOf(aState.old_trials, aState.new_trials);
-  window.timed_share = ShareOf(aState.old_timed, aState.new_timed);
+  window.trial_share = aState.trial_mix.PartBelow(mShare);
+  window.timed_share = aState.timed_mix.PartBelow(mShare);
   window.old_version = aState.old_window;
   window.new_version = aState.new_window;
   for (const auto& [node, counts] : aState.instances) {
     window.instances.push_back({ node, counts });
   }
-  if (aState.old_trials + aState.new_trials > kMixMemory) {
-    aState.old_trials /= 2;
-    aState.new_trials /= 2;
-    aState.old_timed /= 2;
-    aState.new_timed /= 2;
-  }
   aState.old_window = {};
   aState.new_window = {};
   aState.instances.clear();
--- a/src/rollout/evidence-recorder.h
+++ b/src/rollout/evidence-recorder.h
@@ -42,13 +42,30 @@
   std::uint32_t mTotal = 0;
 };
 
+/// How much of a route's calls come from which callers, by the callers' buckets
+/// in the rollout. It tells what part of the calls belongs to the new version
+/// at any share, whatever the version answered.
+class caller_mix
+{
+public:
+  /// Counts one call of a caller with a bucket below `kWholeShare`.
+  void Add(std::uint32_t aBucket);
+  /// The part of calls, in ten-thousandths, of callers below a share.
+  std::uint32_t PartBelow(std::uint32_t aShare) const;
+
+private:
+  static constexpr std::size_t kCells = 500;
+  std::vector<float> mCells = std::vector<float>(kCells);
+  float mTotal = 0;
+};
+
 /// Turns the tries of one rollout at one node into evidence windows. A caller
 /// counts once a second and version; callers that already failed on the old
 /// version do not count as failures.
 class evidence_recorder
 {
 public:
-  explicit evidence_recorder(time_point aNow);
+  evidence_recorder(std::string aRollout, time_point aNow);
 
   /// A try began; until it ends, it may become overdue.
   void Started(std::uint64_t aTry, const recorded_try& aBegun, time_point aNow);
@@ -56,8 +73,7 @@
   void Finished(std::uint64_t aTry, const recorded_try& aEnded, bool aCounts);
   void CallerHurt(const std::string& aCaller);
 
-  /// The share changed, so the recent mix of versions no longer holds.
-  void ShareChanged(std::uint32_t aShare);
+  void ShareChanged(std::uint32_t aShare) { mShare = aShare; }
 
   /// Ends a window. Returns the windows that hold events.
   std::vector<evidence_window> Flush(time_point aNow);
@@ -79,11 +95,8 @@
     arm_counts old_window;
     arm_counts new_window;
     std::map<std::string, arm_counts> instances;
-    /// Recent mix, halved as it grows.
-    double old_trials = 0;
-    double new_trials = 0;
-    double old_timed = 0;
-    double new_timed = 0;
+    caller_mix trial_mix;
+    caller_mix timed_mix;
     std::vector<duration> old_times;
   };
 
@@ -92,8 +105,8 @@
   void CountTimed(const recorded_try& aTry, bool aSlow);
   void CountOverdue(time_point aNow);
   evidence_window CloseWindow(const std::string& aRoute, route_state& aState);
-  std::uint32_t ShareOf(double aOld, double aNew) const;
 
+  std::string mRollout;
   time_point mBegan;
   time_point mDedupeSince;
   std::uint32_t mShare = 0;
--- a/src/rollout/rollout-driver.cc
+++ b/src/rollout/rollout-driver.cc
@@ -98,7 +98,7 @@
   }
   for (const auto& [id, declared] : rollouts) {
     if (declared.Open()) {
-      mOpen.try_emplace(id, aNow);
+      mOpen.try_emplace(id, id, aNow);
     }
   }
 }
@@ -113,6 +113,7 @@
     if (state.share != open.seen_share) {
       open.seen_share = state.share;
       open.raised_ms = mClock.UnixMilliseconds();
+      open.trials_at_raise = open.fleet_judge.Totals().new_trials;
       open.recorder.ShareChanged(state.share);
     }
     Report(id, open, now);
@@ -311,6 +312,8 @@
     mEnvironment.SlotsOf(aRollout.service, aRollout.from_version);
   input.new_slots = mEnvironment.SlotsOf(aRollout.service, aRollout.to_version);
   input.suspicious = aSuspicious;
+  input.trials_since_raise = static_cast<double>(totals.new_trials) -
+                             static_cast<double>(aOpen.trials_at_raise);
   if (totals.covered_ms > 0) {
     double covered = static_cast<double>(totals.covered_ms);
     input.busy_slots = static_cast<double>(totals.busy_us) / 1000 / covered;
--- a/src/rollout/rollout-driver.h
+++ b/src/rollout/rollout-driver.h
@@ -101,8 +101,8 @@
 
   struct open_rollout
   {
-    explicit open_rollout(time_point aNow)
-      : recorder(aNow)
+    open_rollout(const std::string& aId, time_point aNow)
+      : recorder(aId, aNow)
       , own_judge(judge_options{})
       , fleet_judge(judge_options{})
       , began(aNow)
@@ -123,6 +123,8 @@
     time_point last_tick{};
     std::int64_t raised_ms = 0;
     std::uint32_t seen_share = 0;
+    /// Trials of the new version when the share was last raised.
+    std::uint64_t trials_at_raise = 0;
     plan_output plan;
     time_point last_outcome{};
   };
--- a/src/rollout/rollout-plan.cc
+++ b/src/rollout/rollout-plan.cc
@@ -45,6 +45,10 @@
 constexpr std::uint32_t kGreatestGrowth = 4;
 constexpr std::uint32_t kFirstShare = 100;
 constexpr std::int64_t kLeastStepMs = 1000;
+/// A raise waits for this many trials at the present share, enough to show a
+/// version that always fails, but for no more than this part of the time.
+constexpr double kTrialsPerRaise = 12;
+constexpr double kLongestWaitPart = 0.06;
 /// Part of the new version's slots that may be busy.
 constexpr double kUsableCapacity = 0.75;
 /// Suspicion holds the share until this part of the planned time.
@@ -76,6 +80,22 @@
   return *std::prev(after);
 }
 
+/// Whether the present share has shown enough to go on.
+bool
+Settled(const plan_input& aInput)
+{
+  if (aInput.share == 0) {
+    return true;
+  }
+  std::int64_t since = aInput.now_ms - aInput.raised_ms;
+  if (since < kLeastStepMs) {
+    return false;
+  }
+  double whole = static_cast<double>(aInput.by_ms - aInput.start_ms);
+  return aInput.trials_since_raise >= kTrialsPerRaise ||
+         static_cast<double>(since) >= whole * kLongestWaitPart;
+}
+
 double
 NextStageFrom(double aProgress)
 {
@@ -168,9 +188,7 @@
     return output;
   }
   std::uint32_t wanted = WantedShare(aInput, progress);
-  bool settled =
-    aInput.share == 0 || aInput.now_ms - aInput.raised_ms >= kLeastStepMs;
-  if (wanted > aInput.share && settled) {
+  if (wanted > aInput.share && Settled(aInput)) {
     output.step = plan_step::raise;
     output.share = wanted;
     return output;
--- a/src/rollout/rollout-plan.h
+++ b/src/rollout/rollout-plan.h
@@ -25,6 +25,8 @@
   double quiet_route_rate = 0;
   /// Trials of the new version on that route so far.
   double quiet_route_trials = 0;
+  /// Trials of the new version, on all routes, since the last raise.
+  double trials_since_raise = 0;
   /// The evidence is suspicious, but not yet enough to halt.
   bool suspicious = false;
 };
@@ -57,6 +59,8 @@
 /// Works back from the set time. Most of the time is spent at small shares,
 /// where a fault, also one that shows late, hurts few callers; then the share
 /// grows in steps so that the last callers move before the set time.
+/// A raise waits until the new version has answered some calls at the present
+/// share, or for a part of the planned time where calls are few.
 /// A route too quiet to prove the version at the small share widens earlier.
 /// Capacity bounds the share at all times.
 plan_output
--- a/src/routing/upstream-picker.cc
+++ b/src/routing/upstream-picker.cc
@@ -8,6 +8,11 @@
 
 /// How long a load hint counts.
 constexpr duration kHintAge = std::chrono::milliseconds(500);
+/// Weight of the newest call in the moving average of failures.
+constexpr double kFailureSmoothing = 0.1;
+constexpr unsigned kLeastJudged = 10;
+constexpr double kOutlierFactor = 3;
+constexpr unsigned kMostDoublings = 6;
 /// A new upstream starts with this share of its slots.
 constexpr double kSlowStartFloor = 0.1;
 
@@ -136,24 +141,53 @@
 {
   node_load& load = mLoads[aNode];
   load.outstanding -= load.outstanding > 0 ? 1 : 0;
-  if (aOutcome == call_outcome::answered) {
-    load.failures_in_row = 0;
-    load.ejections = 0;
-    return;
+  if (aOutcome != call_outcome::refused) {
+    Judge(aNode, aOutcome == call_outcome::failed, aNow);
   }
-  if (aOutcome == call_outcome::refused) {
+}
+
+void
+upstream_picker::Judge(const node_id& aNode, bool aFailed, time_point aNow)
+{
+  node_load& load = mLoads[aNode];
+  load.failure_rate +=
+    kFailureSmoothing * ((aFailed ? 1 : 0) - load.failure_rate);
+  ++load.judged;
+  if (!aFailed) {
+    load.failures_in_row = 0;
+    bool recovered = load.failure_rate < mOptions.failure_rate_to_eject / 2;
+    load.ejections = recovered ? 0 : load.ejections;
     return;
   }
-  if (++load.failures_in_row < mOptions.failures_to_eject) {
+  ++load.failures_in_row;
+  if (load.failures_in_row < mOptions.failures_to_eject && !IsOutlier(aNode)) {
     return;
   }
   load.failures_in_row = 0;
+  load.judged = 0;
   duration length =
-    mOptions.first_ejection * (1U << std::min(load.ejections, 6U));
+    mOptions.first_ejection * (1U << std::min(load.ejections, kMostDoublings));
   load.ejected_until = aNow + std::min(length, mOptions.longest_ejection);
   ++load.ejections;
 }
 
+bool
+upstream_picker::IsOutlier(const node_id& aNode) const
+{
+  const node_load& own = mLoads.at(aNode);
+  double others = 0;
+  unsigned count = 0;
+  for (const auto& [node, load] : mLoads) {
+    if (node != aNode && load.judged >= kLeastJudged) {
+      others += load.failure_rate;
+      ++count;
+    }
+  }
+  bool enough = own.judged >= kLeastJudged && count > 0;
+  return enough && own.failure_rate > mOptions.failure_rate_to_eject &&
+         own.failure_rate > kOutlierFactor * others / count;
+}
+
 void
 upstream_picker::Hint(const node_id& aNode,
                       std::uint32_t aBusy,
--- a/src/routing/upstream-picker.h
+++ b/src/routing/upstream-picker.h
@@ -33,6 +33,9 @@
 {
   /// Failures in a row after which an upstream is left out for a while.
   unsigned failures_to_eject = 5;
+  /// An upstream is also left out if its part of failures, over about the last
+  /// ten calls, is above this and three times that of the others.
+  double failure_rate_to_eject = 0.25;
   duration first_ejection = std::chrono::seconds(5);
   duration longest_ejection = std::chrono::seconds(60);
   /// Share of a service's upstreams that may be left out at a time, in percent.
@@ -84,11 +87,16 @@
     std::uint32_t hinted = 0;
     time_point hinted_at{};
     unsigned failures_in_row = 0;
+    /// Moving average of failures, and the calls that it rests on.
+    double failure_rate = 0;
+    unsigned judged = 0;
     unsigned ejections = 0;
     time_point ejected_until{};
     time_point first_seen{};
   };
 
+  void Judge(const node_id& aNode, bool aFailed, time_point aNow);
+  bool IsOutlier(const node_id& aNode) const;
   double LoadOf(const upstream_candidate& aCandidate, time_point aNow);
   std::vector<std::size_t> Usable(
     const std::vector<upstream_candidate>& aCandidates,
--- /dev/null
+++ b/test/harness/virtual-mesh.cc
@@ -0,0 +1,716 @@
+#include "harness/virtual-mesh.h"
+
+#include <algorithm>
+#include <array>
+#include <nlohmann/json.hpp>
+
+#include "base/hash.h"
+#include "call/first-hop.h"
+#include "call/last-hop.h"
+#include "membership/overlay.h"
+
+namespace eelgrasstrack::harness {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr const char* kService = "rota-board";
+constexpr const char* kRollout = "move";
+constexpr duration kCallTimeout = milliseconds(2000);
+constexpr double kLatencySpread = 0.35;
+constexpr double kFailureOfNoisy = 0.01;
+constexpr double kCommonFailure = 0.3;
+/// A late fault shows after this part of the plan.
+constexpr double kLateFrom = 0.4;
+constexpr int kSlowFactor = 3;
+constexpr std::array<double, 6> kBaselineTimes{ 0.0, 0.2, 0.4, 0.6, 0.8, 0.9 };
+constexpr std::array<std::uint32_t, 6> kBaselineShares{ 100,  500,  1000,
+                                                        2500, 5000, 10000 };
+constexpr std::uint64_t kBaselineCalls = 100;
+constexpr double kBaselineThreshold = 0.05;
+
+constexpr std::array<std::string_view, 13> kFaultNames{
+  "none",       "fails_always", "fails_fifth",     "fails_twentieth",
+  "slow",       "fails_later",  "slow_under_load", "single_route",
+  "one_domain", "one_instance", "truncated",       "common_failure",
+  "noisy"
+};
+constexpr std::array<std::string_view, 4> kPlatformNames{ "calm",
+                                                          "store_out",
+                                                          "herd_restart",
+                                                          "partition" };
+constexpr std::array<std::string_view, 3> kPolicyNames{ "product",
+                                                        "timed_steps",
+                                                        "fixed_threshold" };
+
+} // namespace
+
+std::string_view
+NameOf(version_fault aFault)
+{
+  return kFaultNames[static_cast<std::size_t>(aFault)];
+}
+
+std::string_view
+NameOf(platform_fault aFault)
+{
+  return kPlatformNames[static_cast<std::size_t>(aFault)];
+}
+
+std::string_view
+NameOf(rollout_policy aPolicy)
+{
+  return kPolicyNames[static_cast<std::size_t>(aPolicy)];
+}
+
+/// The upstream beside one node.
+class virtual_mesh::fake_upstream final : public upstream_connection
+{
+public:
+  fake_upstream(virtual_mesh& aMesh, std::size_t aInstance, bool aNew)
+    : mMesh(aMesh)
+    , mInstance(aInstance)
+    , mNew(aNew)
+  {
+  }
+
+  std::shared_ptr<http_call> Start(http_request aRequest,
+                                   duration aTimeout,
+                                   http_callback aDone) override
+  {
+    if (mNew) {
+      mMesh.mLastNewCall = mMesh.mTime.Now();
+    }
+    bool shows = mNew && mMesh.FaultShows(mInstance, aRequest.path);
+    ++mRunning;
+    duration time = ServiceTime(shows);
+    http_result answer = Answer(shows);
+    if (time > aTimeout) {
+      time = aTimeout;
+      answer = Fail(error_kind::deadline_exceeded, "no answer in time");
+    }
+    mMesh.mTime.RunAfter(time, [this, answer, aDone] {
+      --mRunning;
+      aDone(answer);
+    });
+    return nullptr;
+  }
+
+private:
+  double Draw()
+  {
+    return std::uniform_real_distribution<double>(0, 1)(mMesh.mRandom);
+  }
+
+  duration ServiceTime(bool aShows)
+  {
+    std::lognormal_distribution<double> spread(0, kLatencySpread);
+    double factor = spread(mMesh.mRandom);
+    version_fault fault = mMesh.mOptions.fault;
+    bool loaded = mRunning * 2 > mMesh.mOptions.slots;
+    bool slow = fault == version_fault::slow_threefold ||
+                (fault == version_fault::slow_under_load && loaded);
+    factor *= aShows && slow ? kSlowFactor : 1;
+    return duration(static_cast<duration::rep>(
+      factor * static_cast<double>(mMesh.mOptions.base_time.count())));
+  }
+
+  http_result Answer(bool aShows)
+  {
+    double failure = FailureChance(aShows);
+    if (Draw() >= failure) {
+      return http_response{ 200, {}, "ok" };
+    }
+    if (aShows && mMesh.mOptions.fault == version_fault::truncated) {
+      return Fail(error_kind::upstream_broken, "the answer is not whole");
+    }
+    return http_response{ 500, {}, "fault" };
+  }
+
+  double FailureChance(bool aShows) const
+  {
+    double progress = mMesh.Progress();
+    switch (mMesh.mOptions.fault) {
+      case version_fault::noisy:
+        return kFailureOfNoisy;
+      case version_fault::common_failure:
+        return progress > 0.35 && progress < 0.45 ? kCommonFailure : 0;
+      case version_fault::fails_always:
+        return aShows ? 1 : 0;
+      case version_fault::fails_fifth:
+      case version_fault::fails_later:
+        return aShows ? 0.2 : 0;
+      case version_fault::fails_twentieth:
+        return aShows ? 0.05 : 0;
+      case version_fault::single_route:
+      case version_fault::one_domain:
+      case version_fault::one_instance:
+      case version_fault::truncated:
+        return aShows ? 0.5 : 0;
+      default:
+        return 0;
+    }
+  }
+
+  virtual_mesh& mMesh;
+  std::size_t mInstance;
+  bool mNew;
+  unsigned mRunning = 0;
+};
+
+/// One node: the product's decision code and the fakes around it.
+class virtual_mesh::mesh_node final
+  : public routing_view
+  , public hop_transport
+  , public try_observer
+  , public rollout_environment
+{
+public:
+  mesh_node(virtual_mesh& aMesh, std::size_t aIndex, member_record aRecord)
+    : mMesh(aMesh)
+    , mIndex(aIndex)
+    , mRecord(std::move(aRecord))
+  {
+    Restart();
+  }
+
+  /// Begins a new life that knows nothing.
+  void Restart()
+  {
+    ++mLife;
+    ++mRecord.incarnation;
+    first_hop_options options;
+    options.self = mRecord.node;
+    options.domain = mRecord.domain;
+    options.random_seed = mMesh.mRandom();
+    mFirst =
+      std::make_unique<first_hop>(mMesh.mTime, *this, *this, *this, options);
+    mLast = std::make_unique<last_hop>(mMesh.mTime, mRecord.incarnation);
+    mDriver = std::make_unique<rollout_driver>(*this, mMesh.mTime);
+    mBoard = rollout_board{};
+    bool isNew = mRecord.upstream->version == "v2";
+    std::size_t instance = mIndex % mMesh.mOptions.instances_per_version;
+    local_upstream local;
+    local.service = kService;
+    local.version = mRecord.upstream->version;
+    local.limits = { mMesh.mOptions.slots, mMesh.mOptions.slots * 4 };
+    local.warm_at = mMesh.mTime.Now() + seconds(5);
+    mLast->SetUpstream(local,
+                       std::make_shared<fake_upstream>(mMesh, instance, isNew));
+  }
+
+  void Tick()
+  {
+    if (mMesh.mOptions.policy == rollout_policy::product) {
+      mDriver->Tick();
+    }
+    mLast->Tick();
+  }
+
+  first_hop& First() { return *mFirst; }
+  rollout_board& MutableBoard() { return mBoard; }
+  const member_record& Record() const { return mRecord; }
+
+  // routing_view
+  bool Ready() const override { return true; }
+  const snapshot_ptr& Config() const override { return mMesh.mConfig; }
+  const rollout_board& Rollouts() const override { return mBoard; }
+  const std::vector<upstream_candidate>& Candidates(
+    const std::string&,
+    const std::string& aVersion) override
+  {
+    mCandidates.clear();
+    for (const auto& node : mMesh.mNodes) {
+      if (node->mRecord.upstream->version == aVersion) {
+        mCandidates.push_back({ node->mRecord.node,
+                                node->mRecord.domain,
+                                node->mRecord.incarnation,
+                                mMesh.mOptions.slots });
+      }
+    }
+    return mCandidates;
+  }
+
+  // hop_transport
+  hop_token Send(const node_id& aNode,
+                 hop_call aCall,
+                 duration aTimeout,
+                 hop_callback aDone) override
+  {
+    hop_token token = mNextToken++;
+    mWaiting[token] = std::move(aDone);
+    mMesh.mTime.RunAfter(aTimeout, [this, token] {
+      Finish(token, error_kind::deadline_exceeded);
+    });
+    std::size_t target = std::stoul(aNode);
+    aCall.head.id = token;
+    if (!mMesh.Reachable(mIndex, target)) {
+      return token;
+    }
+    auto call = std::make_shared<hop_call>(std::move(aCall));
+    mMesh.mTime.RunAfter(Latency(target), [this, token, target, call] {
+      Arrive(token, target, call);
+    });
+    return token;
+  }
+  void Cancel(hop_token aToken) override { mWaiting.erase(aToken); }
+
+  // try_observer
+  try_id OnTryStarted(const observed_try& aTry) override
+  {
+    mDriver->TryStarted(aTry.rollout, ++mNextTry, Recorded(aTry));
+    return mNextTry;
+  }
+  void OnTryFinished(try_id aId, const observed_try& aTry) override
+  {
+    bool counts = aTry.verdict != try_verdict::no_evidence;
+    mDriver->TryFinished(aTry.rollout, aId, Recorded(aTry), counts);
+    bool isNew = aTry.exposed && counts;
+    mMesh.mBaselineNewCalls += isNew ? 1 : 0;
+    mMesh.mBaselineNewFailures +=
+      isNew && aTry.verdict == try_verdict::bad ? 1 : 0;
+  }
+  void OnCallerHurt(const std::string& aRollout,
+                    const std::string& aCaller) override
+  {
+    mDriver->CallerHurt(aRollout, aCaller);
+  }
+
+  // rollout_environment
+  const std::string& SelfNode() const override { return mRecord.node; }
+  std::uint64_t SelfIncarnation() const override { return mRecord.incarnation; }
+  const snapshot_ptr& RolloutConfig() const override { return mMesh.mConfig; }
+  const rollout_board& Board() const override { return mBoard; }
+  std::size_t FleetSize() const override { return mMesh.mNodes.size(); }
+  std::vector<std::string> CollectorsOf(const std::string& aId) const override
+  {
+    member_table members;
+    for (const auto& node : mMesh.mNodes) {
+      if (mMesh.Reachable(mIndex, node->mIndex)) {
+        members.Merge(node->mRecord, mMesh.mTime.Now());
+      }
+    }
+    return RendezvousMembers(members, "collect/" + aId, 2);
+  }
+  std::uint32_t SlotsOf(const std::string&, const std::string&) const override
+  {
+    return static_cast<std::uint32_t>(mMesh.mOptions.instances_per_version *
+                                      mMesh.mOptions.slots);
+  }
+  void PublishState(const rollout_state& aState) override
+  {
+    if (mBoard.Merge(aState)) {
+      mMesh.Spread(mIndex, aState);
+    }
+  }
+  void SendReport(const std::string& aCollector,
+                  evidence_report aReport) override
+  {
+    ++mMesh.mOutcome.report_messages;
+    std::size_t target = std::stoul(aCollector);
+    mMesh.mTime.RunAfter(Latency(target), [this, target, aReport] {
+      if (mMesh.Reachable(mIndex, target)) {
+        mMesh.mNodes[target]->mDriver->OnReport(aReport);
+      }
+    });
+  }
+  void SendAck(const std::string& aReporter,
+               const std::string& aId,
+               std::uint64_t aIncarnation,
+               std::uint64_t aNextWindow) override
+  {
+    std::size_t target = std::stoul(aReporter);
+    mMesh.mTime.RunAfter(Latency(target), [=, this] {
+      if (mMesh.Reachable(mIndex, target)) {
+        mMesh.mNodes[target]->mDriver->OnAck(
+          mRecord.node, aId, aIncarnation, aNextWindow);
+      }
+    });
+  }
+  void RecordOutcome(const std::string&,
+                     rollout_phase aPhase,
+                     const rollout_state& aState) override
+  {
+    if (!mMesh.mStoreOut &&
+        mMesh.mCutDomains.count(mIndex % mMesh.mOptions.domains) == 0) {
+      mMesh.mTime.RunAfter(milliseconds(10), [this, aPhase, aState] {
+        mMesh.Recorded(aPhase, aState);
+      });
+    }
+  }
+
+private:
+  static recorded_try Recorded(const observed_try& aTry)
+  {
+    recorded_try recorded;
+    recorded.route = aTry.route;
+    recorded.caller = aTry.caller;
+    recorded.node = aTry.node;
+    recorded.exposed = aTry.exposed;
+    recorded.failed = aTry.verdict == try_verdict::bad;
+    recorded.warming = aTry.warming;
+    recorded.service_time = aTry.service_time;
+    return recorded;
+  }
+
+  duration Latency(std::size_t aTarget) const
+  {
+    return aTarget == mIndex ? duration(10) : mMesh.mOptions.latency;
+  }
+
+  void Arrive(hop_token aToken,
+              std::size_t aTarget,
+              const std::shared_ptr<hop_call>& aCall)
+  {
+    mesh_node& target = *mMesh.mNodes[aTarget];
+    std::uint64_t life = target.mLife;
+    target.mLast->Handle(
+      std::move(*aCall), [this, aToken, aTarget, life](hop_answer aAnswer) {
+        if (mMesh.mNodes[aTarget]->mLife != life ||
+            !mMesh.Reachable(mIndex, aTarget)) {
+          return;
+        }
+        mMesh.mTime.RunAfter(Latency(aTarget), [this, aToken, aAnswer] {
+          auto found = mWaiting.find(aToken);
+          if (found == mWaiting.end()) {
+            return;
+          }
+          hop_callback done = std::move(found->second);
+          mWaiting.erase(found);
+          done(aAnswer);
+        });
+      });
+  }
+
+  void Finish(hop_token aToken, error_kind aKind)
+  {
+    auto found = mWaiting.find(aToken);
+    if (found == mWaiting.end()) {
+      return;
+    }
+    hop_callback done = std::move(found->second);
+    mWaiting.erase(found);
+    hop_answer answer;
+    answer.from_last_hop = false;
+    answer.head.failure = MakeError(aKind, "no answer");
+    done(answer);
+  }
+
+  virtual_mesh& mMesh;
+  std::size_t mIndex;
+  member_record mRecord;
+  std::uint64_t mLife = 0;
+  std::unique_ptr<first_hop> mFirst;
+  std::unique_ptr<last_hop> mLast;
+  std::unique_ptr<rollout_driver> mDriver;
+  rollout_board mBoard;
+  std::vector<upstream_candidate> mCandidates;
+  std::map<hop_token, hop_callback> mWaiting;
+  hop_token mNextToken = 1;
+  try_id mNextTry = 0;
+};
+
+virtual_mesh::virtual_mesh(mesh_options aOptions)
+  : mOptions(aOptions)
+  , mRandom(aOptions.seed)
+{
+  mStart = mTime.Now();
+  mStartMs = mTime.UnixMilliseconds();
+  mByMs = mStartMs + Milliseconds(mOptions.plan_time);
+  BuildConfig();
+  BuildNodes();
+}
+
+virtual_mesh::~virtual_mesh() = default;
+
+void
+virtual_mesh::BuildConfig()
+{
+  service_declaration service;
+  service.name = kService;
+  service.version = "v1";
+  service.slots = mOptions.slots;
+  config_document document = DocumentOf(service);
+  mDocuments[document.key] = document.text;
+  nlohmann::json routes = nlohmann::json::array();
+  for (std::size_t i = 0; i < mOptions.routes; ++i) {
+    routes.push_back({ { "name", "route-" + std::to_string(i) },
+                       { "path_prefix", "/route-" + std::to_string(i) },
+                       { "service", kService },
+                       { "timeout_ms", Milliseconds(kCallTimeout) },
+                       { "repeatable", mOptions.repeatable } });
+  }
+  mDocuments["routes/main"] = nlohmann::json{
+    { "kind", "routes" }, { "name", "main" }, { "routes", routes }
+  }.dump();
+  rollout_declaration rollout;
+  rollout.id = kRollout;
+  rollout.service = kService;
+  rollout.from_version = "v1";
+  rollout.to_version = "v2";
+  rollout.start_unix_ms = mStartMs;
+  rollout.by_unix_ms = mByMs;
+  document = DocumentOf(rollout);
+  mDocuments[document.key] = document.text;
+  mConfig = *BuildSnapshot(1, mDocuments);
+}
+
+void
+virtual_mesh::BuildNodes()
+{
+  for (std::size_t i = 0; i < mOptions.instances_per_version * 2; ++i) {
+    member_record record;
+    record.node = std::to_string(i);
+    record.domain = "domain-" + std::to_string(i % mOptions.domains);
+    std::string version = i < mOptions.instances_per_version ? "v1" : "v2";
+    record.upstream =
+      upstream_record{ kService, version, mOptions.slots, false };
+    mNodes.push_back(std::make_unique<mesh_node>(*this, i, record));
+  }
+}
+
+double
+virtual_mesh::Progress() const
+{
+  return std::chrono::duration<double>(mTime.Now() - mStart) /
+         std::chrono::duration<double>(mOptions.plan_time);
+}
+
+bool
+virtual_mesh::FaultShows(std::size_t aInstance, const std::string& aPath) const
+{
+  switch (mOptions.fault) {
+    case version_fault::fails_later:
+      return Progress() >= kLateFrom;
+    case version_fault::single_route:
+      return aPath.rfind("/route-1", 0) == 0;
+    case version_fault::one_domain:
+      return aInstance % mOptions.domains == 1;
+    case version_fault::one_instance:
+      return aInstance == 1;
+    default:
+      return true;
+  }
+}
+
+bool
+virtual_mesh::Reachable(std::size_t aFrom, std::size_t aTo) const
+{
+  std::size_t from = aFrom % mOptions.domains;
+  std::size_t to = aTo % mOptions.domains;
+  return from == to ||
+         (mCutDomains.count(from) == 0 && mCutDomains.count(to) == 0);
+}
+
+void
+virtual_mesh::Spread(std::size_t aFrom, const rollout_state& aState)
+{
+  if (aState.halted && mFirstHalt == time_point{}) {
+    mFirstHalt = mTime.Now();
+  }
+  for (std::size_t i = 0; i < mNodes.size(); ++i) {
+    mTime.RunAfter(mOptions.latency * 2, [this, aFrom, i, aState] {
+      if (Reachable(aFrom, i)) {
+        mNodes[i]->MutableBoard().Merge(aState);
+      }
+    });
+  }
+}
+
+void
+virtual_mesh::Resync()
+{
+  for (std::size_t i = 0; i < mNodes.size(); ++i) {
+    std::size_t other = (i + 1) % mNodes.size();
+    const rollout_state* state = mNodes[i]->MutableBoard().Find(kRollout);
+    if (state != nullptr && Reachable(i, other)) {
+      mNodes[other]->MutableBoard().Merge(rollout_state(*state));
+    }
+  }
+  mTime.RunAfter(milliseconds(500), [this] { Resync(); });
+}
+
+void
+virtual_mesh::Recorded(rollout_phase aPhase, const rollout_state& aState)
+{
+  auto open = mConfig->rollouts.find(kRollout);
+  if (!open->second.Open()) {
+    return;
+  }
+  mOutcome.done = aPhase == rollout_phase::done;
+  mOutcome.taken_back = aPhase == rollout_phase::taken_back;
+  mOutcome.reason = aState.halt_reason;
+  rollout_declaration rollout = open->second;
+  rollout.phase = aPhase;
+  config_document document = DocumentOf(rollout);
+  mDocuments[document.key] = document.text;
+  if (mOutcome.done) {
+    service_declaration service = *mConfig->FindService(kService);
+    service.version = "v2";
+    document = DocumentOf(service);
+    mDocuments[document.key] = document.text;
+  }
+  mConfig = *BuildSnapshot(mConfig->version + 1, mDocuments);
+}
+
+void
+virtual_mesh::NextCall()
+{
+  std::exponential_distribution<double> gap(mOptions.calls_per_second);
+  auto wait = std::chrono::duration_cast<duration>(
+    std::chrono::duration<double>(gap(mRandom)));
+  mTime.RunAfter(wait, [this] {
+    OneCall();
+    NextCall();
+  });
+}
+
+void
+virtual_mesh::OneCall()
+{
+  std::uniform_int_distribution<std::size_t> draw(0, mOptions.callers - 1);
+  std::size_t caller = draw(mRandom);
+  std::uniform_real_distribution<double> part(0, 1);
+  // Route 1 is the quiet one; the others share the rest evenly.
+  std::size_t route = 1;
+  if (mOptions.routes > 1 && part(mRandom) >= mOptions.quiet_part) {
+    std::uniform_int_distribution<std::size_t> other(0, mOptions.routes - 2);
+    route = other(mRandom);
+    route += route >= 1 ? 1 : 0;
+  }
+  caller_request call;
+  call.request.method = "GET";
+  call.request.path =
+    "/route-" + std::to_string(route % mOptions.routes) + "/x";
+  call.request.headers = { { "x-caller", "caller-" + std::to_string(caller) } };
+  time_point begun = mTime.Now();
+  call.respond = [this, caller, begun](const http_response& aResponse) {
+    bool isNew = HeaderValue(aResponse.headers, "x-version") == "v2";
+    // Well beyond what the old version does, and what a caller would notice.
+    bool slow = isNew && mTime.Now() - begun > mOptions.base_time * 4;
+    bool failed = aResponse.status >= 500;
+    ++mOutcome.calls;
+    if (isNew) {
+      mExposed.insert(caller);
+    }
+    if ((failed || slow) && FaultCanHurt()) {
+      ++mOutcome.calls_hurt;
+      mHurt.insert(caller);
+    }
+  };
+  mNodes[caller % mNodes.size()]->First().Begin(std::move(call));
+}
+
+bool
+virtual_mesh::FaultCanHurt() const
+{
+  return mOptions.fault != version_fault::none &&
+         mOptions.fault != version_fault::noisy &&
+         mOptions.fault != version_fault::common_failure;
+}
+
+void
+virtual_mesh::ApplyPlatformFault()
+{
+  duration plan = mOptions.plan_time;
+  switch (mOptions.platform) {
+    case platform_fault::none:
+      return;
+    case platform_fault::store_out:
+      mTime.RunAfter(plan / 10, [this] { mStoreOut = true; });
+      mTime.RunAfter(plan + seconds(30), [this] { mStoreOut = false; });
+      return;
+    case platform_fault::herd_restart:
+      mTime.RunAfter(plan / 5, [this] {
+        for (std::size_t i = 0; i < mNodes.size(); i += 2) {
+          mNodes[i]->Restart();
+        }
+      });
+      return;
+    case platform_fault::partition:
+      mTime.RunAfter(plan / 5, [this] { mCutDomains.insert(2); });
+      mTime.RunAfter(plan * 2 / 5, [this] { mCutDomains.clear(); });
+      return;
+  }
+}
+
+void
+virtual_mesh::BaselineStep()
+{
+  if (mOptions.policy == rollout_policy::product ||
+      !mConfig->rollouts.at(kRollout).Open()) {
+    return;
+  }
+  double progress = Progress();
+  rollout_state state;
+  state.id = kRollout;
+  for (std::size_t i = 0; i < kBaselineTimes.size(); ++i) {
+    state.share =
+      progress >= kBaselineTimes[i] ? kBaselineShares[i] : state.share;
+  }
+  bool judge = mOptions.policy == rollout_policy::fixed_threshold &&
+               mBaselineNewCalls >= kBaselineCalls;
+  if (judge) {
+    double rate = static_cast<double>(mBaselineNewFailures) /
+                  static_cast<double>(mBaselineNewCalls);
+    state.halted = rate > kBaselineThreshold;
+    state.halt_reason = "threshold";
+    mBaselineNewCalls = 0;
+    mBaselineNewFailures = 0;
+  }
+  mNodes[0]->PublishState(state);
+  if (state.halted) {
+    Recorded(rollout_phase::taken_back, state);
+  } else if (progress >= 0.95) {
+    Recorded(rollout_phase::done, state);
+  }
+}
+
+mesh_outcome
+virtual_mesh::Run()
+{
+  constexpr duration kTick = milliseconds(100);
+  constexpr duration kGrace = seconds(60);
+  NextCall();
+  Resync();
+  ApplyPlatformFault();
+  duration passed{};
+  duration settled{};
+  while (passed < mOptions.plan_time + kGrace) {
+    mTime.Advance(kTick);
+    passed += kTick;
+    for (const auto& node : mNodes) {
+      node->Tick();
+    }
+    BaselineStep();
+    if (mConfig->rollouts.at(kRollout).Open()) {
+      mOutcome.ended_s = std::chrono::duration<double>(passed).count();
+      continue;
+    }
+    settled += kTick;
+    // What comes after the end is no longer the rollout's.
+    if (settled >= seconds(1)) {
+      break;
+    }
+  }
+  double plan = std::chrono::duration<double>(mOptions.plan_time).count();
+  // While the store is out, a move counts as on time when it was complete.
+  const rollout_state* state = mNodes[0]->MutableBoard().Find(kRollout);
+  mOutcome.ejected = state == nullptr ? 0 : state->ejected.size();
+  bool waitedForStore = mOptions.platform == platform_fault::store_out;
+  mOutcome.on_time =
+    mOutcome.done && (mOutcome.ended_s <= plan ||
+                      (waitedForStore && mOutcome.ended_s <= plan + 40));
+  mOutcome.callers = mOptions.callers;
+  mOutcome.callers_exposed = mExposed.size();
+  mOutcome.callers_hurt = mHurt.size();
+  if (mFirstHalt != time_point{}) {
+    mOutcome.stop_after_halt_s =
+      std::chrono::duration<double>(mLastNewCall - mFirstHalt).count();
+  }
+  return mOutcome;
+}
+
+} // namespace eelgrasstrack::harness
