Test outages, restarts, cuts, drains and bad input with real processes; add the bench

The first tests found that the header that tells whether a request ran was not read by our own client, so the check of refusals against executions checked nothing; it is read now, and what an upstream says of a call deeper down no longer reaches the caller.

--- a/bench/bench-main.cc
+++ b/bench/bench-main.cc
@@ -18,7 +18,10 @@
 };
 
 constexpr experiment_row kExperiments[] = {
+  { "convergence", RunConvergence },
+  { "control", RunControl },
   { "rollout", RunRollout },
+  { "calls", RunCalls },
 };
 
 int
--- /dev/null
+++ b/bench/calls-experiment.cc
@@ -0,0 +1,187 @@
+#include <cstdio>
+#include <nlohmann/json.hpp>
+
+#include "experiments.h"
+#include "figures.h"
+#include "harness/load-generator.h"
+#include "harness/local-fleet.h"
+
+namespace eelgrasstrack::bench {
+
+namespace {
+
+using namespace eelgrasstrack::harness;
+using nlohmann::json;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr unsigned kSlots = 12;
+constexpr int kServiceMs = 5;
+constexpr std::size_t kInstances = 2;
+
+/// Two nodes where callers come in and two with an upstream beside them.
+class calls_bed
+{
+public:
+  explicit calls_bed(const experiment_options& aOptions)
+    : mFleet(aOptions.programs, fleet_shape{ 4, 4 })
+  {
+  }
+
+  bool Start()
+  {
+    mFleet.StartStore();
+    mFleet.StartNodes();
+    if (!mFleet.WaitServing(seconds(30))) {
+      return false;
+    }
+    json declaration = { { "operation_id", "bench" },
+                         { "documents",
+                           { { { "kind", "service" },
+                               { "name", "echo" },
+                               { "version", "v1" },
+                               { "slots", kSlots },
+                               { "connections", 110 },
+                               { "queue", kSlots } },
+                             { { "kind", "routes" },
+                               { "name", "main" },
+                               { "routes",
+                                 { { { "name", "echo" },
+                                     { "path_prefix", "/echo" },
+                                     { "service", "echo" },
+                                     { "timeout_ms", 1000 },
+                                     { "repeatable", true } } } } } } } };
+    http_result applied =
+      mFleet.Rpc(0, "POST", "/v1/config/apply", &declaration);
+    for (std::size_t i = 0; i < kInstances; ++i) {
+      mUpstreams.push_back(mFleet.StartUpstream(
+        2 + i,
+        { "echo",
+          "v1",
+          kSlots,
+          { "--delay-ms=" + std::to_string(kServiceMs) } }));
+    }
+    // Past the warm-up of new upstreams.
+    mFleet.RunFor(seconds(6));
+    return applied && applied->status == 200;
+  }
+
+  load_options Load(bool aDirect)
+  {
+    load_options options;
+    options.path = "/echo";
+    options.method = "POST";
+    options.callers = 100;
+    options.timeout = seconds(2);
+    for (std::size_t i = 0; i < kInstances; ++i) {
+      options.targets.push_back(aDirect ? mFleet.UpstreamPlace(mUpstreams[i])
+                                        : mFleet.Place(i).callers);
+    }
+    return options;
+  }
+
+  load_report RunLoad(load_options aOptions, double aRate, duration aTime)
+  {
+    static unsigned sRun = 0;
+    aOptions.calls_per_second = aRate;
+    aOptions.name = "run-" + std::to_string(sRun++);
+    load_generator load(mFleet.Loop(), aOptions);
+    load.Start();
+    mFleet.RunFor(aTime);
+    load.Stop();
+    mFleet.WaitUntil(seconds(5), [&] { return load.Outstanding() == 0; });
+    return load.Report();
+  }
+
+  double ProcessorSeconds()
+  {
+    double sum = 0;
+    for (std::size_t i = 0; i < mFleet.Size(); ++i) {
+      json dump = mFleet.RpcJson(i, "GET", "/v1/dump");
+      sum += dump["processor_us"].get<double>() / 1e6;
+    }
+    return sum;
+  }
+
+private:
+  local_fleet mFleet;
+  std::vector<std::size_t> mUpstreams;
+};
+
+void
+MeasureAddedTime(calls_bed& aBed, std::size_t aBodyBytes, double aRate)
+{
+  load_options through = aBed.Load(false);
+  load_options direct = aBed.Load(true);
+  through.body_bytes = aBodyBytes;
+  direct.body_bytes = aBodyBytes;
+  duration time = seconds(3);
+  load_report directly = aBed.RunLoad(direct, aRate, time);
+  double processorBefore = aBed.ProcessorSeconds();
+  load_report proxied = aBed.RunLoad(through, aRate, time);
+  double spent = aBed.ProcessorSeconds() - processorBefore;
+  std::string suffix = "_" + std::to_string(aBodyBytes / 1024) + "kb_" +
+                       std::to_string(static_cast<int>(aRate)) + "ps";
+  struct quantile_row
+  {
+    const char* name;
+    double quantile;
+    const char* bound;
+  };
+  constexpr quantile_row kRows[] = { { "added_p50", 0.5, "-" },
+                                     { "added_p99", 0.99, "1" },
+                                     { "added_p999", 0.999, "-" } };
+  for (const quantile_row& row : kRows) {
+    PrintFigure(row.name + suffix,
+                proxied.Quantile(row.quantile) -
+                  directly.Quantile(row.quantile),
+                "ms",
+                row.bound);
+  }
+  PrintFigure("calls_per_core" + suffix,
+              static_cast<double>(proxied.good) / spent,
+              "calls/s");
+}
+
+void
+MeasureGoodput(calls_bed& aBed, double aCapacity)
+{
+  double atCapacity = 0;
+  for (int factor : { 1, 2, 5, 10 }) {
+    duration time = seconds(3);
+    load_report report =
+      aBed.RunLoad(aBed.Load(false), aCapacity * factor, time);
+    double goodput = static_cast<double>(report.good) /
+                     std::chrono::duration<double>(time).count();
+    atCapacity = factor == 1 ? goodput : atCapacity;
+    PrintFigure("goodput_" + std::to_string(factor) + "x",
+                100 * goodput / atCapacity,
+                "%",
+                factor == 10 ? "95" : "-");
+  }
+}
+
+} // namespace
+
+int
+RunCalls(const experiment_options& aOptions)
+{
+  calls_bed bed(aOptions);
+  if (!bed.Start()) {
+    std::fprintf(stderr, "the bed does not start\n");
+    return 1;
+  }
+  // Each upstream answers after a fixed time in each of its slots.
+  double capacity = kInstances * kSlots * 1000.0 / kServiceMs;
+  for (double part : { 0.05, 0.25, 0.5 }) {
+    MeasureAddedTime(bed, 1024, capacity * part);
+  }
+  MeasureAddedTime(bed, 65536, capacity * 0.05);
+  if (aOptions.full) {
+    MeasureAddedTime(bed, std::size_t{ 4 } << 20U, 2);
+  }
+  MeasureGoodput(bed, capacity);
+  return 0;
+}
+
+} // namespace eelgrasstrack::bench
--- /dev/null
+++ b/bench/control-experiment.cc
@@ -0,0 +1,154 @@
+#include <cstdio>
+#include <map>
+#include <nlohmann/json.hpp>
+
+#include "experiments.h"
+#include "figures.h"
+#include "harness/local-fleet.h"
+
+namespace eelgrasstrack::bench {
+
+namespace {
+
+using namespace eelgrasstrack::harness;
+using nlohmann::json;
+using std::chrono::seconds;
+
+/// Sums over all nodes at one moment.
+struct fleet_totals
+{
+  double control_bytes = 0;
+  double processor_us = 0;
+  double resident_bytes = 0;
+  std::map<std::string, double> bytes_by_kind;
+};
+
+fleet_totals
+TotalsOf(local_fleet& aFleet)
+{
+  fleet_totals totals;
+  for (std::size_t i = 0; i < aFleet.Size(); ++i) {
+    json dump = aFleet.RpcJson(i, "GET", "/v1/dump");
+    totals.processor_us += dump["processor_us"].get<double>();
+    totals.resident_bytes += dump["resident_bytes"].get<double>();
+    for (const auto& [kind, count] : dump["traffic"].items()) {
+      if (!count["control"].get<bool>()) {
+        continue;
+      }
+      double bytes = count["sent_bytes"].get<double>() +
+                     count["received_bytes"].get<double>();
+      totals.control_bytes += bytes;
+      totals.bytes_by_kind[kind] += bytes;
+    }
+  }
+  return totals;
+}
+
+double
+StoreCalls(local_fleet& aFleet)
+{
+  json counts = aFleet.StoreCounts();
+  return counts["reads"].get<double>() + counts["writes"].get<double>() +
+         counts["watches"].get<double>();
+}
+
+/// Lets the fleet run with `aDisturb` called each second, and prints what each
+/// node spent. `aLabel` is one of the experiment's states.
+template<typename disturbance>
+void
+Measure(local_fleet& aFleet,
+        const std::string& aLabel,
+        const std::string& aSuffix,
+        int aSeconds,
+        disturbance aDisturb)
+{
+  fleet_totals before = TotalsOf(aFleet);
+  double callsBefore = StoreCalls(aFleet);
+  time_point begun = aFleet.Loop().Now();
+  for (int i = 0; i < aSeconds; ++i) {
+    aDisturb(i);
+    aFleet.RunFor(seconds(1));
+  }
+  fleet_totals after = TotalsOf(aFleet);
+  double passed =
+    std::chrono::duration<double>(aFleet.Loop().Now() - begun).count();
+  double perNode = passed * static_cast<double>(aFleet.Size());
+  PrintFigure("control_" + aLabel + aSuffix,
+              (after.control_bytes - before.control_bytes) / perNode,
+              "bytes/s",
+              "9000");
+  PrintFigure("control_cpu_" + aLabel + aSuffix,
+              (after.processor_us - before.processor_us) / perNode / 10000,
+              "%",
+              "3.2");
+  PrintFigure("store_calls_" + aLabel + aSuffix,
+              (StoreCalls(aFleet) - callsBefore) / passed,
+              "calls/s",
+              "2000");
+  for (const auto& [kind, bytes] : after.bytes_by_kind) {
+    double spent = (bytes - before.bytes_by_kind[kind]) / perNode;
+    if (spent > 0) {
+      PrintFigure("control_" + aLabel + "_" + kind + aSuffix, spent, "bytes/s");
+    }
+  }
+  PrintFigure("memory_" + aLabel + aSuffix,
+              after.resident_bytes / static_cast<double>(aFleet.Size()) / 1e6,
+              "MB",
+              "256");
+}
+
+int
+RunSize(const experiment_options& aOptions, std::size_t aNodes, int aSeconds)
+{
+  fleet_shape shape;
+  shape.nodes = aNodes;
+  shape.domains = 4;
+  local_fleet fleet(aOptions.programs, shape);
+  fleet.StartStore();
+  fleet.StartNodes();
+  if (!fleet.WaitServing(seconds(60))) {
+    std::fprintf(stderr, "the nodes do not serve\n");
+    return 1;
+  }
+  fleet.RunFor(seconds(4));
+  std::string suffix = "_n" + std::to_string(aNodes);
+  Measure(fleet, "idle", suffix, aSeconds, [](int) {});
+  unsigned number = 0;
+  Measure(fleet, "change", suffix, aSeconds, [&](int aSecond) {
+    // One change a minute, scaled up to one each five seconds to be seen.
+    if (aSecond % 5 == 0) {
+      json change = {
+        { "operation_id", "change-" + std::to_string(number) },
+        { "documents",
+          { { { "kind", "service" },
+              { "name", "service-1" },
+              { "version", "v" + std::to_string(number++) } } } }
+      };
+      fleet.Rpc(0, "POST", "/v1/config/apply", &change);
+    }
+  });
+  Measure(fleet, "churn", suffix, aSeconds, [&](int aSecond) {
+    if (aSecond % 5 == 0) {
+      std::size_t victim = 1 + static_cast<std::size_t>(aSecond) / 5;
+      fleet.Node(victim).Kill();
+      fleet.StartNode(victim);
+    }
+  });
+  return 0;
+}
+
+} // namespace
+
+int
+RunControl(const experiment_options& aOptions)
+{
+  int status = RunSize(aOptions, 16, 5);
+  status += RunSize(aOptions, 64, 5);
+  if (aOptions.full) {
+    status += RunSize(aOptions, 128, 20);
+    status += RunSize(aOptions, 256, 20);
+  }
+  return status;
+}
+
+} // namespace eelgrasstrack::bench
--- a/bench/experiments.h
+++ b/bench/experiments.h
@@ -24,6 +24,20 @@
 int
 RunRollout(const experiment_options& aOptions);
 
+/// Time until a change is in force everywhere, with real processes, against
+/// nodes that all watch the store or poll it.
+int
+RunConvergence(const experiment_options& aOptions);
+
+/// Bytes, processor time, memory and store calls of a node: idle, with changes
+/// and with restarts.
+int
+RunControl(const experiment_options& aOptions);
+
+/// Time added to a call, calls a core and goodput under overload.
+int
+RunCalls(const experiment_options& aOptions);
+
 } // namespace eelgrasstrack::bench
 
 #endif // EELGRASSTRACK_BENCH_EXPERIMENTS_H_
--- a/src/call/first-hop.cc
+++ b/src/call/first-hop.cc
@@ -24,8 +24,11 @@
 bool
 KeptFromCaller(std::string_view aName)
 {
+  // What an upstream says of a call deeper down does not hold for this one.
   return aName == "transfer-encoding" || aName == "host" ||
-         aName == "x-version" || aName == "x-upstream";
+         aName == "x-version" || aName == "x-upstream" ||
+         aName == "x-execution" || aName == "x-not-run" ||
+         aName == "x-request-id";
 }
 
 std::uint32_t
--- a/src/http/header-reader.cc
+++ b/src/http/header-reader.cc
@@ -33,8 +33,9 @@
 };
 
 constexpr std::string_view kCustomHeaders[] = {
-  "x-request-id:", "x-caller:",   "x-timeout-ms:", "x-not-run:",
-  "x-version:",    "x-upstream:", "traceparent:",  "tracestate:",
+  "x-request-id:", "x-execution:", "x-caller:",
+  "x-timeout-ms:", "x-not-run:",   "x-version:",
+  "x-upstream:",   "traceparent:", "tracestate:",
 };
 
 std::string
--- /dev/null
+++ b/test/harness/fault-proxy.h
@@ -0,0 +1,89 @@
+#ifndef EELGRASSTRACK_HARNESS_FAULT_PROXY_H_
+#define EELGRASSTRACK_HARNESS_FAULT_PROXY_H_
+
+#include <atomic>
+#include <cstdint>
+#include <list>
+#include <thread>
+
+#include "http/message.h"
+
+namespace eelgrasstrack::harness {
+
+/// What the proxy does to connections.
+struct proxy_faults
+{
+  /// Bytes wait this long before they go on.
+  std::atomic<int> delay_ms{ 0 };
+  /// Bytes are taken and never go on; new connections hang.
+  std::atomic<bool> silent{ false };
+  /// New connections are closed at once.
+  std::atomic<bool> refuse{ false };
+  /// Cuts a connection after this many bytes towards the target; -1 never.
+  std::atomic<long> cut_after_request_bytes{ -1 };
+  /// Cuts a connection after this many bytes of answers; -1 never.
+  std::atomic<long> cut_after_answer_bytes{ -1 };
+  /// Answers are swallowed while requests go through.
+  std::atomic<bool> lose_answers{ false };
+};
+
+/// A TCP proxy on a thread of its own that injects faults.
+class fault_proxy
+{
+public:
+  fault_proxy(endpoint aListen, endpoint aTarget);
+  ~fault_proxy();
+  fault_proxy(const fault_proxy&) = delete;
+  fault_proxy& operator=(const fault_proxy&) = delete;
+
+  /// Closes every connection that is open now.
+  void CutAll() { mCutAll = true; }
+
+  const endpoint& Place() const { return mListen; }
+  std::uint64_t Accepted() const { return mAccepted; }
+
+  proxy_faults faults;
+
+private:
+  struct chunk
+  {
+    std::int64_t due_ms;
+    std::string bytes;
+  };
+
+  /// One direction of a connection.
+  struct half
+  {
+    int from = -1;
+    int to = -1;
+    std::list<chunk> waiting;
+    long passed = 0;
+    bool ended = false;
+  };
+
+  struct connection
+  {
+    half requests;
+    half answers;
+    bool broken = false;
+  };
+
+  void Run();
+  void Accept();
+  void Read(connection& aConnection, half& aHalf, bool aAnswers);
+  void Flush(connection& aConnection, half& aHalf, bool aAnswers);
+  void Close(connection& aConnection);
+
+  endpoint mListen;
+  endpoint mTarget;
+  int mListener = -1;
+  std::list<connection> mConnections;
+  std::atomic<bool> mStop{ false };
+  std::atomic<bool> mCutAll{ false };
+  std::atomic<std::uint64_t> mAccepted{ 0 };
+  std::thread mThread;
+};
+
+} // namespace eelgrasstrack::harness
+
+#endif // EELGRASSTRACK_HARNESS_FAULT_PROXY_H_
--- /dev/null
+++ b/test/integration/calls-test.cc
@@ -0,0 +1,193 @@
+#include <csignal>
+
+#include "integration/fixture.h"
+
+using namespace eelgrasstrack;
+using namespace eelgrasstrack::harness;
+using nlohmann::json;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+/// Every id that was answered ran exactly once, every id that was said not to
+/// have run did not, and none ran twice.
+void
+RequireTruthful(deployment_fixture& aTest, const load_report& aReport)
+{
+  std::map<std::string, unsigned> executions = aTest.Executions();
+  for (const std::string& id : aReport.answered_ids) {
+    INFO("answered " << id);
+    REQUIRE(executions[id] == 1);
+  }
+  for (const std::string& id : aReport.not_run_ids) {
+    INFO("said not to have run " << id);
+    REQUIRE(executions[id] == 0);
+  }
+  for (const auto& [id, count] : executions) {
+    INFO("ran " << id);
+    REQUIRE(count <= 1);
+  }
+  REQUIRE(aReport.wrong == 0);
+}
+
+void
+StartShiftDesk(deployment_fixture& aTest)
+{
+  for (std::size_t i = 0; i < aTest.fleet.Size(); ++i) {
+    aTest.fleet.StartUpstream(i, { "shift-desk", "v1", 12, {} });
+  }
+  for (std::size_t i = 0; i < aTest.fleet.Size(); ++i) {
+    REQUIRE(aTest.WaitUpstreams(i, "v1", aTest.fleet.Size()));
+  }
+}
+
+} // namespace
+
+TEST_CASE("Calls_NodesKilledUnderLoad_NothingRunsTwiceAndNotRunIsTrue",
+          "[calls]")
+{
+  deployment_fixture test;
+  test.Start();
+  test.ApplyExample("seri-kenanga");
+  StartShiftDesk(test);
+  load_options options = test.LoadOn("POST", "/shifts");
+  options.body_bytes = 100;
+  options.calls_per_second = 150;
+  load_generator load(test.fleet.Loop(), options);
+  load.KeepIds();
+  load.Start();
+  for (std::size_t i = 0; i < 3; ++i) {
+    test.fleet.RunFor(seconds(1));
+    test.fleet.Node(i).Kill();
+    test.fleet.RunFor(milliseconds(500));
+    test.fleet.StartNode(i);
+  }
+  test.fleet.RunFor(seconds(2));
+  load.Stop();
+  REQUIRE(test.Drained(load));
+  REQUIRE(load.Report().good > 0);
+  RequireTruthful(test, load.Report());
+  test.RequireNoBrokenInvariant();
+}
+
+TEST_CASE("Calls_SameRequestKeyTwiceAtOneUpstream_RunsOnce", "[calls]")
+{
+  deployment_fixture test;
+  test.Start();
+  test.ApplyExample("seri-kenanga");
+  test.fleet.StartUpstream(1, { "shift-desk", "v1", 12, {} });
+  REQUIRE(test.WaitUpstreams(0, "v1", 1));
+  http_request request;
+  request.method = "POST";
+  request.path = "/shifts";
+  request.body = "{}";
+  request.headers = { { "x-request-id", "booking-7" } };
+  http_result first = test.fleet.Call(test.fleet.Place(0).callers, request);
+  http_result second = test.fleet.Call(test.fleet.Place(2).callers, request);
+  REQUIRE(first);
+  REQUIRE(first->status == 200);
+  REQUIRE(second);
+  REQUIRE(second->status == 409);
+  REQUIRE(HeaderValue(second->headers, "x-execution") == "unknown");
+  REQUIRE(test.Executions()["booking-7"] == 1);
+}
+
+TEST_CASE("Calls_UpstreamConnectionCutAtEachStage_AnswersWholeOrTrueError",
+          "[calls]")
+{
+  deployment_fixture test;
+  test.Start();
+  test.ApplyExample("seri-kenanga");
+  endpoint upstream = test.fleet.NextPlace();
+  endpoint through = test.fleet.NextPlace();
+  process stand_in(std::string(EELGRASSTRACK_PROGRAMS) + "/upstream-stand-in",
+                   { "--service=shift-desk",
+                     "--version=v1",
+                     "--listen=" + TextOf(upstream),
+                     // Announced by the test, which names the proxy.
+                     "--node=127.0.0.1:1",
+                     "--log=" + test.fleet.Folder() + "/executions.log" },
+                   test.fleet.Folder() + "/upstreams.log");
+  fault_proxy proxy(through, upstream);
+  json announcement = { { "service", "shift-desk" },
+                        { "version", "v1" },
+                        { "address", TextOf(through) } };
+  long cuts[] = { 0, 1, 40, 150, 300, 500 };
+  for (bool answers : { false, true }) {
+    for (long cut : cuts) {
+      REQUIRE(test.fleet.Rpc(0, "POST", "/v1/upstream", &announcement));
+      REQUIRE(test.WaitUpstreams(1, "v1", 1));
+      proxy.faults.cut_after_request_bytes = answers ? -1 : cut;
+      proxy.faults.cut_after_answer_bytes = answers ? cut : -1;
+      proxy.CutAll();
+      test.fleet.RunFor(milliseconds(50));
+      std::string id = (answers ? "answer-" : "request-") + std::to_string(cut);
+      http_request request;
+      request.method = "POST";
+      request.path = "/shifts";
+      request.body = std::string(100, 'x');
+      request.headers = { { "x-request-id", id } };
+      http_result answer =
+        test.fleet.Call(test.fleet.Place(1).callers, request);
+      REQUIRE(answer);
+      unsigned executions = test.Executions()[id];
+      INFO(id << ": " << answer->status << " " << answer->body << ", ran "
+              << executions);
+      REQUIRE(executions <= 1);
+      if (answer->status == 200) {
+        REQUIRE(answer->body.find("\"" + id + "\"") != std::string::npos);
+        REQUIRE(executions == 1);
+      }
+      if (HeaderValue(answer->headers, "x-execution") == "not_run") {
+        REQUIRE(executions == 0);
+      }
+    }
+  }
+  test.RequireNoBrokenInvariant();
+}
+
+TEST_CASE("Calls_UpstreamsAndNodesLeaveUnderLoad_NoRequestIsCut", "[calls]")
+{
+  deployment_fixture test(fleet_shape{ 4, 4 });
+  test.Start();
+  test.ApplyExample("seri-kenanga");
+  StartShiftDesk(test);
+  // Callers use the nodes that stay; the others are last hops.
+  load_options options = test.LoadOn("POST", "/shifts");
+  options.targets.resize(2);
+  options.body_bytes = 100;
+  options.calls_per_second = 150;
+  load_generator load(test.fleet.Loop(), options);
+  load.KeepIds();
+  load.Start();
+  test.fleet.RunFor(seconds(1));
+  test.fleet.Upstream(2).Signal(SIGTERM);
+  test.fleet.Node(3).Signal(SIGTERM);
+  REQUIRE(test.fleet.Node(3).WaitForExit(0.01) == -1);
+  test.fleet.RunFor(seconds(4));
+  load.Stop();
+  REQUIRE(test.Drained(load));
+  REQUIRE(test.fleet.Node(3).WaitForExit(10) == 0);
+  INFO("unknown " << load.Report().failed_unknown << ", not run "
+                  << load.Report().failed_not_run);
+  REQUIRE(load.Report().good == load.Report().begun);
+  RequireTruthful(test, load.Report());
+}
+
+TEST_CASE("Calls_AnswerOfOneMegabyte_ComesBackWhole", "[calls]")
+{
+  deployment_fixture test;
+  test.Start();
+  test.ApplyExample("seri-kenanga");
+  test.fleet.StartUpstream(2, { "shift-desk", "v1", 12, {} });
+  REQUIRE(test.WaitUpstreams(0, "v1", 1));
+  http_request request;
+  request.method = "POST";
+  request.path = "/shifts";
+  request.body = std::string(std::size_t{ 1 } << 20U, 'y');
+  http_result answer = test.fleet.Call(test.fleet.Place(0).callers, request);
+  REQUIRE(answer);
+  REQUIRE(answer->status == 200);
+  REQUIRE(json::parse(answer->body)["echo"] == request.body);
+}
--- /dev/null
+++ b/test/integration/distribution-test.cc
@@ -0,0 +1,147 @@
+#include "integration/fixture.h"
+
+using namespace eelgrasstrack;
+using namespace eelgrasstrack::harness;
+using nlohmann::json;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+TEST_CASE("Distribution_StoreOutRightAfterAccept_ChangeReachesEveryNode",
+          "[distribution]")
+{
+  deployment_fixture test;
+  test.Start();
+  test.ApplyExample("seri-kenanga");
+  http_result accepted = test.ApplyService(2, "extra", "op-1");
+  test.fleet.Control(test.fleet.StorePlace(), { { "out", true } });
+  REQUIRE(accepted);
+  REQUIRE(accepted->status == 200);
+  REQUIRE(test.fleet.WaitVersion(2, seconds(15)));
+  test.RequireNoBrokenInvariant();
+}
+
+TEST_CASE("Distribution_AnswerOfWriteLost_OperationIsAppliedOnceAndSaysSo",
+          "[distribution]")
+{
+  deployment_fixture test;
+  test.Start();
+  test.ApplyExample("seri-kenanga");
+  test.fleet.Control(test.fleet.StorePlace(), { { "lose_answers", 1 } });
+  http_result accepted = test.ApplyService(1, "extra", "op-lost");
+  REQUIRE(accepted);
+  REQUIRE(accepted->status == 200);
+  REQUIRE(json::parse(accepted->body)["version"] == 2);
+  http_result repeated = test.ApplyService(3, "extra", "op-lost");
+  REQUIRE(repeated);
+  REQUIRE(json::parse(repeated->body)["version"] == 2);
+  REQUIRE(json::parse(repeated->body)["repeated"] == true);
+}
+
+TEST_CASE("Distribution_TwoOperatorsExpectSameVersion_OneWinsOneGetsConflict",
+          "[distribution]")
+{
+  deployment_fixture test;
+  test.Start();
+  test.ApplyExample("seri-kenanga");
+  auto body = [](const char* aOperation, const char* aName) {
+    return json{
+      { "operation_id", aOperation },
+      { "expected_version", 1 },
+      { "documents",
+        { { { "kind", "service" }, { "name", aName }, { "version", "v1" } } } }
+    };
+  };
+  json first = body("op-a", "a");
+  json second = body("op-b", "b");
+  http_result one = test.fleet.Rpc(0, "POST", "/v1/config/apply", &first);
+  http_result two = test.fleet.Rpc(3, "POST", "/v1/config/apply", &second);
+  REQUIRE(one);
+  REQUIRE(two);
+  REQUIRE(one->status == 200);
+  REQUIRE(two->status == 409);
+  REQUIRE(json::parse(two->body)["execution"] == "not_run");
+  REQUIRE(two->body.find("version 2") != std::string::npos);
+}
+
+TEST_CASE("Distribution_EveryNodeRestartsDuringOutage_NoneServesUntilTheStore",
+          "[distribution]")
+{
+  deployment_fixture test;
+  test.Start();
+  test.ApplyExample("seri-kenanga");
+  test.fleet.Control(test.fleet.StorePlace(), { { "out", true } });
+  for (std::size_t i = 0; i < 4; ++i) {
+    test.fleet.Node(i).Kill();
+    test.fleet.StartNode(i);
+  }
+  test.fleet.RunFor(seconds(5));
+  for (std::size_t i = 0; i < 4; ++i) {
+    http_request request;
+    request.method = "GET";
+    request.path = "/status/x";
+    http_result answer =
+      test.fleet.Call(test.fleet.Place(i).callers, std::move(request));
+    REQUIRE(answer);
+    REQUIRE(answer->status == 503);
+    REQUIRE(HeaderValue(answer->headers, "x-execution") == "not_run");
+  }
+  test.fleet.Control(test.fleet.StorePlace(), { { "out", false } });
+  REQUIRE(test.fleet.WaitServing(seconds(30)));
+  REQUIRE(test.fleet.WaitVersion(1, seconds(15)));
+  test.RequireNoBrokenInvariant();
+}
+
+TEST_CASE("Distribution_OneNodeRestartsDuringOutage_ItServesByItsPeersWord",
+          "[distribution]")
+{
+  fleet_shape shape{ 5, 5 };
+  deployment_fixture test(shape);
+  test.Start();
+  test.ApplyExample("seri-kenanga");
+  test.fleet.RunFor(seconds(8));
+  test.fleet.Node(4).Kill();
+  // The store stays up for the bootstrap record only.
+  test.fleet.StartNode(4);
+  test.fleet.RunFor(milliseconds(700));
+  test.fleet.Control(test.fleet.StorePlace(), { { "out", true } });
+  REQUIRE(test.fleet.WaitServing(seconds(20)));
+  REQUIRE(test.fleet.VersionAt(4) == 1);
+}
+
+TEST_CASE("Distribution_NodePausedDuringChange_ServesNothingOldAfterwards",
+          "[distribution]")
+{
+  deployment_fixture test;
+  test.Start();
+  test.ApplyExample("seri-kenanga");
+  test.fleet.Node(3).Signal(SIGSTOP);
+  test.fleet.RunFor(seconds(4));
+  REQUIRE(test.ApplyService(0, "extra", "op-1"));
+  test.fleet.Node(3).Signal(SIGCONT);
+  REQUIRE(test.fleet.WaitUntil(seconds(15),
+                               [&] { return test.fleet.VersionAt(3) == 2; }));
+  test.RequireNoBrokenInvariant();
+}
+
+TEST_CASE("Distribution_StoreUnreachableForAllNodes_NodesStillAgreeAfterwards",
+          "[distribution]")
+{
+  fleet_shape shape{ 4, 4 };
+  endpoint through{ "127.0.0.1", 9990 };
+  shape.store_through = through;
+  deployment_fixture test(shape);
+  fault_proxy proxy(through, test.fleet.StorePlace());
+  test.Start();
+  test.ApplyExample("seri-kenanga");
+  proxy.faults.silent = true;
+  proxy.CutAll();
+  test.fleet.RunFor(seconds(3));
+  proxy.faults.silent = false;
+  proxy.CutAll();
+  REQUIRE(test.fleet.WaitUntil(seconds(30), [&] {
+    http_result answer = test.ApplyService(1, "extra", "op-1");
+    return answer && answer->status == 200;
+  }));
+  REQUIRE(test.fleet.WaitVersion(2, seconds(15)));
+  test.RequireNoBrokenInvariant();
+}
--- /dev/null
+++ b/test/integration/fixture.h
@@ -0,0 +1,127 @@
+#ifndef EELGRASSTRACK_INTEGRATION_FIXTURE_H_
+#define EELGRASSTRACK_INTEGRATION_FIXTURE_H_
+
+#include <catch2/catch.hpp>
+#include <csignal>
+#include <fstream>
+#include <map>
+#include <nlohmann/json.hpp>
+
+#include "harness/fault-proxy.h"
+#include "harness/load-generator.h"
+#include "harness/local-fleet.h"
+
+namespace eelgrasstrack::harness {
+
+/// Four nodes with the Seri Kenanga declaration and helpers around them.
+class deployment_fixture
+{
+public:
+  explicit deployment_fixture(fleet_shape aShape = fleet_shape{ 4, 4 })
+    : fleet(EELGRASSTRACK_PROGRAMS, std::move(aShape))
+  {
+  }
+
+  void Start()
+  {
+    fleet.StartStore();
+    fleet.StartNodes();
+    REQUIRE(fleet.WaitServing(std::chrono::seconds(30)));
+  }
+
+  void ApplyExample(const std::string& aName, std::size_t aNode = 0)
+  {
+    auto applied = fleet.Ctl(
+      aNode,
+      { "apply", std::string(EELGRASSTRACK_EXAMPLES) + "/" + aName + ".json" });
+    INFO(applied.output);
+    REQUIRE(applied.status == 0);
+    REQUIRE(fleet.WaitVersion(1, std::chrono::seconds(15)));
+  }
+
+  /// Applies one service document; returns the answer whatever it says.
+  http_result ApplyService(std::size_t aNode,
+                           const std::string& aName,
+                           const std::string& aOperation)
+  {
+    nlohmann::json body = {
+      { "operation_id", aOperation },
+      { "documents",
+        { { { "kind", "service" }, { "name", aName }, { "version", "v1" } } } }
+    };
+    return fleet.Rpc(aNode, "POST", "/v1/config/apply", &body);
+  }
+
+  /// Waits until a node knows this many upstreams that take work.
+  bool WaitUpstreams(std::size_t aNode,
+                     const std::string& aVersion,
+                     std::size_t aCount)
+  {
+    return fleet.WaitUntil(std::chrono::seconds(15), [&] {
+      return UpstreamsSeen(aNode, aVersion) == aCount;
+    });
+  }
+
+  std::size_t UpstreamsSeen(std::size_t aNode, const std::string& aVersion)
+  {
+    nlohmann::json dump = fleet.RpcJson(aNode, "GET", "/v1/dump");
+    std::size_t seen = 0;
+    for (const nlohmann::json& member : dump["members"]) {
+      bool counts = member["state"] == "alive" && member.contains("upstream") &&
+                    member["upstream"]["version"] == aVersion &&
+                    !member["upstream"]["leaving"].get<bool>();
+      seen += counts ? 1 : 0;
+    }
+    return seen;
+  }
+
+  load_options LoadOn(const std::string& aMethod, const std::string& aPath)
+  {
+    load_options options;
+    for (std::size_t i = 0; i < fleet.Size(); ++i) {
+      options.targets.push_back(fleet.Place(i).callers);
+    }
+    options.method = aMethod;
+    options.path = aPath;
+    return options;
+  }
+
+  /// How often each request id was executed by any upstream.
+  std::map<std::string, unsigned> Executions()
+  {
+    std::map<std::string, unsigned> counts;
+    std::ifstream log(fleet.Folder() + "/executions.log");
+    std::string id;
+    std::string version;
+    while (log >> id >> version) {
+      ++counts[id];
+    }
+    return counts;
+  }
+
+  void RequireNoBrokenInvariant()
+  {
+    for (std::size_t i = 0; i < fleet.Size(); ++i) {
+      nlohmann::json dump = fleet.RpcJson(i, "GET", "/v1/dump");
+      if (!dump.is_object()) {
+        continue;
+      }
+      for (const auto& [name, count] : dump["invariants"].items()) {
+        INFO("node " << i << " " << name);
+        REQUIRE(count["broken"] == 0);
+      }
+    }
+  }
+
+  bool Drained(load_generator& aLoad)
+  {
+    return fleet.WaitUntil(std::chrono::seconds(20),
+                           [&] { return aLoad.Outstanding() == 0; });
+  }
+
+  local_fleet fleet;
+};
+
+} // namespace eelgrasstrack::harness
+
+#endif // EELGRASSTRACK_INTEGRATION_FIXTURE_H_
--- /dev/null
+++ b/test/integration/rollout-test.cc
@@ -0,0 +1,142 @@
+#include "integration/fixture.h"
+
+using namespace eelgrasstrack;
+using namespace eelgrasstrack::harness;
+using nlohmann::json;
+using std::chrono::seconds;
+
+namespace {
+
+class rollout_fixture : public deployment_fixture
+{
+public:
+  rollout_fixture()
+    : deployment_fixture(fleet_shape{ 8, 4 })
+  {
+    Start();
+    ApplyExample("seri-kenanga");
+  }
+
+  void StartVersions(double aFailPercent)
+  {
+    for (std::size_t i = 0; i < 4; ++i) {
+      fleet.StartUpstream(i, { "rota-board", "v1", 12, {} });
+      fleet.StartUpstream(
+        4 + i,
+        { "rota-board",
+          "v2",
+          12,
+          { "--fail-percent=" + std::to_string(aFailPercent) } });
+    }
+    REQUIRE(WaitUpstreams(0, "v2", 4));
+    REQUIRE(WaitUpstreams(0, "v1", 4));
+  }
+
+  void StartRollout(int aSeconds)
+  {
+    auto started = fleet.Ctl(1,
+                             { "rollout",
+                               "start",
+                               "rota-board",
+                               "v2",
+                               "--by=+" + std::to_string(aSeconds) + "s",
+                               "--operation-id=move" });
+    INFO(started.output);
+    REQUIRE(started.status == 0);
+  }
+
+  json Status(std::size_t aNode = 0)
+  {
+    return fleet.RpcJson(aNode, "GET", "/v1/rollouts/move");
+  }
+
+  bool WaitStanding(const std::string& aStanding, int aSeconds)
+  {
+    return fleet.WaitUntil(seconds(aSeconds), [&] {
+      return Status().value("standing", "") == aStanding;
+    });
+  }
+};
+
+} // namespace
+
+TEST_CASE_METHOD(rollout_fixture,
+                 "Rollout_GoodVersionWithStoreOut_MovesAndIsRecordedLater",
+                 "[rollout]")
+{
+  StartVersions(0);
+  load_options options = LoadOn("GET", "/status/x");
+  load_generator load(fleet.Loop(), options);
+  load.Start();
+  StartRollout(20);
+  fleet.RunFor(seconds(2));
+  fleet.Control(fleet.StorePlace(), { { "out", true } });
+  REQUIRE(WaitStanding("done_not_recorded", 40));
+  fleet.Control(fleet.StorePlace(), { { "out", false } });
+  REQUIRE(WaitStanding("done", 40));
+  load.Stop();
+  REQUIRE(Drained(load));
+  REQUIRE(load.Report().good == load.Report().begun);
+  RequireNoBrokenInvariant();
+}
+
+TEST_CASE_METHOD(rollout_fixture,
+                 "Rollout_BadVersionWithStoreOut_IsTakenBackAndRecordedLater",
+                 "[rollout]")
+{
+  StartVersions(60);
+  load_options options = LoadOn("GET", "/status/x");
+  options.callers = 200;
+  load_generator load(fleet.Loop(), options);
+  load.Start();
+  StartRollout(40);
+  fleet.RunFor(seconds(1));
+  fleet.Control(fleet.StorePlace(), { { "out", true } });
+  REQUIRE(WaitStanding("taken_back_not_recorded", 45));
+  load.ResetReport();
+  load.SetNewVersion("v2");
+  fleet.RunFor(seconds(2));
+  REQUIRE(load.Report().new_version == 0);
+  fleet.Control(fleet.StorePlace(), { { "out", false } });
+  REQUIRE(WaitStanding("taken_back", 40));
+  load.Stop();
+  RequireNoBrokenInvariant();
+}
+
+TEST_CASE_METHOD(rollout_fixture,
+                 "Rollout_OperatorTakesBack_NoCallGoesToTheNewVersion",
+                 "[rollout]")
+{
+  StartVersions(0);
+  StartRollout(600);
+  auto second =
+    fleet.Ctl(2, { "rollout", "start", "rota-board", "v3", "--by=+60s" });
+  REQUIRE(second.status == AnswerOf(error_kind::conflict).exit_code);
+  auto past =
+    fleet.Ctl(2, { "rollout", "start", "shift-desk", "v3", "--by=1000" });
+  REQUIRE(past.status == AnswerOf(error_kind::invalid_argument).exit_code);
+  auto taken = fleet.Ctl(3, { "rollout", "take-back", "move" });
+  INFO(taken.output);
+  REQUIRE(taken.status == 0);
+  REQUIRE(WaitStanding("taken_back", 10));
+  auto again = fleet.Ctl(3, { "rollout", "pause", "move" });
+  REQUIRE(again.status == AnswerOf(error_kind::conflict).exit_code);
+}
+
+TEST_CASE_METHOD(rollout_fixture,
+                 "Rollout_VersionWithoutUpstream_WaitsAndSaysSo",
+                 "[rollout]")
+{
+  fleet.StartUpstream(0, { "rota-board", "v1", 12, {} });
+  REQUIRE(WaitUpstreams(0, "v1", 1));
+  StartRollout(30);
+  REQUIRE(fleet.WaitUntil(seconds(10), [&] {
+    for (std::size_t i = 0; i < 8; ++i) {
+      if (Status(i).value("step", "") == "waiting_for_upstreams") {
+        return true;
+      }
+    }
+    return false;
+  }));
+  REQUIRE(Status().value("share_percent", -1.0) == 0.0);
+}
