Reuse connections to upstreams, and judge a fault that hits both versions rightly

Cause 1: each call opened a connection and left it idle for 4 s; after about 1,000 calls the process had no descriptors left. The library matches a kept-alive connection by comparing the host header with the address, and ours had the port. Change: the host is sent without the port. Only the new version's trials of callers that often fail on the old one are left out.

--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -107,7 +107,6 @@
     if (!mRequest.query.empty()) {
       path += "?" + mRequest.query;
     }
-    std::string host = TextOf(mTarget);
     auto* bound = new binding{ shared_from_this(), mCall };
     lws_client_connect_info info{};
     info.context = mLoop.Context();
@@ -115,8 +114,10 @@
     info.address = mTarget.address.c_str();
     info.port = mTarget.port;
     info.path = path.c_str();
-    info.host = host.c_str();
-    info.origin = host.c_str();
+    // The library finds a kept-alive connection only if host and address are
+    // the same text, so the port is left out.
+    info.host = mTarget.address.c_str();
+    info.origin = mTarget.address.c_str();
     info.method = mRequest.method.c_str();
     info.protocol = "http";
     info.ssl_connection = LCCSCF_PIPELINE | LCCSCF_HTTP_NO_FOLLOW_REDIRECT;
--- a/src/rollout/evidence-recorder.cc
+++ b/src/rollout/evidence-recorder.cc
@@ -18,6 +18,10 @@
 constexpr double kMixPrior = 5;
 constexpr std::uint32_t kBaselineMemory = 2000;
 constexpr std::uint32_t kLeastBaseline = 20;
+/// A caller fails by itself if at least this many of its calls failed on the
+/// old version, and at least one in this many.
+constexpr std::uint32_t kLeastOwnFailures = 2;
+constexpr std::uint32_t kOwnFailureShare = 4;
 constexpr double kSlowQuantile = 0.9;
 /// A call is slow above this multiple of the quantile, plus a fixed allowance.
 constexpr double kSlowMultiple = 1.5;
@@ -164,17 +168,33 @@
   }
 }
 
+bool
+evidence_recorder::FailsByItself(std::uint64_t aCaller) const
+{
+  auto found = mOldRecords.find(aCaller);
+  if (found == mOldRecords.end()) {
+    return false;
+  }
+  const old_record& record = found->second;
+  return record.failures >= kLeastOwnFailures &&
+         record.failures * kOwnFailureShare >= record.trials;
+}
+
 void
 evidence_recorder::CountTrial(const recorded_try& aTry)
 {
   std::uint64_t caller = HashOf(aTry.caller);
-  bool failedBefore = mFailedOnOld.count(caller) != 0;
-  if (aTry.failed && !aTry.exposed) {
-    mFailedOnOld.insert(caller);
+  if (!FirstInWindow(aTry, 'f')) {
+    return;
   }
-  if (failedBefore || !FirstInWindow(aTry, 'f')) {
+  if (aTry.exposed && FailsByItself(caller)) {
     return;
   }
+  if (!aTry.exposed) {
+    old_record& record = mOldRecords[caller];
+    ++record.trials;
+    record.failures += aTry.failed ? 1 : 0;
+  }
   route_state& state = mRoutes[aTry.route];
   state.trial_mix.Add(BucketOfCaller(mRollout, aTry.caller));
   arm_counts one{ 1, aTry.failed ? 1U : 0U, 0, 0 };
--- a/src/rollout/evidence-recorder.h
+++ b/src/rollout/evidence-recorder.h
@@ -60,8 +60,8 @@
 };
 
 /// Turns the tries of one rollout at one node into evidence windows. A caller
-/// counts once a second and version; callers that already failed on the old
-/// version do not count as failures.
+/// counts once a second and version. A caller whose calls often failed on the old
+/// version says nothing about the new one.
 class evidence_recorder
 {
 public:
@@ -100,6 +100,14 @@
     std::vector<duration> old_times;
   };
 
+  /// What one caller saw of the old version.
+  struct old_record
+  {
+    std::uint32_t trials = 0;
+    std::uint32_t failures = 0;
+  };
+
+  bool FailsByItself(std::uint64_t aCaller) const;
   bool FirstInWindow(const recorded_try& aTry, char aChannel);
   void CountTrial(const recorded_try& aTry);
   void CountTimed(const recorded_try& aTry, bool aSlow);
@@ -117,7 +125,7 @@
   std::unordered_set<std::uint64_t> mExposedCallers;
   std::unordered_set<std::uint64_t> mHurtCallers;
   std::unordered_set<std::uint64_t> mCallersWithEvents;
-  std::unordered_set<std::uint64_t> mFailedOnOld;
+  std::unordered_map<std::uint64_t, old_record> mOldRecords;
   /// Nodes whose upstream has answered after its warm-up time.
   std::set<std::string> mWarmNodes;
   evidence_totals mTotals;
