--- a/src/rollout/evidence-recorder.h
+++ b/src/rollout/evidence-recorder.h
@@ -60,8 +60,8 @@
 };
 
 /// Turns the tries of one rollout at one node into evidence windows. A caller
-/// counts once a second and version. A caller whose calls often failed on the old
-/// version says nothing about the new one.
+/// counts once a second and version. A caller whose calls often failed on the
+/// old version says nothing about the new one.
 class evidence_recorder
 {
 public:
--- a/test/harness/load-generator.cc
+++ b/test/harness/load-generator.cc
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr int kFirstErrorStatus = 400;
+constexpr std::size_t kKeptFailureBytes = 1000;
 
 } // namespace
 
@@ -116,6 +117,10 @@
   }
   if (!good) {
     mReport.hurt.insert(aCaller);
+    bool room = mReport.failures.size() < kKeptFailureBytes;
+    mReport.failures += !room     ? ""
+                        : aResult ? aResult->body + "\n"
+                                  : aResult.error().message + "\n";
   }
   if (mKeepIds && good) {
     mReport.answered_ids.push_back(aId);
--- a/test/harness/load-generator.h
+++ b/test/harness/load-generator.h
@@ -45,6 +45,9 @@
   std::vector<std::string> answered_ids;
   std::vector<std::string> not_run_ids;
 
+  /// What the first few failed calls were told, for people.
+  std::string failures;
+
   double Quantile(double aQuantile) const;
 };
 
--- a/test/integration/calls-test.cc
+++ b/test/integration/calls-test.cc
@@ -170,7 +170,8 @@
   REQUIRE(test.Drained(load));
   REQUIRE(test.fleet.Node(3).WaitForExit(10) == 0);
   INFO("unknown " << load.Report().failed_unknown << ", not run "
-                  << load.Report().failed_not_run);
+                  << load.Report().failed_not_run << "\n"
+                  << load.Report().failures);
   REQUIRE(load.Report().good == load.Report().begun);
   RequireTruthful(test, load.Report());
 }
--- a/test/unit/main.cc
+++ b/test/unit/main.cc
@@ -2,10 +2,13 @@
 #include <catch2/catch.hpp>
 
 #include "base/invariant.h"
+#include "base/log.h"
 
 int
 main(int aCount, char** aArguments)
 {
   eelgrasstrack::SetAbortOnBrokenInvariant(true);
+  eelgrasstrack::ConfigureLog(eelgrasstrack::log_level::error,
+                              eelgrasstrack::log_format::text);
   return Catch::Session().run(aCount, aArguments);
 }
--- /dev/null
+++ b/test/unit/routing-test.cc
@@ -0,0 +1,226 @@
+#include <catch2/catch.hpp>
+
+#include "routing/admission-queue.h"
+#include "routing/duplicate-filter.h"
+#include "routing/retry-policy.h"
+#include "routing/route-table.h"
+#include "routing/upstream-picker.h"
+
+using namespace eelgrasstrack;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+const time_point kStart = time_point(std::chrono::hours(1));
+
+class picker_fixture
+{
+public:
+  picker_fixture()
+    : picker("domain-0", Options(), 7)
+  {
+    for (int i = 0; i < 4; ++i) {
+      candidates.push_back({ "node-" + std::to_string(i),
+                             "domain-" + std::to_string(i % 2),
+                             1,
+                             10 });
+    }
+  }
+
+  static picker_options Options()
+  {
+    picker_options options;
+    options.slow_start = milliseconds(1);
+    return options;
+  }
+
+  node_id PickAt(time_point aNow)
+  {
+    auto chosen = picker.Pick(candidates, {}, aNow);
+    return chosen ? candidates[*chosen].node : "";
+  }
+
+  upstream_picker picker;
+  std::vector<upstream_candidate> candidates;
+};
+
+} // namespace
+
+TEST_CASE_METHOD(picker_fixture,
+                 "UpstreamPicker_RoomInOwnDomain_StaysInside",
+                 "[picker]")
+{
+  // Known for longer than the slow start.
+  PickAt(kStart);
+  for (int i = 0; i < 100; ++i) {
+    node_id node = PickAt(kStart + seconds(1 + i));
+    bool local = node == "node-0" || node == "node-2";
+    REQUIRE(local);
+  }
+}
+
+TEST_CASE_METHOD(picker_fixture,
+                 "UpstreamPicker_OwnDomainFull_UsesOthers",
+                 "[picker]")
+{
+  PickAt(kStart);
+  for (int i = 0; i < 9; ++i) {
+    picker.Started("node-0");
+    picker.Started("node-2");
+  }
+  bool other = false;
+  for (int i = 0; i < 50; ++i) {
+    node_id node = PickAt(kStart + seconds(1));
+    other = other || node == "node-1" || node == "node-3";
+  }
+  REQUIRE(other);
+}
+
+TEST_CASE_METHOD(picker_fixture,
+                 "UpstreamPicker_OutlierFails_IsLeftOutForAWhile",
+                 "[picker]")
+{
+  time_point now = kStart + seconds(1);
+  for (int i = 0; i < 5; ++i) {
+    picker.Started("node-0");
+    picker.Finished("node-0", call_outcome::failed, now);
+  }
+  REQUIRE(picker.Ejected("node-0", now));
+  for (int i = 0; i < 50; ++i) {
+    REQUIRE(PickAt(now) != "node-0");
+  }
+  REQUIRE(!picker.Ejected("node-0", now + seconds(6)));
+}
+
+TEST_CASE_METHOD(picker_fixture,
+                 "UpstreamPicker_MostLookBad_AllAreUsed",
+                 "[picker]")
+{
+  time_point now = kStart + seconds(1);
+  for (const upstream_candidate& candidate : candidates) {
+    for (int i = 0; i < 5; ++i) {
+      picker.Finished(candidate.node, call_outcome::failed, now);
+    }
+  }
+  REQUIRE(!PickAt(now).empty());
+}
+
+TEST_CASE_METHOD(picker_fixture,
+                 "UpstreamPicker_BusyUpstreamRefuses_IsNotEjected",
+                 "[picker]")
+{
+  for (int i = 0; i < 50; ++i) {
+    picker.Finished("node-0", call_outcome::refused, kStart);
+  }
+  REQUIRE(!picker.Ejected("node-0", kStart));
+}
+
+TEST_CASE("AdmissionQueue_SlotsFull_QueuesThenSheds", "[admission]")
+{
+  admission_queue queue({ 2, 1 });
+  time_point deadline = kStart + seconds(10);
+  REQUIRE(queue.Offer(1, "a", deadline, kStart).verdict == admission::run);
+  REQUIRE(queue.Offer(2, "b", deadline, kStart).verdict == admission::run);
+  REQUIRE(queue.Offer(3, "c", deadline, kStart).verdict == admission::queued);
+  REQUIRE(queue.Offer(4, "d", deadline, kStart).verdict == admission::shed);
+  queue.Finish("a", milliseconds(5));
+  REQUIRE(queue.Next(kStart).run == 3);
+  REQUIRE(queue.Busy() == 2);
+}
+
+TEST_CASE("AdmissionQueue_DeadlineOutOfReach_ShedsAtOnce", "[admission]")
+{
+  admission_queue queue({ 1, 10 });
+  REQUIRE(queue.Offer(1, "a", kStart + seconds(9), kStart).verdict ==
+          admission::run);
+  queue.Finish("a", milliseconds(100));
+  queue.Offer(2, "a", kStart + seconds(9), kStart);
+  REQUIRE(queue.Offer(3, "b", kStart + milliseconds(50), kStart).verdict ==
+          admission::shed);
+  REQUIRE(queue.Offer(4, "b", kStart + seconds(1), kStart).verdict ==
+          admission::queued);
+}
+
+TEST_CASE("AdmissionQueue_OneCallerFillsIt_AnotherStillGetsIn", "[admission]")
+{
+  admission_queue queue({ 1, 4 });
+  time_point deadline = kStart + seconds(10);
+  for (admission_id id = 1; id <= 5; ++id) {
+    queue.Offer(id, "greedy", deadline, kStart);
+  }
+  admission_outcome outcome = queue.Offer(6, "other", deadline, kStart);
+  REQUIRE(outcome.verdict == admission::queued);
+  REQUIRE(outcome.evicted == std::vector<admission_id>{ 5 });
+  queue.Finish("greedy", milliseconds(1));
+  REQUIRE(queue.Next(kStart).run.has_value());
+}
+
+TEST_CASE("DuplicateFilter_SameKeyWithinWindow_IsDuplicateUntilReleased",
+          "[duplicates]")
+{
+  using verdict = duplicate_filter::verdict;
+  duplicate_filter filter({ seconds(60), 3 });
+  REQUIRE(filter.Admit("a", kStart) == verdict::first);
+  REQUIRE(filter.Admit("a", kStart + seconds(59)) == verdict::duplicate);
+  filter.Release("a");
+  REQUIRE(filter.Admit("a", kStart + seconds(59)) == verdict::first);
+  REQUIRE(filter.Admit("a", kStart + seconds(100)) == verdict::duplicate);
+  REQUIRE(filter.Admit("a", kStart + seconds(120)) == verdict::first);
+  filter.Admit("b", kStart + seconds(120));
+  filter.Admit("c", kStart + seconds(120));
+  REQUIRE(filter.Admit("d", kStart + seconds(120)) == verdict::full);
+}
+
+TEST_CASE("RetryPolicy_UnknownExecutionOfUnrepeatable_IsNeverTriedAgain",
+          "[retry]")
+{
+  failed_try attempt;
+  attempt.kind = error_kind::upstream_broken;
+  attempt.left = seconds(1);
+  REQUIRE(!MayRetry(attempt, retry_options{}));
+  attempt.repeatable = true;
+  REQUIRE(MayRetry(attempt, retry_options{}));
+  attempt.repeatable = false;
+  attempt.ran = execution::not_run;
+  REQUIRE(MayRetry(attempt, retry_options{}));
+  attempt.left = milliseconds(1);
+  REQUIRE(!MayRetry(attempt, retry_options{}));
+}
+
+TEST_CASE("RetryBudget_EverythingFails_RetriesStayATenth", "[retry]")
+{
+  retry_budget budget((retry_options()));
+  int retries = 0;
+  for (int i = 0; i < 1000; ++i) {
+    budget.FirstTry();
+    retries += budget.TakeRetry() ? 1 : 0;
+    retries += budget.TakeRetry() ? 1 : 0;
+  }
+  REQUIRE(retries <= 105);
+}
+
+TEST_CASE("AdaptiveThrottle_ServiceRefusesAll_MostCallsEndHere", "[retry]")
+{
+  adaptive_throttle throttle(3);
+  int admitted = 0;
+  for (int i = 0; i < 2000; ++i) {
+    admitted += throttle.Admits(kStart + milliseconds(i)) ? 1 : 0;
+  }
+  REQUIRE(admitted < 400);
+}
+
+TEST_CASE("RouteTable_SeveralMatch_LongestPrefixWins", "[routes]")
+{
+  document_map documents;
+  documents["service/a"] = R"({"kind":"service","name":"a","version":"v1"})";
+  documents["routes/r"] =
+    R"({"kind":"routes","name":"r","routes":[
+      {"name":"all","path_prefix":"/","service":"a"},
+      {"name":"shifts","path_prefix":"/shifts","service":"a"},
+      {"name":"book","path_prefix":"/shifts","methods":["POST"],"service":"a"}]})";
+  snapshot_ptr snapshot = *BuildSnapshot(1, documents);
+  REQUIRE(MatchRoute(*snapshot, "GET", "", "/shifts/7")->name == "shifts");
+  REQUIRE(MatchRoute(*snapshot, "POST", "", "/shifts")->name == "book");
+  REQUIRE(MatchRoute(*snapshot, "GET", "", "/shiftsandmore")->name == "all");
+}
--- /dev/null
+++ b/test/unit/sequential-test-test.cc
@@ -0,0 +1,83 @@
+#include <catch2/catch.hpp>
+#include <random>
+
+#include "rollout/sequential-test.h"
+
+using namespace eelgrasstrack;
+
+namespace {
+
+/// Feeds calls with the given failure rates until the statistic reaches the
+/// threshold. Returns the number of the new version's failures seen by then, or
+/// -1 if it never does.
+int
+FailuresUntil(double aThreshold,
+              double aOldRate,
+              double aNewRate,
+              double aShare,
+              int aCalls,
+              std::uint64_t aSeed)
+{
+  std::mt19937_64 random(aSeed);
+  std::uniform_real_distribution<double> draw(0, 1);
+  sequential_test test;
+  int newFailures = 0;
+  for (int i = 0; i < aCalls; ++i) {
+    bool isNew = draw(random) < aShare;
+    bool failed = draw(random) < (isNew ? aNewRate : aOldRate);
+    newFailures += failed && isNew ? 1 : 0;
+    test.Count(aShare, failed && !isNew ? 1 : 0, failed && isNew ? 1 : 0);
+    test.AddStartingWeight(0.5 / aCalls);
+    if (test.Value() >= aThreshold) {
+      return newFailures;
+    }
+  }
+  return -1;
+}
+
+} // namespace
+
+TEST_CASE("SequentialTest_EquallyGoodVersions_AlarmsAtMostAtTheBuiltRate",
+          "[sequential-test]")
+{
+  constexpr int kRuns = 2000;
+  constexpr double kThreshold = 50;
+  for (double rate : { 0.005, 0.05, 0.3 }) {
+    int alarms = 0;
+    for (int seed = 0; seed < kRuns; ++seed) {
+      alarms +=
+        FailuresUntil(kThreshold, rate, rate, 0.05, 4000, 1000U + seed) >= 0
+          ? 1
+          : 0;
+    }
+    INFO("failure rate " << rate << ", alarms " << alarms);
+    // The bound is 1 / 50; the mean of 2,000 runs lies below 1.5 times it.
+    REQUIRE(alarms <= 1.5 * kRuns / kThreshold);
+  }
+}
+
+TEST_CASE("SequentialTest_VersionThatAlwaysFails_IsFoundAfterAFewFailures",
+          "[sequential-test]")
+{
+  for (std::uint64_t seed = 0; seed < 50; ++seed) {
+    int failures = FailuresUntil(3000, 0.001, 1.0, 0.05, 20000, seed);
+    REQUIRE(failures >= 1);
+    REQUIRE(failures <= 6);
+  }
+}
+
+TEST_CASE("SequentialTest_WorseVersion_IsAlwaysFound", "[sequential-test]")
+{
+  for (std::uint64_t seed = 0; seed < 50; ++seed) {
+    REQUIRE(FailuresUntil(3000, 0.005, 0.05, 0.05, 40000, seed) >= 1);
+  }
+}
+
+TEST_CASE("SequentialTest_ShareOfAllOrNothing_SaysNothing", "[sequential-test]")
+{
+  sequential_test test;
+  double before = test.Value();
+  test.Count(0.0, 100, 0);
+  test.Count(1.0, 0, 100);
+  REQUIRE(test.Value() == before);
+}
