Bound what a start of many nodes costs the network and the store

A whole table that a node asked for was flooded on as news, a node contacted two nodes of every domain, every pair of neighbours compared tables on its own, and first reads came within 0.3 s. Change: answers to a comparison are not spread on; a start contacts five nodes; a node has one comparison under way; first reads spread over 1.5 s and longer.

--- a/bench/bench-main.cc
+++ b/bench/bench-main.cc
@@ -18,10 +18,9 @@
 };
 
 constexpr experiment_row kExperiments[] = {
-  { "convergence", RunConvergence },
-  { "control", RunControl },
-  { "rollout", RunRollout },
-  { "calls", RunCalls },
+  { "convergence", RunConvergence }, { "control", RunControl },
+  { "rollout", RunRollout },         { "calls", RunCalls },
+  { "capacity", RunCapacity },
 };
 
 int
--- a/bench/experiments.h
+++ b/bench/experiments.h
@@ -34,6 +34,11 @@
 int
 RunControl(const experiment_options& aOptions);
 
+/// Bytes, store calls, processor time and memory of the fleet logic at growing
+/// sizes, on a virtual clock.
+int
+RunCapacity(const experiment_options& aOptions);
+
 /// Time added to a call, calls a core and goodput under overload.
 int
 RunCalls(const experiment_options& aOptions);
--- a/src/fleet/fleet-node.cc
+++ b/src/fleet/fleet-node.cc
@@ -21,7 +21,11 @@
 constexpr duration kTombstoneAge = minutes(10);
 constexpr duration kProbedByFor = seconds(10);
 constexpr duration kMismatchPatience = seconds(3);
-constexpr duration kSyncPeriod = seconds(2);
+constexpr duration kHelloSyncPeriod = seconds(1);
+/// Nodes of the bootstrap record that a starting node contacts.
+constexpr std::size_t kContactsInDomain = 2;
+constexpr std::size_t kContactsElsewhere = 3;
+constexpr duration kSyncPeriod = seconds(3);
 constexpr duration kRequestPeriod = milliseconds(500);
 constexpr duration kPauseGap = seconds(3);
 /// A node that nobody answers serves what it has after this long.
@@ -331,8 +335,12 @@
     MergeMember(aMessage.self);
   }
   CountTowardsFloor(aFrom, aMessage.held);
-  if (aMessage.held.member_hash != mMembers.Hash()) {
-    mPeers[aFrom].last_sync = mClock.Now();
+  // Several contacts answer a start; one whole table is enough, and what it
+  // lacks shows in the digests.
+  time_point now = mClock.Now();
+  bool differs = aMessage.held.member_hash != mMembers.Hash();
+  if (differs && now - mLastSync >= kHelloSyncPeriod) {
+    mLastSync = now;
     mNetwork.Send(aFrom, member_sync_message{ mMembers.BucketHashes() });
   }
   Compare(aFrom, aMessage.held);
@@ -398,8 +406,9 @@
     view.mismatch_since = now;
   }
   bool lasting = now - view.mismatch_since >= kMismatchPatience;
-  if (lasting && now - view.last_sync >= kSyncPeriod) {
-    view.last_sync = now;
+  // One whole comparison at a time, with whichever neighbour speaks next.
+  if (lasting && now - mLastSync >= kSyncPeriod) {
+    mLastSync = now;
     mNetwork.Send(aPeer, member_sync_message{ mMembers.BucketHashes() });
   }
 }
@@ -409,6 +418,9 @@
 {
   for (const member_record& record : aMessage.records) {
     MergeMember(record);
+    if (aMessage.compared) {
+      mPendingFacts.erase(record.node);
+    }
   }
   CountTowardsFloor(aFrom, mPeers[aFrom].held);
 }
@@ -417,6 +429,7 @@
 fleet_node::Receive(const node_id& aFrom, const member_sync_message& aMessage)
 {
   member_facts_message facts;
+  facts.compared = true;
   for (std::size_t i = 0; i < kMemberBuckets; ++i) {
     if (aMessage.buckets[i] == mMembers.BucketHashes()[i]) {
       continue;
@@ -706,16 +719,32 @@
 void
 fleet_node::OnBootstrap(const bootstrap_record& aRecord)
 {
-  constexpr std::size_t kContactsPerDomain = 2;
+  std::vector<std::string> others;
   for (const auto& [domain, nodes] : aRecord.domains) {
-    std::vector<node_id> shuffled = nodes;
-    std::shuffle(shuffled.begin(), shuffled.end(), mRandom);
-    std::size_t contacted = 0;
-    for (const node_id& node : shuffled) {
-      if (node != mSelf.node && contacted < kContactsPerDomain) {
-        mNetwork.Connect(node);
-        ++contacted;
-      }
+    if (domain != mSelf.domain) {
+      others.push_back(domain);
+    }
+  }
+  std::shuffle(others.begin(), others.end(), mRandom);
+  others.resize(std::min(others.size(), kContactsElsewhere));
+  auto own = aRecord.domains.find(mSelf.domain);
+  if (own != aRecord.domains.end()) {
+    ConnectToSome(own->second, kContactsInDomain);
+  }
+  for (const std::string& domain : others) {
+    ConnectToSome(aRecord.domains.at(domain), 1);
+  }
+}
+
+void
+fleet_node::ConnectToSome(std::vector<node_id> aNodes, std::size_t aCount)
+{
+  std::shuffle(aNodes.begin(), aNodes.end(), mRandom);
+  std::size_t contacted = 0;
+  for (const node_id& node : aNodes) {
+    if (node != mSelf.node && contacted < aCount) {
+      mNetwork.Connect(node);
+      ++contacted;
     }
   }
 }
--- a/src/fleet/fleet-node.h
+++ b/src/fleet/fleet-node.h
@@ -122,7 +122,6 @@
     /// It probes this node, so it takes part in spreading.
     time_point probed_us{};
     time_point mismatch_since{};
-    time_point last_sync{};
     time_point last_request{};
   };
 
@@ -139,6 +138,7 @@
   bool MergeMember(const member_record& aRecord);
   void ChangeSelf();
   void RefuteIfNeeded(const member_record& aRecord);
+  void ConnectToSome(std::vector<node_id> aNodes, std::size_t aCount);
   void QueueFact(const node_id& aNode);
   void FlushFacts();
   void CheckNeighbours(time_point aNow);
@@ -175,6 +175,7 @@
   time_point mNextOverlay{};
   time_point mNextRetry{};
   time_point mNextForget{};
+  time_point mLastSync{};
   /// After a pause nothing is served until a peer or the store was heard from.
   bool mAwaitingFresh = false;
   time_point mAwaitingSince{};
--- a/src/fleet/store-follower.cc
+++ b/src/fleet/store-follower.cc
@@ -16,7 +16,8 @@
 constexpr duration kWatchWait = seconds(25);
 /// First reads are spread over this time, and over longer in a large fleet, so
 /// that a restart of everything stays below the store's rate.
-constexpr duration kStartSpread = milliseconds(300);
+constexpr duration kStartSpread = milliseconds(1500);
+constexpr double kLeastConfigSpreadSeconds = 0.5;
 constexpr double kFirstReadsPerSecond = 500;
 
 } // namespace
@@ -93,7 +94,8 @@
     }
     if (aThenConfig) {
       double spreadSeconds =
-        static_cast<double>(fleetSize) / kFirstReadsPerSecond;
+        std::max(kLeastConfigSpreadSeconds,
+                 static_cast<double>(fleetSize) / kFirstReadsPerSecond);
       std::uniform_real_distribution<double> spread(0, spreadSeconds);
       mTasks.RunAfter(std::chrono::duration_cast<duration>(
                         std::chrono::duration<double>(spread(mRandom))),
--- a/src/peer/codec.cc
+++ b/src/peer/codec.cc
@@ -257,6 +257,9 @@
 {
   json fields = json::array();
   fields.push_back(Encode(aMessage.records));
+  if (aMessage.compared) {
+    fields.push_back(1);
+  }
   return fields;
 }
 
@@ -401,6 +404,7 @@
   for (const json& item : aFields.at(1)) {
     message.records.push_back(DecodeMember(item));
   }
+  message.compared = aFields.size() > 2;
   return message;
 }
 
--- a/src/peer/messages.h
+++ b/src/peer/messages.h
@@ -51,6 +51,8 @@
 struct member_facts_message
 {
   std::vector<member_record> records;
+  /// The answer to a comparison: known elsewhere already, so not spread on.
+  bool compared = false;
 };
 
 /// Asks for the records of those buckets whose hash differs.
