--- a/src/call/first-hop.cc
+++ b/src/call/first-hop.cc
@@ -57,11 +57,13 @@
 first_hop::first_hop(const clock_source& aClock,
                      routing_view& aView,
                      hop_transport& aTransport,
+                     claim_service& aClaims,
                      try_observer& aObserver,
                      first_hop_options aOptions)
   : mClock(aClock)
   , mView(aView)
   , mTransport(aTransport)
+  , mClaims(aClaims)
   , mObserver(aObserver)
   , mOptions(std::move(aOptions))
   , mPicker(mOptions.domain, mOptions.picker, mOptions.random_seed)
@@ -139,6 +141,48 @@
     return;
   }
   limits.budget.FirstTry();
+  bool named = !HeaderValue(headers, "x-request-id").empty();
+  if (named && !mRoute->repeatable) {
+    ClaimThenTry();
+    return;
+  }
+  ChooseVersionAndTry();
+}
+
+void
+call_session::ClaimThenTry()
+{
+  mSession = mHop.mRandom();
+  auto self = shared_from_this();
+  mHop.mClaims.Claim(mRequestKey, mSession, [self](claim_verdict aVerdict) {
+    if (self->mFinished) {
+      self->mHop.mClaims.Release(self->mRequestKey, self->mSession);
+      return;
+    }
+    switch (aVerdict) {
+      case claim_verdict::granted:
+        self->mClaimed = true;
+        self->ChooseVersionAndTry();
+        return;
+      case claim_verdict::duplicate:
+        self->mHop.LimitsOf(self->mRoute->service)
+          .throttle.Accepted(self->mHop.mClock.Now());
+        self->FinishWithError(MakeError(
+          error_kind::duplicate_request,
+          "another call used this request key in the last five minutes"));
+        return;
+      case claim_verdict::unanswered:
+        self->FinishWithError(
+          MakeError(error_kind::peer_lost,
+                    "no witness could tell whether this request ran before"));
+        return;
+    }
+  });
+}
+
+void
+call_session::ChooseVersionAndTry()
+{
   version_choice choice =
     ChooseVersion(*mConfig, mHop.mView.Rollouts(), *mRoute, mCaller);
   mVersion = choice.version;
@@ -263,7 +307,8 @@
   }
   try_verdict verdict = VerdictOf(aAnswer);
   std::optional<error> failure = FailureOf(aAnswer);
-  if (!failure) {
+  // Only a lack of room is a reason to send less.
+  if (!failure || failure->kind != error_kind::overloaded) {
     mHop.LimitsOf(mRoute->service).throttle.Accepted(mHop.mClock.Now());
   }
   bool rescue = verdict == try_verdict::bad && mExposed && mRoute->repeatable;
@@ -359,6 +404,9 @@
 {
   if (aFailure.ran == execution::not_run) {
     ++mHop.mCounters.failed_not_run;
+    if (mClaimed) {
+      mHop.mClaims.Release(mRequestKey, mSession);
+    }
   } else {
     ++mHop.mCounters.failed_unknown;
   }
--- a/src/call/first-hop.h
+++ b/src/call/first-hop.h
@@ -6,6 +6,7 @@
 #include <memory>
 
 #include "call/call-types.h"
+#include "call/claims.h"
 #include "routing/retry-policy.h"
 
 namespace eelgrasstrack {
@@ -48,6 +49,7 @@
   first_hop(const clock_source& aClock,
             routing_view& aView,
             hop_transport& aTransport,
+            claim_service& aClaims,
             try_observer& aObserver,
             first_hop_options aOptions);
 
@@ -75,6 +77,7 @@
   const clock_source& mClock;
   routing_view& mView;
   hop_transport& mTransport;
+  claim_service& mClaims;
   try_observer& mObserver;
   first_hop_options mOptions;
   upstream_picker mPicker;
@@ -96,6 +99,8 @@
   void Abandon();
 
 private:
+  void ChooseVersionAndTry();
+  void ClaimThenTry();
   void Try();
   void Send(const upstream_candidate& aTarget);
   hop_call BuildCall(const upstream_candidate& aTarget, duration aLeft);
@@ -125,6 +130,9 @@
   bool mExposed = false;
   bool mFailedOnNew = false;
   bool mFinished = false;
+  /// The caller named the request itself and it must not be repeated.
+  bool mClaimed = false;
+  std::uint64_t mSession = 0;
   /// Some try may have run; a later refusal can't prove otherwise.
   bool mMayHaveRun = false;
   hop_token mToken = 0;
--- /dev/null
+++ b/src/daemon/claim-exchange.cc
@@ -0,0 +1,130 @@
+#include "daemon/claim-exchange.h"
+
+#include "membership/overlay.h"
+
+namespace eelgrasstrack {
+
+namespace {
+
+constexpr std::size_t kWitnesses = 2;
+constexpr duration kWindow = std::chrono::minutes(5);
+constexpr std::size_t kMaxKeys = 200000;
+/// After this long the witnesses that did answer decide.
+constexpr duration kLongestWait = std::chrono::milliseconds(200);
+
+} // namespace
+
+claim_exchange::claim_exchange(loop& aLoop, node_id aSelf)
+  : mLoop(aLoop)
+  , mSelf(std::move(aSelf))
+  , mMemory(kWindow, kMaxKeys)
+{
+}
+
+void
+claim_exchange::Connect(peer_switch& aSwitch, const member_table& aMembers)
+{
+  mSwitch = &aSwitch;
+  mMembers = &aMembers;
+}
+
+std::vector<node_id>
+claim_exchange::WitnessesOf(const std::string& aKey) const
+{
+  return RendezvousMembers(*mMembers, "claim/" + aKey, kWitnesses);
+}
+
+void
+claim_exchange::Claim(const std::string& aKey,
+                      std::uint64_t aSession,
+                      std::function<void(claim_verdict)> aDone)
+{
+  std::uint64_t id = mNextId++;
+  std::vector<node_id> witnesses = WitnessesOf(aKey);
+  pending_claim& pending = mPending[id];
+  pending.done = std::move(aDone);
+  pending.unanswered = witnesses.size();
+  pending.timer = mLoop.After(kLongestWait, [this, id] {
+    auto found = mPending.find(id);
+    if (found != mPending.end()) {
+      Finish(id,
+             found->second.granted > 0 ? claim_verdict::granted
+                                       : claim_verdict::unanswered);
+    }
+  });
+  for (const node_id& witness : witnesses) {
+    Ask(witness, claim_message{ id, aKey, aSession, false });
+  }
+}
+
+void
+claim_exchange::Ask(const node_id& aWitness, const claim_message& aClaim)
+{
+  if (aWitness != mSelf) {
+    mSwitch->Send(aWitness, aClaim);
+    return;
+  }
+  bool granted = mMemory.Claim(aClaim.request_key, aClaim.session, mLoop.Now());
+  std::uint64_t id = aClaim.id;
+  mLoop.After(duration(0), [this, id, granted] { OnAnswer(id, granted); });
+}
+
+void
+claim_exchange::Release(const std::string& aKey, std::uint64_t aSession)
+{
+  for (const node_id& witness : WitnessesOf(aKey)) {
+    if (witness == mSelf) {
+      mMemory.Release(aKey, aSession);
+    } else {
+      mSwitch->Send(witness, claim_message{ 0, aKey, aSession, true });
+    }
+  }
+}
+
+void
+claim_exchange::OnMessage(const link_ptr& aLink, const peer_message& aMessage)
+{
+  if (const auto* answer = std::get_if<claim_answer_message>(&aMessage)) {
+    OnAnswer(answer->id, answer->granted);
+    return;
+  }
+  const auto* claim = std::get_if<claim_message>(&aMessage);
+  if (claim == nullptr) {
+    return;
+  }
+  if (claim->release) {
+    mMemory.Release(claim->request_key, claim->session);
+    return;
+  }
+  bool granted = mMemory.Claim(claim->request_key, claim->session, mLoop.Now());
+  mSwitch->SendOn(aLink, claim_answer_message{ claim->id, granted });
+}
+
+void
+claim_exchange::OnAnswer(std::uint64_t aId, bool aGranted)
+{
+  auto found = mPending.find(aId);
+  if (found == mPending.end()) {
+    return;
+  }
+  if (!aGranted) {
+    Finish(aId, claim_verdict::duplicate);
+    return;
+  }
+  ++found->second.granted;
+  if (--found->second.unanswered == 0) {
+    Finish(aId, claim_verdict::granted);
+  }
+}
+
+void
+claim_exchange::Finish(std::uint64_t aId, claim_verdict aVerdict)
+{
+  auto found = mPending.find(aId);
+  pending_claim pending = std::move(found->second);
+  mPending.erase(found);
+  mLoop.Cancel(pending.timer);
+  pending.done(aVerdict);
+}
+
+} // namespace eelgrasstrack
--- a/src/daemon/node.cc
+++ b/src/daemon/node.cc
@@ -206,6 +206,7 @@
               TextOf(mSettings.peer_listen),
               mLastHop,
               mSettings.max_body_bytes)
+  , mClaims(aLoop, TextOf(mSettings.peer_listen))
   , mSwitch(aLoop,
             *this,
             TextOf(mSettings.peer_listen),
@@ -214,12 +215,18 @@
                                     kMaxFrameBytes })
   , mFleet(FleetOptions(aLoop, mSettings), mSwitch, mStore, *this, aLoop, *this)
   , mDriver(*this, aLoop)
-  , mFirstHop(aLoop, *this, mExchange, *this, FirstHopOptions(mSettings))
+  , mFirstHop(aLoop,
+              *this,
+              mExchange,
+              mClaims,
+              *this,
+              FirstHopOptions(mSettings))
   , mOperatorApi(*this,
                  operator_api_options{ mSettings.operator_secret,
                                        mSettings.upstream_address })
 {
   mExchange.SetSwitch(mSwitch);
+  mClaims.Connect(mSwitch, mFleet.Members());
   mLastHop.SetIncarnation(mFleet.Self().incarnation);
   http_server_options callers;
   callers.listen = mSettings.caller_listen;
@@ -306,6 +313,12 @@
                     const link_ptr& aLink,
                     peer_message aMessage)
 {
+  bool claim = std::holds_alternative<claim_message>(aMessage) ||
+               std::holds_alternative<claim_answer_message>(aMessage);
+  if (claim) {
+    mClaims.OnMessage(aLink, aMessage);
+    return;
+  }
   if (IsCallTraffic(aMessage.index())) {
     mExchange.OnMessage(aLink, aMessage);
     return;
--- a/src/daemon/node.h
+++ b/src/daemon/node.h
@@ -5,6 +5,7 @@
 #include <memory>
 
 #include "call/first-hop.h"
+#include "daemon/claim-exchange.h"
 #include "daemon/hop-exchange.h"
 #include "daemon/upstream-directory.h"
 #include "fleet/fleet-node.h"
@@ -131,6 +132,7 @@
   http_object_store mStore;
   last_hop mLastHop;
   hop_exchange mExchange;
+  claim_exchange mClaims;
   peer_switch mSwitch;
   fleet_node mFleet;
   rollout_driver mDriver;
--- a/src/peer/codec.cc
+++ b/src/peer/codec.cc
@@ -34,6 +34,8 @@
   { "answer", "a", true },
   { "body", "b", true },
   { "cancel", "x", true },
+  { "claim", "q", true },
+  { "claim_answer", "u", true },
 } };
 
 json
@@ -376,6 +378,20 @@
   return json::array({ aMessage.id });
 }
 
+json
+Fields(const claim_message& aMessage)
+{
+  return {
+    aMessage.id, aMessage.request_key, aMessage.session, aMessage.release
+  };
+}
+
+json
+Fields(const claim_answer_message& aMessage)
+{
+  return { aMessage.id, aMessage.granted };
+}
+
 peer_message
 DecodeHello(const json& aFields)
 {
@@ -535,6 +551,22 @@
   return cancel_message{ aFields.at(1).get<std::uint64_t>() };
 }
 
+peer_message
+DecodeClaim(const json& aFields)
+{
+  return claim_message{ aFields.at(1).get<std::uint64_t>(),
+                        aFields.at(2).get<std::string>(),
+                        aFields.at(3).get<std::uint64_t>(),
+                        aFields.at(4).get<bool>() };
+}
+
+peer_message
+DecodeClaimAnswer(const json& aFields)
+{
+  return claim_answer_message{ aFields.at(1).get<std::uint64_t>(),
+                               aFields.at(2).get<bool>() };
+}
+
 using decoder = peer_message (*)(const json&);
 
 // In the order of `peer_message`.
@@ -544,7 +576,7 @@
   DecodeConfigAnnounce, DecodeConfigDelta, DecodeConfigWhole,
   DecodeRolloutFacts,   DecodeEvidence,    DecodeEvidenceAck,
   DecodeCall,           DecodeAnswer,      DecodeBody,
-  DecodeCancel,
+  DecodeCancel,         DecodeClaim,       DecodeClaimAnswer,
 };
 
 std::size_t
--- a/src/peer/messages.h
+++ b/src/peer/messages.h
@@ -159,6 +159,22 @@
   std::uint64_t id = 0;
 };
 
+/// Asks a witness whether a request key is new, or gives the key up.
+struct claim_message
+{
+  std::uint64_t id = 0;
+  std::string request_key;
+  /// Tells the tries of one call from a repeated call.
+  std::uint64_t session = 0;
+  bool release = false;
+};
+
+struct claim_answer_message
+{
+  std::uint64_t id = 0;
+  bool granted = false;
+};
+
 using peer_message = std::variant<hello_message,
                                   ping_message,
                                   pong_message,
@@ -174,7 +190,9 @@
                                   call_message,
                                   answer_message,
                                   body_message,
-                                  cancel_message>;
+                                  cancel_message,
+                                  claim_message,
+                                  claim_answer_message>;
 
 inline constexpr std::size_t kPeerMessageKinds =
   std::variant_size_v<peer_message>;
--- a/test/harness/virtual-mesh.cc
+++ b/test/harness/virtual-mesh.cc
@@ -164,6 +164,7 @@
 class virtual_mesh::mesh_node final
   : public routing_view
   , public hop_transport
+  , public claim_service
   , public try_observer
   , public rollout_environment
 {
@@ -185,8 +186,8 @@
     options.self = mRecord.node;
     options.domain = mRecord.domain;
     options.random_seed = mMesh.mRandom();
-    mFirst =
-      std::make_unique<first_hop>(mMesh.mTime, *this, *this, *this, options);
+    mFirst = std::make_unique<first_hop>(
+      mMesh.mTime, *this, *this, *this, *this, options);
     mLast = std::make_unique<last_hop>(mMesh.mTime, mRecord.incarnation);
     mDriver = std::make_unique<rollout_driver>(*this, mMesh.mTime);
     mBoard = rollout_board{};
@@ -257,6 +258,16 @@
   }
   void Cancel(hop_token aToken) override { mWaiting.erase(aToken); }
 
+  // claim_service: callers of the mesh name no requests.
+  void Claim(const std::string&,
+             std::uint64_t,
+             std::function<void(claim_verdict)> aDone) override
+  {
+    mMesh.mTime.RunAfter(duration(0),
+                         [aDone] { aDone(claim_verdict::granted); });
+  }
+  void Release(const std::string&, std::uint64_t) override {}
+
   // try_observer
   try_id OnTryStarted(const observed_try& aTry) override
   {
--- a/test/integration/calls-test.cc
+++ b/test/integration/calls-test.cc
@@ -93,6 +93,64 @@
   REQUIRE(test.Executions()["booking-7"] == 1);
 }
 
+TEST_CASE("Calls_SameRequestKeyAtAnyNodeAndUpstream_RunsOnce", "[calls]")
+{
+  deployment_fixture test;
+  test.Start();
+  test.ApplyExample("seri-kenanga");
+  StartShiftDesk(test);
+  for (int booking = 0; booking < 20; ++booking) {
+    std::string id = "booking-" + std::to_string(booking);
+    http_request request;
+    request.method = "POST";
+    request.path = "/shifts";
+    request.body = "{}";
+    request.headers = { { "x-request-id", id } };
+    for (std::size_t node = 0; node < test.fleet.Size(); ++node) {
+      http_result answer =
+        test.fleet.Call(test.fleet.Place(node).callers, request);
+      REQUIRE(answer);
+      REQUIRE(answer->status == (node == 0 ? 200 : 409));
+    }
+    REQUIRE(test.Executions()[id] == 1);
+  }
+}
+
+TEST_CASE("Calls_RepeatAfterARestartOfOneNode_StillRunsOnce", "[calls]")
+{
+  deployment_fixture test;
+  test.Start();
+  test.ApplyExample("seri-kenanga");
+  StartShiftDesk(test);
+  auto book = [&](int aBooking, std::size_t aNode) {
+    http_request request;
+    request.method = "POST";
+    request.path = "/shifts";
+    request.body = "{}";
+    request.headers = { { "x-request-id",
+                          "booking-" + std::to_string(aBooking) } };
+    return test.fleet.Call(test.fleet.Place(aNode).callers, request);
+  };
+  for (int booking = 0; booking < 20; ++booking) {
+    http_result answer = book(booking, 0);
+    REQUIRE(answer);
+    REQUIRE(answer->status == 200);
+  }
+  test.fleet.Node(1).Kill();
+  test.fleet.StartNode(1);
+  REQUIRE(test.fleet.WaitServing(seconds(20)));
+  REQUIRE(test.WaitUpstreams(2, "v1", 4));
+  for (int booking = 0; booking < 20; ++booking) {
+    http_result answer = book(booking, 2);
+    REQUIRE(answer);
+    REQUIRE(answer->status == 409);
+  }
+  for (const auto& [id, count] : test.Executions()) {
+    INFO(id);
+    REQUIRE(count == 1);
+  }
+}
+
 TEST_CASE("Calls_UpstreamConnectionCutAtEachStage_AnswersWholeOrTrueError",
           "[calls]")
 {
