Judge speed on quiet routes by all routes of the rollout together

Cause: at 0.2 calls/s no route of a node ever saw the 20 calls that a threshold for slow calls needs, so a version three times as slow was never taken back. Change: a route without enough calls uses the threshold of all routes together; it is the same for both versions, so the test stays valid.

--- a/src/rollout/evidence-recorder.cc
+++ b/src/rollout/evidence-recorder.cc
@@ -269,9 +269,11 @@
   aState.instances.clear();
   for (duration time : aState.old_times) {
     aState.baseline.Add(time);
+    mAllRoutes.Add(time);
   }
   aState.old_times.clear();
-  aState.slow_threshold = aState.baseline.SlowThreshold();
+  duration own = aState.baseline.SlowThreshold();
+  aState.slow_threshold = own.count() > 0 ? own : mAllRoutes.SlowThreshold();
   return window;
 }
 
--- a/src/rollout/evidence-recorder.h
+++ b/src/rollout/evidence-recorder.h
@@ -119,6 +119,9 @@
   time_point mDedupeSince;
   std::uint32_t mShare = 0;
   std::map<std::string, route_state> mRoutes;
+  /// Over all routes, for those with too few calls of their own. The same
+  /// threshold holds for both versions, so the comparison stays fair.
+  latency_baseline mAllRoutes;
   std::unordered_map<std::uint64_t, open_try> mOpen;
   std::unordered_set<std::uint64_t> mSeenInWindow;
   std::unordered_set<std::uint64_t> mCallers;
