--- a/src/daemon/hop-exchange.cc
+++ b/src/daemon/hop-exchange.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "base/invariant.h"
+#include "base/log.h"
 
 namespace eelgrasstrack {
 
@@ -11,6 +12,15 @@
 /// A part of a body; a large body does not hold up what comes behind it.
 constexpr std::size_t kBodyPartBytes = 32768;
 
+void
+Refuse(const link_ptr& aLink, const char* aReason)
+{
+  LogEvent(log_level::warning,
+           "peer_call_refused",
+           { { "node", aLink->node }, { "reason", aReason } });
+  aLink->Close();
+}
+
 } // namespace
 
 hop_exchange::hop_exchange(loop& aLoop,
@@ -149,7 +159,7 @@
 {
   incoming_key key{ aLink.get(), aMessage.id };
   if (aMessage.body_bytes > mMaxBodyBytes || mIncoming.count(key) != 0) {
-    aLink->Close();
+    Refuse(aLink, "a call whose id is in use or whose body is too large");
     return;
   }
   incoming_call& incoming = mIncoming[key];
@@ -242,7 +252,7 @@
     return;
   }
   if (answer.body.size() > answer.head.body_bytes) {
-    aLink->Close();
+    Refuse(aLink, "an answer longer than it said");
     return;
   }
   Finish(found->first, std::move(answer));
--- a/src/daemon/peer-switch.cc
+++ b/src/daemon/peer-switch.cc
@@ -61,11 +61,27 @@
 void
 peer_switch::Send(const node_id& aNode, const peer_message& aMessage)
 {
-  if (aNode != mSelf) {
+  if (std::holds_alternative<hello_message>(aMessage)) {
+    SendHello(aNode, aMessage);
+  } else if (aNode != mSelf) {
     SendOn(LinkTo(aNode), aMessage);
   }
 }
 
+void
+peer_switch::SendHello(const node_id& aNode, const peer_message& aHello)
+{
+  // Both nodes may have opened a link at once; each link needs its own hello.
+  auto [begin, end] = mByNode.equal_range(aNode);
+  for (auto entry = begin; entry != end; ++entry) {
+    link_state& state = mLinks[entry->second.get()];
+    if (entry->second->Open() && !state.hello_sent) {
+      state.hello_sent = true;
+      SendOn(entry->second, aHello);
+    }
+  }
+}
+
 void
 peer_switch::SendOn(const link_ptr& aLink, const peer_message& aMessage)
 {
@@ -117,6 +133,11 @@
     return;
   }
   bool wasOpen = found->second.was_open;
+  LogEvent(log_level::debug,
+           "link_down",
+           { { "node", aLink->node },
+             { "outgoing", aLink->Outgoing() ? "true" : "false" },
+             { "was_open", wasOpen ? "true" : "false" } });
   mLinks.erase(found);
   node_id node = aLink->node;
   auto [begin, end] = mByNode.equal_range(node);
--- a/src/daemon/peer-switch.h
+++ b/src/daemon/peer-switch.h
@@ -74,9 +74,11 @@
     link_ptr link;
     time_point used{};
     bool was_open = false;
+    bool hello_sent = false;
   };
 
   link_ptr OpenLinkTo(const node_id& aNode) const;
+  void SendHello(const node_id& aNode, const peer_message& aHello);
   void Identify(const link_ptr& aLink, const node_id& aNode);
 
   loop& mLoop;
