Never begin a connection inside a callback of the event library

Cause: links that had just carried a frame were closed at once at both ends (the library's log says 'disordered continuation'). A frame's handler opened another link or an HTTP call; the library writes that handshake into the buffer that it is still reading, and the frames behind the handled one were spoiled. Change: links and HTTP calls are begun from a timer of zero length. Ruled out before: frames before the hello, duplicate ids, sizes, idle closing.

--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -61,7 +61,13 @@
         self->TimeOut();
       }
     });
-    Connect();
+    // Connecting writes to the buffer that the library is reading from, so it
+    // must not happen inside a callback.
+    mLoop.After(duration(0), [self, call] {
+      if (self->mCall == call) {
+        self->Connect();
+      }
+    });
   }
 
   std::uint64_t CurrentCall() const { return mCall; }
--- a/src/peer/link.cc
+++ b/src/peer/link.cc
@@ -134,6 +134,20 @@
 peer_transport::Connect(const endpoint& aTarget)
 {
   auto link = std::make_shared<peer_link>(*this, true);
+  // Connecting writes to the buffer that the library is reading from: inside
+  // a callback it would spoil the frames behind the one being handled.
+  mLoop.After(duration(0), [this, link, aTarget] { Open(link, aTarget); });
+  return link;
+}
+
+void
+peer_transport::Open(const std::shared_ptr<peer_link>& aLink,
+                     const endpoint& aTarget)
+{
+  if (aLink->mClosing) {
+    mObserver.OnLinkDown(aLink);
+    return;
+  }
   std::string host = TextOf(aTarget);
   lws_client_connect_info info{};
   info.context = mLoop.Context();
@@ -147,12 +161,12 @@
   info.local_protocol_name = kProtocols[0].name;
   lws* connection = lws_client_connect_via_info(&info);
   if (connection == nullptr) {
-    mLoop.After(duration(0), [this, link] { mObserver.OnLinkDown(link); });
-    return link;
+    aLink->mClosing = true;
+    mObserver.OnLinkDown(aLink);
+    return;
   }
-  link->mConnection = connection;
-  mLinks[connection] = link;
-  return link;
+  aLink->mConnection = connection;
+  mLinks[connection] = aLink;
 }
 
 int
--- a/src/peer/link.h
+++ b/src/peer/link.h
@@ -97,6 +97,7 @@
 private:
   friend class peer_link;
 
+  void Open(const std::shared_ptr<peer_link>& aLink, const endpoint& aTarget);
   bool SecretMatches(lws* aConnection) const;
   int AppendSecret(unsigned char** aPosition,
                    std::size_t aRoom,
--- a/test/integration/calls-test.cc
+++ b/test/integration/calls-test.cc
@@ -205,8 +205,7 @@
   test.RequireNoBrokenInvariant();
 }
 
-TEST_CASE("Calls_UpstreamsAndNodesLeaveUnderLoad_NoRequestIsCut",
-          "[calls][known-red]")
+TEST_CASE("Calls_UpstreamsAndNodesLeaveUnderLoad_NoRequestIsCut", "[calls]")
 {
   deployment_fixture test(fleet_shape{ 4, 4 });
   test.Start();
@@ -235,7 +234,7 @@
   RequireTruthful(test, load.Report());
 }
 
-TEST_CASE("Calls_FirstCallOverANewLink_IsServed", "[calls][known-red]")
+TEST_CASE("Calls_FirstCallOverANewLink_IsServed", "[calls]")
 {
   deployment_fixture test(fleet_shape{ 8, 4 });
   test.Start();
--- a/test/integration/rollout-test.cc
+++ b/test/integration/rollout-test.cc
@@ -62,7 +62,7 @@
 
 TEST_CASE_METHOD(rollout_fixture,
                  "Rollout_GoodVersionWithStoreOut_MovesAndIsRecordedLater",
-                 "[rollout][known-red]")
+                 "[rollout]")
 {
   StartVersions(0);
   load_options options = LoadOn("GET", "/status/x");
