Ask every linked node for the version floor while the store is out

Cause: a restarted node counted only the answers of its ring neighbours, one or two in a small fleet, and needs three; it never served while the store was out. Change: without a floor a node probes all nodes that it is linked to. The test takes the store out before the restart and gives the nodes seeds, as settings would; it is stricter than before.

--- a/src/fleet/fleet-node.cc
+++ b/src/fleet/fleet-node.cc
@@ -273,6 +273,12 @@
 fleet_node::PingNeighbours(time_point)
 {
   ping_message ping{ ++mPingSequence, Held() };
+  if (!mFloor.Value()) {
+    // Neighbours alone may be too few to vouch for the floor.
+    for (const auto& [node, view] : mPeers) {
+      mNetwork.Send(node, ping);
+    }
+  }
   for (const node_id& node : mNeighbours) {
     if (mNetwork.Linked(node)) {
       mNetwork.Send(node, ping);
--- a/test/harness/local-fleet.cc
+++ b/test/harness/local-fleet.cc
@@ -108,6 +108,13 @@
     "--peer-listen=" + TextOf(place.peers),
     "--random-seed=" + std::to_string(aNode + 1),
   };
+  std::string seeds;
+  for (const node_place& other : mPlaces) {
+    seeds += (seeds.empty() ? "" : ",") + TextOf(other.peers);
+  }
+  if (mShape.seeds) {
+    flags.push_back("--seeds=" + seeds);
+  }
   flags.insert(flags.end(), mShape.node_flags.begin(), mShape.node_flags.end());
   mNodes[aNode] = std::make_unique<process>(mPrograms + "/eelgrasstrackd",
                                             flags,
--- a/test/harness/local-fleet.h
+++ b/test/harness/local-fleet.h
@@ -33,6 +33,8 @@
   /// The store's limits, in calls per second.
   double store_reads = 2000;
   double store_writes = 300;
+  /// Each node gets all others as seeds in its settings.
+  bool seeds = false;
   /// Nodes reach the store through this endpoint, if set.
   std::optional<endpoint> store_through;
 };
--- a/test/integration/distribution-test.cc
+++ b/test/integration/distribution-test.cc
@@ -3,7 +3,6 @@
 using namespace eelgrasstrack;
 using namespace eelgrasstrack::harness;
 using nlohmann::json;
-using std::chrono::milliseconds;
 using std::chrono::seconds;
 
 TEST_CASE("Distribution_StoreOutRightAfterAccept_ChangeReachesEveryNode",
@@ -95,15 +94,14 @@
           "[distribution]")
 {
   fleet_shape shape{ 5, 5 };
+  shape.seeds = true;
   deployment_fixture test(shape);
   test.Start();
   test.ApplyExample("seri-kenanga");
   test.fleet.RunFor(seconds(8));
+  test.fleet.Control(test.fleet.StorePlace(), { { "out", true } });
   test.fleet.Node(4).Kill();
-  // The store stays up for the bootstrap record only.
   test.fleet.StartNode(4);
-  test.fleet.RunFor(milliseconds(700));
-  test.fleet.Control(test.fleet.StorePlace(), { { "out", true } });
   REQUIRE(test.fleet.WaitServing(seconds(20)));
   REQUIRE(test.fleet.VersionAt(4) == 1);
 }
