--- /dev/null
+++ b/src/mesh/gossip.h
@@ -0,0 +1,81 @@
+#ifndef EELGRASSTRACK_MESH_GOSSIP_H_
+#define EELGRASSTRACK_MESH_GOSSIP_H_
+
+#include <random>
+#include <set>
+
+#include "mesh/host-directory.h"
+#include "proxy/proxy-counters.h"
+#include "proxy/version-gate.h"
+#include "wire/caller.h"
+
+namespace eelgrasstrack {
+
+/// What the gossip reports to the node.
+class gossip_owner
+{
+public:
+  virtual ~gossip_owner() = default;
+  virtual std::uint64_t ConfigVersion() const = 0;
+  /// A host holds a later configuration than this node.
+  virtual void WantConfig(const host_record& aFrom, std::uint64_t aVersion) = 0;
+  virtual void OnHostsChanged() = 0;
+  virtual void OnMoves(const std::vector<version_move>& aMoves) = 0;
+};
+
+/// Spreads what nodes know of each other. News goes at once to some nodes,
+/// which pass it on; now and then two nodes compare all they know, so that
+/// what was lost on the way arrives too (Demers et al., "Epidemic algorithms
+/// for replicated database maintenance", 1987).
+class gossip
+{
+public:
+  gossip(loop& aLoop,
+         caller& aCaller,
+         host_directory& aDirectory,
+         const version_gate& aVersions,
+         proxy_counters& aCounters,
+         gossip_owner& aOwner);
+
+  void Start();
+
+  /// Spreads the record of a host.
+  void SpreadHost(const host_record& aRecord);
+  /// Spreads the progress of a move.
+  void SpreadMove(const version_move& aMove);
+
+  /// Compares all with a host, as after the node's start.
+  void CompareWith(const std::string& aName);
+
+  /// Probes a host that may be lost; `aLost` is called if it does not answer.
+  void Probe(const std::string& aName);
+  void OnLost(std::function<void(const std::string&)> aHandler);
+
+  /// Handles a message of another node and returns the answer's body.
+  result<std::string> Take(const std::string& aBody);
+
+private:
+  void Send(const std::string& aName, const std::string& aBody);
+  void SpreadText(const std::string& aBody, const std::string& aExcept);
+  std::vector<std::string> Targets(const std::string& aExcept);
+  std::string MessageText(bool aCompare) const;
+  /// Returns records that the other side lacks.
+  std::string TakeText(const std::string& aBody);
+  void CompareWithSome();
+  void ProbeUnreachable();
+  std::vector<std::string> Reachable() const;
+
+  loop& mLoop;
+  caller& mCaller;
+  host_directory& mDirectory;
+  const version_gate& mVersions;
+  proxy_counters& mCounters;
+  gossip_owner& mOwner;
+  std::function<void(const std::string&)> mOnLost;
+  std::set<std::string> mProbing;
+  std::mt19937_64 mRandom{ std::random_device{}() };
+};
+
+} // namespace eelgrasstrack
+
+#endif // EELGRASSTRACK_MESH_GOSSIP_H_
--- /dev/null
+++ b/src/mesh/host-directory.cc
@@ -0,0 +1,81 @@
+#include "mesh/host-directory.h"
+
+namespace eelgrasstrack {
+
+bool
+host_directory::Merge(const host_record& aRecord, time_point aNow)
+{
+  auto known = mHosts.find(aRecord.name);
+  if (known == mHosts.end()) {
+    mHosts.emplace(aRecord.name, known_host{ aRecord, aNow, false, {} });
+    return true;
+  }
+  if (!IsNewer(aRecord, known->second.record)) {
+    return false;
+  }
+  known->second.record = aRecord;
+  known->second.learned = aNow;
+  known->second.unreachable = false; // it has spoken since
+  return true;
+}
+
+void
+host_directory::MarkUnreachable(const std::string& aName, time_point aNow)
+{
+  auto known = mHosts.find(aName);
+  if (known == mHosts.end() || aName == mSelf || known->second.unreachable) {
+    return;
+  }
+  known->second.unreachable = true;
+  known->second.unreachable_since = aNow;
+}
+
+bool
+host_directory::MarkReachable(const std::string& aName)
+{
+  auto known = mHosts.find(aName);
+  if (known == mHosts.end() || !known->second.unreachable) {
+    return false;
+  }
+  known->second.unreachable = false;
+  return true;
+}
+
+std::vector<std::string>
+host_directory::DropLost(duration aAfter, time_point aNow)
+{
+  std::vector<std::string> dropped;
+  for (auto entry = mHosts.begin(); entry != mHosts.end();) {
+    const known_host& host = entry->second;
+    if (host.unreachable && aNow - host.unreachable_since > aAfter) {
+      dropped.push_back(entry->first);
+      entry = mHosts.erase(entry);
+    } else {
+      ++entry;
+    }
+  }
+  return dropped;
+}
+
+const known_host*
+host_directory::Find(const std::string& aName) const
+{
+  auto known = mHosts.find(aName);
+  return known == mHosts.end() ? nullptr : &known->second;
+}
+
+std::vector<const known_host*>
+host_directory::Serving(const std::string& aService) const
+{
+  std::vector<const known_host*> serving;
+  for (const auto& [name, host] : mHosts) {
+    const instance_record& instance = host.record.instance;
+    if (!host.record.leaving && instance.state == instance_state::ready &&
+        instance.service == aService) {
+      serving.push_back(&host);
+    }
+  }
+  return serving;
+}
+
+} // namespace eelgrasstrack
--- /dev/null
+++ b/src/mesh/host-directory.h
@@ -0,0 +1,56 @@
+#ifndef EELGRASSTRACK_MESH_HOST_DIRECTORY_H_
+#define EELGRASSTRACK_MESH_HOST_DIRECTORY_H_
+
+#include <map>
+#include <vector>
+
+#include "mesh/host-record.h"
+
+namespace eelgrasstrack {
+
+/// A host as this node sees it.
+struct known_host
+{
+  host_record record;
+  /// Local time when the record was taken.
+  time_point learned{};
+  /// No answer from it lately; work goes elsewhere until a probe succeeds.
+  bool unreachable = false;
+  time_point unreachable_since{};
+};
+
+/// All hosts that this node knows of, itself included.
+class host_directory
+{
+public:
+  explicit host_directory(std::string aSelf)
+    : mSelf(std::move(aSelf))
+  {
+  }
+
+  /// Takes a record unless a newer one is known. Returns whether it was taken.
+  bool Merge(const host_record& aRecord, time_point aNow);
+
+  void MarkUnreachable(const std::string& aName, time_point aNow);
+  /// Returns whether the host counted as unreachable until now.
+  bool MarkReachable(const std::string& aName);
+
+  /// Drops hosts that were unreachable for longer than `aAfter`. Returns their
+  /// names.
+  std::vector<std::string> DropLost(duration aAfter, time_point aNow);
+
+  const known_host* Find(const std::string& aName) const;
+  const std::map<std::string, known_host>& All() const { return mHosts; }
+  const std::string& Self() const { return mSelf; }
+
+  /// Hosts beside a ready instance of the service that take new work.
+  std::vector<const known_host*> Serving(const std::string& aService) const;
+
+private:
+  std::string mSelf;
+  std::map<std::string, known_host> mHosts;
+};
+
+} // namespace eelgrasstrack
+
+#endif // EELGRASSTRACK_MESH_HOST_DIRECTORY_H_
--- /dev/null
+++ b/src/mesh/host-record.cc
@@ -0,0 +1,135 @@
+#include "mesh/host-record.h"
+
+#include <array>
+#include <nlohmann/json.hpp>
+#include <tuple>
+
+namespace eelgrasstrack {
+
+namespace {
+
+struct state_name
+{
+  instance_state state;
+  std::string_view name;
+};
+
+constexpr std::array<state_name, 4> kStateNames{ {
+  { instance_state::absent, "absent" },
+  { instance_state::ready, "ready" },
+  { instance_state::draining, "draining" },
+  { instance_state::gone, "gone" },
+} };
+
+result<instance_state>
+StateFromName(std::string_view aName)
+{
+  for (const state_name& row : kStateNames) {
+    if (row.name == aName) {
+      return row.state;
+    }
+  }
+  return Fail(error_kind::invalid_argument, "no state of an instance");
+}
+
+nlohmann::json
+EncodeInstance(const instance_record& aInstance)
+{
+  return { { "id", aInstance.id },
+           { "service", aInstance.service },
+           { "version", aInstance.version },
+           { "address", TextOf(aInstance.address) },
+           { "slots", aInstance.slots },
+           { "state", NameOf(aInstance.state) },
+           { "born", aInstance.born_ms },
+           { "cold_ms", Milliseconds(aInstance.cold_left) } };
+}
+
+result<instance_record>
+DecodeInstance(const nlohmann::json& aJson)
+{
+  instance_record instance;
+  instance.id = aJson.at("id").get<std::string>();
+  instance.service = aJson.at("service").get<std::string>();
+  instance.version = aJson.at("version").get<std::string>();
+  instance.address = EndpointFromText(aJson.at("address").get<std::string>());
+  instance.slots = aJson.at("slots").get<unsigned>();
+  instance.born_ms = aJson.at("born").get<std::int64_t>();
+  instance.cold_left =
+    std::chrono::milliseconds(aJson.at("cold_ms").get<std::int64_t>());
+  result<instance_state> state =
+    StateFromName(aJson.at("state").get<std::string>());
+  if (!state) {
+    return tl::unexpected<error>(state.error());
+  }
+  instance.state = *state;
+  return instance;
+}
+
+} // namespace
+
+std::string_view
+NameOf(instance_state aState)
+{
+  for (const state_name& row : kStateNames) {
+    if (row.state == aState) {
+      return row.name;
+    }
+  }
+  return "unknown";
+}
+
+bool
+IsNewer(const host_record& aLeft, const host_record& aRight)
+{
+  return std::tie(aLeft.incarnation, aLeft.sequence) >
+         std::tie(aRight.incarnation, aRight.sequence);
+}
+
+std::string
+EncodeHostRecord(const host_record& aRecord)
+{
+  nlohmann::json json = { { "name", aRecord.name },
+                          { "domain", aRecord.domain },
+                          { "hop", TextOf(aRecord.hop) },
+                          { "control", TextOf(aRecord.control) },
+                          { "incarnation", aRecord.incarnation },
+                          { "sequence", aRecord.sequence },
+                          { "leaving", aRecord.leaving } };
+  if (aRecord.instance.state != instance_state::absent) {
+    json["instance"] = EncodeInstance(aRecord.instance);
+  }
+  return json.dump();
+}
+
+result<host_record>
+DecodeHostRecord(std::string_view aText)
+{
+  try {
+    nlohmann::json json = nlohmann::json::parse(aText);
+    host_record record;
+    record.name = json.at("name").get<std::string>();
+    record.domain = json.at("domain").get<std::string>();
+    record.hop = EndpointFromText(json.at("hop").get<std::string>());
+    record.control = EndpointFromText(json.at("control").get<std::string>());
+    record.incarnation = json.at("incarnation").get<std::int64_t>();
+    record.sequence = json.at("sequence").get<std::uint64_t>();
+    record.leaving = json.at("leaving").get<bool>();
+    if (record.hop.port == 0 || record.control.port == 0) {
+      return Fail(error_kind::invalid_argument, "a host without an address");
+    }
+    if (json.contains("instance")) {
+      result<instance_record> instance = DecodeInstance(json.at("instance"));
+      if (!instance) {
+        return tl::unexpected<error>(instance.error());
+      }
+      record.instance = std::move(*instance);
+    }
+    return record;
+  } catch (const nlohmann::json::exception& problem) {
+    return Fail(error_kind::invalid_argument,
+                std::string("host record: ") + problem.what());
+  }
+}
+
+} // namespace eelgrasstrack
--- /dev/null
+++ b/src/mesh/mesh-node.cc
@@ -0,0 +1,517 @@
+#include "mesh/mesh-node.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+#include "base/invariant.h"
+#include "base/log.h"
+
+namespace eelgrasstrack {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr int kOk = 200;
+constexpr int kBadRequest = 400;
+constexpr int kNotFound = 404;
+constexpr int kUnavailable = 503;
+
+constexpr duration kMaintainPeriod = std::chrono::milliseconds(1000);
+constexpr duration kHopSweepPeriod = std::chrono::milliseconds(200);
+constexpr duration kListAgain = std::chrono::milliseconds(500);
+constexpr duration kConfigFetchTimeout = std::chrono::milliseconds(1500);
+/// Heartbeats that may be missing before the instance counts as gone.
+constexpr int kMissedHeartbeats = 4;
+/// How long callers and nodes may still send after a stop was announced.
+constexpr duration kLinger = std::chrono::milliseconds(2600);
+constexpr duration kDrainCheckPeriod = std::chrono::milliseconds(100);
+/// Time kept back from the grace period for the end of the process.
+constexpr duration kExitReserve = std::chrono::milliseconds(400);
+/// A host that was unreachable for so long is taken to be gone for good.
+constexpr duration kLostAfter = std::chrono::seconds(60);
+constexpr duration kIdleCalls = std::chrono::seconds(20);
+
+whole_response
+Response(int aStatus, std::string aBody = "")
+{
+  whole_response response;
+  response.status = aStatus;
+  response.body = std::move(aBody);
+  return response;
+}
+
+} // namespace
+
+mesh_node::mesh_node(loop& aLoop,
+                     socket_host& aHost,
+                     caller& aCaller,
+                     control_store& aStore,
+                     proxy_counters& aCounters,
+                     const request_names& aNames,
+                     mesh_settings aSettings)
+  : mLoop(aLoop)
+  , mHost(aHost)
+  , mCaller(aCaller)
+  , mStore(aStore)
+  , mCounters(aCounters)
+  , mNames(aNames)
+  , mSettings(std::move(aSettings))
+  , mDirectory(mSettings.name)
+  , mChooser(mSettings.domain, std::random_device{}())
+  , mLocal(aHost, mNames)
+  , mHops(aHost, mNames)
+  , mIngress({ aHost,
+               mNames,
+               mLocal,
+               mHops,
+               mDirectory,
+               mChooser,
+               mRetries,
+               mVersions,
+               aCounters })
+  , mHopServer(aHost, mNames, mLocal)
+  , mGossip(aLoop, aCaller, mDirectory, mVersions, aCounters, *this)
+  , mMoves(aLoop, aCaller, aStore, mDirectory, mVersions, aCounters, *this)
+{
+  mSelf.name = mSettings.name;
+  mSelf.domain = mSettings.domain;
+  mSelf.hop = mSettings.hop_listen;
+  mSelf.control = mSettings.control_listen;
+  mSelf.incarnation = aLoop.UnixMilliseconds();
+  mIngress.SetCallerService(mSettings.service);
+  Reload(mSettings);
+}
+
+void
+mesh_node::Reload(const mesh_settings& aSettings)
+{
+  mSettings.bounds = aSettings.bounds;
+  mSettings.heartbeat_interval = aSettings.heartbeat_interval;
+  retry_window_options retries;
+  retries.ratio = mSettings.bounds.retry_ratio;
+  retries.allowance = mSettings.bounds.retry_allowance;
+  retries.window = mSettings.bounds.retry_window;
+  mRetries.SetOptions(retries);
+  mMoves.SetBounds(mSettings.bounds);
+}
+
+result<void>
+mesh_node::Start()
+{
+  mDirectory.Merge(mSelf, mLoop.Now());
+  result<void> opened = mIngress.Listen(mSettings.caller_listen);
+  if (opened) {
+    opened = mHopServer.Listen(mSettings.hop_listen);
+  }
+  if (opened) {
+    opened = ServeAt(mHost,
+                     mSettings.control_listen,
+                     [this](whole_request aRequest, respond aRespond) {
+                       ServeControl(std::move(aRequest), std::move(aRespond));
+                     });
+  }
+  if (opened) {
+    opened = ServeAt(mHost,
+                     mSettings.ready_listen,
+                     [this](const whole_request&, const respond& aRespond) {
+                       aRespond(Response(Ready() ? kOk : kUnavailable));
+                     });
+  }
+  if (!opened) {
+    return opened;
+  }
+  mLocal.OnResult([this](const run_result& aResult) {
+    mMoves.OnResult(mLocal.Instance().service, aResult);
+  });
+  mHops.OnDoubt([this](const std::string& aName) { mGossip.Probe(aName); });
+  mGossip.OnLost([this](const std::string& aName) { mHops.HostLost(aName); });
+  mGossip.Start();
+  mMoves.Start();
+  mStore.Follow(*this);
+  PublishSelf();
+  mLoop.Every(kMaintainPeriod, [this] { Maintain(); });
+  mLoop.Every(kHopSweepPeriod, [this] { mHops.Sweep(mLoop.Now()); });
+  LogEvent(log_level::info,
+           "node_started",
+           { { "name", mSelf.name },
+             { "domain", mSelf.domain },
+             { "service", mSettings.service } });
+  return {};
+}
+
+bool
+mesh_node::Ready() const
+{
+  return mIngress.Table() != nullptr && mListed && !mDraining;
+}
+
+void
+mesh_node::PublishSelf()
+{
+  mStore.PublishHost(mSelf, [this](result<void> aDone) {
+    if (!aDone) {
+      LogEvent(log_level::debug,
+               "publish_failed",
+               { { "reason", aDone.error().message } });
+      mLoop.After(kListAgain, [this] { PublishSelf(); });
+      return;
+    }
+    ListOthers();
+  });
+}
+
+void
+mesh_node::ListOthers()
+{
+  mStore.ListHosts([this](result<std::vector<host_record>> aHosts) {
+    if (!aHosts) {
+      LogEvent(log_level::debug,
+               "listing_failed",
+               { { "reason", aHosts.error().message } });
+      mLoop.After(kListAgain, [this] { ListOthers(); });
+      return;
+    }
+    for (const host_record& record : *aHosts) {
+      if (record.name != mSelf.name) {
+        mDirectory.Merge(record, mLoop.Now());
+      }
+    }
+    mListed = true;
+    OnHostsChanged();
+    mGossip.SpreadHost(mSelf);
+    // One other node tells what changed since the entries were written.
+    for (const auto& [name, host] : mDirectory.All()) {
+      if (name != mSelf.name) {
+        mGossip.CompareWith(name);
+        break;
+      }
+    }
+  });
+}
+
+void
+mesh_node::ChangeSelf()
+{
+  ++mSelf.sequence;
+  mDirectory.Merge(mSelf, mLoop.Now());
+  RefreshVersions();
+  mGossip.SpreadHost(mSelf);
+}
+
+bool
+mesh_node::Announce(const instance_announcement& aAnnouncement)
+{
+  const instance_record& known = mSelf.instance;
+  const instance_record& said = aAnnouncement.instance;
+  bool sameLife = said.id == known.id && said.born_ms == known.born_ms;
+  bool late = sameLife ? aAnnouncement.sequence <= mAnnouncedSequence
+                       : said.born_ms < known.born_ms;
+  if (late) {
+    LogEvent(log_level::info,
+             "announcement_late",
+             { { "instance", said.id },
+               { "sequence", std::to_string(aAnnouncement.sequence) } });
+    return false;
+  }
+  if (sameLife && (known.state == instance_state::draining ||
+                   known.state == instance_state::gone)) {
+    return true; // it has said that it leaves, and does not come back
+  }
+  mAnnouncedSequence = aAnnouncement.sequence;
+  mAnnouncedAt = mLoop.Now();
+  bool changed = !sameLife || said.state != known.state ||
+                 said.slots != known.slots ||
+                 !(said.address == known.address) ||
+                 said.version != known.version;
+  if (!changed) {
+    return true;
+  }
+  LogEvent(log_level::info,
+           "instance_changed",
+           { { "instance", said.id },
+             { "version", said.version },
+             { "state", std::string(NameOf(said.state)) },
+             { "born", std::to_string(said.born_ms) } });
+  mSelf.instance = said;
+  mLocal.SetInstance(said);
+  ChangeSelf();
+  return true;
+}
+
+void
+mesh_node::InstanceLeft(const std::string& aId)
+{
+  if (mSelf.instance.id != aId ||
+      mSelf.instance.state == instance_state::gone) {
+    return;
+  }
+  LogEvent(log_level::info, "instance_left", { { "instance", aId } });
+  mSelf.instance.state = instance_state::gone;
+  mLocal.SetInstance(mSelf.instance);
+  ChangeSelf();
+}
+
+void
+mesh_node::WatchInstance()
+{
+  if (mSelf.instance.state != instance_state::ready) {
+    return;
+  }
+  duration silent = mLoop.Now() - mAnnouncedAt;
+  if (silent > mSettings.heartbeat_interval * kMissedHeartbeats) {
+    LogEvent(log_level::warning,
+             "instance_silent",
+             { { "instance", mSelf.instance.id },
+               { "silent_ms", std::to_string(Milliseconds(silent)) } });
+    mSelf.instance.state = instance_state::absent;
+    mLocal.SetInstance(mSelf.instance);
+    ChangeSelf();
+  }
+}
+
+void
+mesh_node::RefreshVersions()
+{
+  std::size_t nodes = 0;
+  for (const auto& [name, host] : mDirectory.All()) {
+    nodes += host.unreachable ? 0 : 1;
+    const instance_record& instance = host.record.instance;
+    if (instance.state == instance_state::ready) {
+      mVersions.SeeVersion(
+        instance.service, instance.version, instance.born_ms);
+    }
+  }
+  mRetries.SetNodes(nodes);
+}
+
+void
+mesh_node::Maintain()
+{
+  time_point now = mLoop.Now();
+  mIngress.Sweep(now);
+  mHopServer.Sweep(now);
+  mLocal.CloseIdle(now);
+  mCaller.CloseIdle(kIdleCalls);
+  mChooser.Forget(now);
+  WatchInstance();
+  for (const std::string& name : mDirectory.DropLost(kLostAfter, now)) {
+    LogEvent(log_level::info, "host_dropped", { { "host", name } });
+  }
+}
+
+void
+mesh_node::Drain()
+{
+  if (mDraining) {
+    return;
+  }
+  LogEvent(log_level::info, "node_stopping");
+  mDraining = true;
+  mDrainBegan = mLoop.Now();
+  mSelf.leaving = true;
+  mLocal.SetLeaving(true);
+  mIngress.SetClosing(true);
+  mHopServer.SetClosing(true);
+  ChangeSelf();
+  mLoop.Every(kDrainCheckPeriod, [this] { FinishDraining(); });
+}
+
+void
+mesh_node::FinishDraining()
+{
+  duration passed = mLoop.Now() - mDrainBegan;
+  if (passed < kLinger) {
+    return;
+  }
+  bool busy = mIngress.Busy() > 0 || mLocal.Active() > 0;
+  if (busy && passed < mSettings.bounds.grace - kExitReserve) {
+    return;
+  }
+  LogEvent(log_level::info,
+           "node_stopped",
+           { { "unfinished", std::to_string(mIngress.Busy()) } });
+  mLoop.Stop();
+}
+
+// control_store_observer
+
+void
+mesh_node::OnTable(accepted_table aTable)
+{
+  if (aTable.table->Version() <= ConfigVersion()) {
+    return;
+  }
+  LogEvent(log_level::info,
+           "configuration_taken",
+           { { "version", std::to_string(aTable.table->Version()) },
+             { "before", std::to_string(ConfigVersion()) },
+             { "routes", std::to_string(aTable.table->RouteCount()) } });
+  mConfigText = std::move(aTable.text);
+  mIngress.SetTable(aTable.table);
+}
+
+void
+mesh_node::OnOrder(const move_order& aOrder)
+{
+  mMoves.OnOrder(aOrder);
+}
+
+void
+mesh_node::OnOrderRemoved(const std::string& aService)
+{
+  mMoves.OnOrderRemoved(aService);
+}
+
+// gossip_owner
+
+std::uint64_t
+mesh_node::ConfigVersion() const
+{
+  return mIngress.Table() ? mIngress.Table()->Version() : 0;
+}
+
+void
+mesh_node::WantConfig(const host_record& aFrom, std::uint64_t aVersion)
+{
+  if (mFetchingConfig) {
+    return;
+  }
+  mFetchingConfig = true;
+  whole_request request;
+  request.target = "/v1/config";
+  mCounters.Add(proxy_event::peer_message);
+  mCaller.Call(
+    aFrom.control,
+    std::move(request),
+    kConfigFetchTimeout,
+    [this, aVersion](result<whole_response> aResponse) {
+      mFetchingConfig = false;
+      if (!aResponse || aResponse->status != kOk) {
+        mCounters.Add(proxy_event::peer_failed);
+        return;
+      }
+      result<accepted_table> table =
+        mStore.ReadTable(std::move(aResponse->body));
+      if (!table) {
+        LogEvent(log_level::warning,
+                 "configuration_refused",
+                 { { "version", std::to_string(aVersion) },
+                   { "reason", table.error().message } });
+        return;
+      }
+      OnTable(std::move(*table));
+    });
+}
+
+void
+mesh_node::OnHostsChanged()
+{
+  if (!mListed && mDirectory.All().size() > 1) {
+    mListed = true; // others have told what the store could not
+  }
+  RefreshVersions();
+}
+
+void
+mesh_node::OnMoves(const std::vector<version_move>& aMoves)
+{
+  for (const version_move& move : aMoves) {
+    mMoves.OnMove(move);
+  }
+}
+
+// move_driver_owner
+
+void
+mesh_node::OnMove(const version_move& aMove)
+{
+  mGossip.SpreadMove(aMove);
+}
+
+void
+mesh_node::ServeControl(whole_request aRequest, respond aRespond)
+{
+  if (aRequest.target == "/v1/ping") {
+    aRespond(Response(kOk));
+    return;
+  }
+  if (aRequest.target == "/v1/gossip") {
+    result<std::string> answer = mGossip.Take(aRequest.body);
+    if (!answer) {
+      LogEvent(log_level::warning,
+               "peer_message_refused",
+               { { "reason", answer.error().message } });
+    }
+    aRespond(answer ? Response(kOk, std::move(*answer))
+                    : Response(kBadRequest));
+    return;
+  }
+  if (aRequest.target == "/v1/evidence") {
+    result<void> taken = mMoves.TakeReport(aRequest.body);
+    if (!taken) {
+      LogEvent(log_level::warning,
+               "peer_counts_refused",
+               { { "reason", taken.error().message } });
+    }
+    aRespond(Response(taken ? kOk : kBadRequest));
+    return;
+  }
+  if (aRequest.target == "/v1/config") {
+    aRespond(mConfigText.empty() ? Response(kNotFound)
+                                 : Response(kOk, mConfigText));
+    return;
+  }
+  if (aRequest.target == "/metrics") {
+    aRespond(Response(kOk, Metrics()));
+    return;
+  }
+  if (aRequest.target == "/state") {
+    aRespond(Response(kOk, Dump()));
+    return;
+  }
+  aRespond(Response(kNotFound));
+}
+
+std::string
+mesh_node::Metrics() const
+{
+  std::string text;
+  mCounters.Expose(text);
+  text += "eelgrasstrack_config_version " + std::to_string(ConfigVersion()) +
+          "\neelgrasstrack_hosts " + std::to_string(mDirectory.All().size()) +
+          "\neelgrasstrack_instance_busy " +
+          std::to_string(mLocal.Load().busy) +
+          "\neelgrasstrack_instance_waiting " +
+          std::to_string(mLocal.Load().waiting) + "\n";
+  return text;
+}
+
+std::string
+mesh_node::Dump() const
+{
+  json hosts = json::array();
+  for (const auto& [name, host] : mDirectory.All()) {
+    json entry = json::parse(EncodeHostRecord(host.record));
+    entry["unreachable"] = host.unreachable;
+    hosts.push_back(std::move(entry));
+  }
+  json moves = json::array();
+  for (const auto& [service, move] : mVersions.Moves()) {
+    moves.push_back({ { "service", service },
+                      { "to", move.to },
+                      { "order", move.order },
+                      { "phase", NameOf(move.phase) } });
+  }
+  run_load load = mLocal.Load();
+  return json({ { "name", mSelf.name },
+                { "ready", Ready() },
+                { "config_version", ConfigVersion() },
+                { "hosts", std::move(hosts) },
+                { "moves", std::move(moves) },
+                { "busy", load.busy },
+                { "waiting", load.waiting } })
+    .dump();
+}
+
+} // namespace eelgrasstrack
--- /dev/null
+++ b/src/mesh/mesh-node.h
@@ -0,0 +1,116 @@
+#ifndef EELGRASSTRACK_MESH_MESH_NODE_H_
+#define EELGRASSTRACK_MESH_MESH_NODE_H_
+
+#include "mesh/control-store.h"
+#include "mesh/gossip.h"
+#include "mesh/mesh-settings.h"
+#include "mesh/move-driver.h"
+#include "proxy/hop-server.h"
+#include "proxy/ingress.h"
+#include "wire/service-port.h"
+
+namespace eelgrasstrack {
+
+/// What an instance says of itself, in the order in which it says it.
+struct instance_announcement
+{
+  instance_record instance;
+  /// Rises with each announcement of one incarnation.
+  std::int64_t sequence = 0;
+};
+
+/// One node of the mesh: the proxy beside an instance, with what it knows of
+/// the others.
+class mesh_node final
+  : public control_store_observer
+  , public gossip_owner
+  , public move_driver_owner
+{
+public:
+  mesh_node(loop& aLoop,
+            socket_host& aHost,
+            caller& aCaller,
+            control_store& aStore,
+            proxy_counters& aCounters,
+            const request_names& aNames,
+            mesh_settings aSettings);
+
+  /// Opens the addresses and begins to find the others. Fails with `internal`.
+  result<void> Start();
+
+  /// Takes new settings; addresses stay as they are until a restart.
+  void Reload(const mesh_settings& aSettings);
+
+  /// Stops taking work, finishes what runs, then stops the loop.
+  void Drain();
+
+  /// Whether callers may send to this node.
+  bool Ready() const;
+
+  /// An announcement of the instance on this host. Returns whether it was
+  /// taken; late ones of an earlier state or incarnation are not.
+  bool Announce(const instance_announcement& aAnnouncement);
+
+  /// The instance on this host says that it ends.
+  void InstanceLeft(const std::string& aId);
+
+  /// Metrics in the text exposition format.
+  std::string Metrics() const;
+
+  /// What the node believes, as JSON.
+  std::string Dump() const;
+
+  // control_store_observer
+  void OnTable(accepted_table aTable) override;
+  void OnOrder(const move_order& aOrder) override;
+  void OnOrderRemoved(const std::string& aService) override;
+
+  // gossip_owner
+  std::uint64_t ConfigVersion() const override;
+  void WantConfig(const host_record& aFrom, std::uint64_t aVersion) override;
+  void OnHostsChanged() override;
+  void OnMoves(const std::vector<version_move>& aMoves) override;
+
+  // move_driver_owner
+  void OnMove(const version_move& aMove) override;
+
+private:
+  void PublishSelf();
+  void ChangeSelf();
+  void ListOthers();
+  void WatchInstance();
+  void RefreshVersions();
+  void Maintain();
+  void FinishDraining();
+  void ServeControl(whole_request aRequest, respond aRespond);
+
+  loop& mLoop;
+  socket_host& mHost;
+  caller& mCaller;
+  control_store& mStore;
+  proxy_counters& mCounters;
+  const request_names& mNames;
+  mesh_settings mSettings;
+  host_directory mDirectory;
+  instance_chooser mChooser;
+  retry_window mRetries;
+  version_gate mVersions;
+  instance_port mLocal;
+  hop_client mHops;
+  ingress mIngress;
+  hop_server mHopServer;
+  gossip mGossip;
+  move_driver mMoves;
+  host_record mSelf;
+  std::string mConfigText;
+  std::int64_t mAnnouncedSequence = -1;
+  time_point mAnnouncedAt{};
+  time_point mDrainBegan{};
+  bool mListed = false;
+  bool mDraining = false;
+  bool mFetchingConfig = false;
+};
+
+} // namespace eelgrasstrack
+
+#endif // EELGRASSTRACK_MESH_MESH_NODE_H_
--- /dev/null
+++ b/src/net/socket.cc
@@ -0,0 +1,470 @@
+#include "net/socket.h"
+
+#include <arpa/inet.h>
+#include <array>
+#include <cerrno>
+#include <cstring>
+#include <libwebsockets.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <stdexcept>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "base/log.h"
+
+namespace eelgrasstrack {
+
+namespace {
+
+constexpr std::size_t kReadBytes = 65536;
+constexpr int kListenBacklog = 512;
+/// Queued bytes above which the sent part is cut off the buffer.
+constexpr std::size_t kCompactBytes = 65536;
+
+/// Probes that find connections that went silent without a reset.
+constexpr int kKeepAliveIdleSeconds = 1;
+constexpr int kKeepAliveIntervalSeconds = 1;
+constexpr int kKeepAliveProbes = 2;
+
+sockaddr_in
+SocketAddress(const endpoint& aEndpoint)
+{
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(aEndpoint.port);
+  if (inet_pton(AF_INET, aEndpoint.address.c_str(), &address.sin_addr) != 1) {
+    address.sin_family = AF_UNSPEC;
+  }
+  return address;
+}
+
+void
+SetOption(int aDescriptor, int aLevel, int aName, int aValue)
+{
+  if (setsockopt(aDescriptor, aLevel, aName, &aValue, sizeof aValue) != 0) {
+    LogEvent(log_level::debug,
+             "socket_option_refused",
+             { { "option", std::to_string(aName) },
+               { "reason", std::strerror(errno) } });
+  }
+}
+
+} // namespace
+
+/// The library's entry into this module.
+struct socket_dispatch
+{
+  static int Handle(lws* aSession,
+                    lws_callback_reasons aReason,
+                    void*,
+                    void*,
+                    std::size_t)
+  {
+    void* target = lws_get_opaque_user_data(aSession);
+    if (target == nullptr) {
+      return 0;
+    }
+    bool listening = lws_get_protocol(aSession)->id == kListenProtocol;
+    if (listening) {
+      return HandleListener(
+        aReason, static_cast<listener_entry*>(target)->owner, target);
+    }
+    return HandleConnection(aReason, static_cast<connection*>(target));
+  }
+
+  struct listener_entry
+  {
+    socket_host* owner;
+    socket_host::listener* entry;
+  };
+
+  static int HandleListener(lws_callback_reasons aReason,
+                            socket_host* aOwner,
+                            void* aTarget)
+  {
+    if (aReason == LWS_CALLBACK_RAW_RX_FILE) {
+      aOwner->AcceptAll(*static_cast<listener_entry*>(aTarget)->entry);
+    }
+    if (aReason == LWS_CALLBACK_RAW_CLOSE_FILE) {
+      delete static_cast<listener_entry*>(aTarget);
+    }
+    return 0;
+  }
+
+  static int HandleConnection(lws_callback_reasons aReason, connection* aPeer)
+  {
+    switch (aReason) {
+      case LWS_CALLBACK_RAW_RX_FILE:
+        return aPeer->HandleReadable() ? 0 : -1;
+      case LWS_CALLBACK_RAW_WRITEABLE_FILE:
+        return aPeer->HandleWritable() ? 0 : -1;
+      case LWS_CALLBACK_RAW_CLOSE_FILE:
+        aPeer->HandleReleased();
+        return 0;
+      default:
+        return 0;
+    }
+  }
+
+  static constexpr unsigned kListenProtocol = 1;
+  static constexpr unsigned kConnectionProtocol = 2;
+};
+
+namespace {
+
+constexpr const char* kListenName = "listener";
+constexpr const char* kConnectionName = "connection";
+
+const std::array<lws_protocols, 3> kProtocols{ {
+  { kListenName,
+    socket_dispatch::Handle,
+    0,
+    0,
+    socket_dispatch::kListenProtocol,
+    nullptr,
+    0 },
+  { kConnectionName,
+    socket_dispatch::Handle,
+    0,
+    0,
+    socket_dispatch::kConnectionProtocol,
+    nullptr,
+    0 },
+  { nullptr, nullptr, 0, 0, 0, nullptr, 0 },
+} };
+
+lws*
+AdoptDescriptor(lws_vhost* aVhost, int aDescriptor, const char* aProtocol)
+{
+  lws_sock_file_fd_type descriptor;
+  descriptor.filefd = aDescriptor;
+  return lws_adopt_descriptor_vhost(
+    aVhost, LWS_ADOPT_RAW_FILE_DESC, descriptor, aProtocol, nullptr);
+}
+
+} // namespace
+
+connection::connection(socket_host& aHost, int aDescriptor, bool aConnected)
+  : mHost(aHost)
+  , mDescriptor(aDescriptor)
+  , mConnected(aConnected)
+{
+}
+
+connection::~connection()
+{
+  if (mDescriptor >= 0 && mSession == nullptr) {
+    close(mDescriptor);
+  }
+}
+
+void
+connection::SetObserver(std::shared_ptr<observer> aObserver)
+{
+  mObserver = std::move(aObserver);
+}
+
+void
+connection::Adopt()
+{
+  mSession = AdoptDescriptor(mHost.mVhost, mDescriptor, kConnectionName);
+  if (mSession == nullptr) {
+    mDescriptor = -1; // the library has closed it
+    return;
+  }
+  lws_set_opaque_user_data(mSession, this);
+  mSelf = shared_from_this();
+  if (!mConnected) {
+    AskForWritable();
+  }
+}
+
+void
+connection::Send(std::string_view aBytes)
+{
+  if (Closed() || aBytes.empty()) {
+    return;
+  }
+  mOutgoing.append(aBytes);
+  if (mConnected && !mWritableAsked) {
+    Flush();
+  }
+}
+
+bool
+connection::Flush()
+{
+  while (Unsent() > 0) {
+    ssize_t sent = send(mDescriptor,
+                        mOutgoing.data() + mSentPart,
+                        Unsent(),
+                        MSG_NOSIGNAL | MSG_DONTWAIT);
+    if (sent < 0 && errno == EINTR) {
+      continue;
+    }
+    if (sent < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
+      AskForWritable();
+      return true;
+    }
+    if (sent < 0) {
+      // The read side reports the end with what arrived before it.
+      mOutgoing.clear();
+      mSentPart = 0;
+      return false;
+    }
+    mSentAnything = true;
+    mSentPart += static_cast<std::size_t>(sent);
+    if (mSentPart > kCompactBytes) {
+      mOutgoing.erase(0, mSentPart);
+      mSentPart = 0;
+    }
+  }
+  mOutgoing.clear();
+  mSentPart = 0;
+  return true;
+}
+
+void
+connection::CloseAfterSending()
+{
+  std::shared_ptr<connection> self = shared_from_this();
+  mObserver.reset();
+  if (Closed() || Unsent() == 0) {
+    Close();
+    return;
+  }
+  mCloseWhenSent = true;
+}
+
+void
+connection::Close()
+{
+  std::shared_ptr<connection> self = shared_from_this();
+  mObserver.reset();
+  Release();
+}
+
+void
+connection::Release()
+{
+  if (Closed()) {
+    return;
+  }
+  mDescriptor = -1;
+  if (mSession != nullptr && !mInCallback) {
+    // The library closes the descriptor and calls `HandleReleased`.
+    lws_set_timeout(mSession, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_SYNC);
+  }
+}
+
+void
+connection::PauseReading(bool aPaused)
+{
+  if (!Closed()) {
+    lws_rx_flow_control(mSession, aPaused ? 0 : 1);
+  }
+}
+
+void
+connection::AskForWritable()
+{
+  if (mWritableAsked || Closed()) {
+    return;
+  }
+  mWritableAsked = true;
+  if (!mInCallback) {
+    lws_callback_on_writable(mSession);
+    return;
+  }
+  // A request made inside the writable callback is cleared on its return.
+  mHost.mLoop.After(duration(0), [self = shared_from_this()] {
+    if (!self->Closed()) {
+      lws_callback_on_writable(self->mSession);
+    }
+  });
+}
+
+bool
+connection::HandleReadable()
+{
+  static std::array<char, kReadBytes> buffer;
+  std::shared_ptr<connection> self = shared_from_this();
+  mInCallback = true;
+  while (!Closed()) {
+    ssize_t got = recv(mDescriptor, buffer.data(), buffer.size(), MSG_DONTWAIT);
+    if (got > 0) {
+      std::shared_ptr<observer> target = mObserver;
+      if (target) {
+        target->OnReceived(
+          std::string_view(buffer.data(), static_cast<std::size_t>(got)));
+      }
+      if (static_cast<std::size_t>(got) < buffer.size()) {
+        break;
+      }
+      continue;
+    }
+    if (got == 0) {
+      End(connection_end::finished);
+      break;
+    }
+    if (errno == EINTR) {
+      continue;
+    }
+    if (errno != EAGAIN && errno != EWOULDBLOCK) {
+      End(mConnected ? connection_end::broken : connection_end::not_connected);
+    }
+    break;
+  }
+  mInCallback = false;
+  return !Closed();
+}
+
+bool
+connection::HandleWritable()
+{
+  std::shared_ptr<connection> self = shared_from_this();
+  mInCallback = true;
+  mWritableAsked = false;
+  if (!mConnected) {
+    int problem = 0;
+    socklen_t size = sizeof problem;
+    getsockopt(mDescriptor, SOL_SOCKET, SO_ERROR, &problem, &size);
+    if (problem != 0) {
+      End(connection_end::not_connected);
+      mInCallback = false;
+      return false;
+    }
+    mConnected = true;
+    std::shared_ptr<observer> target = mObserver;
+    if (target) {
+      target->OnConnected();
+    }
+  }
+  if (!Closed() && Flush() && Unsent() == 0) {
+    if (mCloseWhenSent) {
+      Release();
+    } else if (std::shared_ptr<observer> target = mObserver) {
+      target->OnSent();
+    }
+  }
+  mInCallback = false;
+  return !Closed();
+}
+
+void
+connection::End(connection_end aEnd)
+{
+  std::shared_ptr<observer> target = std::move(mObserver);
+  mObserver.reset();
+  Release();
+  if (target) {
+    target->OnEnded(aEnd);
+  }
+}
+
+void
+connection::HandleReleased()
+{
+  std::shared_ptr<connection> self = std::move(mSelf);
+  lws_set_opaque_user_data(mSession, nullptr);
+  bool unexpected = !Closed();
+  mSession = nullptr;
+  if (unexpected) {
+    mDescriptor = -1;
+    End(mConnected ? connection_end::broken : connection_end::not_connected);
+  }
+}
+
+socket_host::socket_host(loop& aLoop)
+  : mLoop(aLoop)
+{
+  lws_context_creation_info info{};
+  info.port = CONTEXT_PORT_NO_LISTEN;
+  info.vhost_name = "sockets";
+  info.protocols = kProtocols.data();
+  mVhost = lws_create_vhost(aLoop.Context(), &info);
+  if (mVhost == nullptr) {
+    throw std::runtime_error("can't create the host of the sockets");
+  }
+}
+
+result<void>
+socket_host::Listen(const endpoint& aEndpoint, accept_handler aHandler)
+{
+  sockaddr_in address = SocketAddress(aEndpoint);
+  int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (descriptor < 0) {
+    return Fail(error_kind::internal, "no descriptor for a listening socket");
+  }
+  SetOption(descriptor, SOL_SOCKET, SO_REUSEADDR, 1);
+  if (bind(descriptor,
+           reinterpret_cast<const sockaddr*>(&address),
+           sizeof address) != 0 ||
+      listen(descriptor, kListenBacklog) != 0) {
+    std::string reason = std::strerror(errno);
+    close(descriptor);
+    return Fail(error_kind::internal,
+                "can't listen at " + TextOf(aEndpoint) + ": " + reason);
+  }
+  lws* session = AdoptDescriptor(mVhost, descriptor, kListenName);
+  if (session == nullptr) {
+    return Fail(error_kind::internal,
+                "the loop has no place for a listening socket");
+  }
+  mListeners.push_back(
+    std::make_unique<listener>(listener{ descriptor, std::move(aHandler) }));
+  lws_set_opaque_user_data(
+    session,
+    new socket_dispatch::listener_entry{ this, mListeners.back().get() });
+  return {};
+}
+
+void
+socket_host::AcceptAll(listener& aListener)
+{
+  while (true) {
+    int descriptor = accept4(
+      aListener.descriptor, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (descriptor < 0) {
+      return;
+    }
+    SetOption(descriptor, IPPROTO_TCP, TCP_NODELAY, 1);
+    auto accepted = std::make_shared<connection>(*this, descriptor, true);
+    accepted->Adopt();
+    if (!accepted->Closed()) {
+      aListener.handler(accepted);
+    }
+  }
+}
+
+std::shared_ptr<connection>
+socket_host::Connect(const endpoint& aEndpoint, const connect_options& aOptions)
+{
+  sockaddr_in address = SocketAddress(aEndpoint);
+  int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (descriptor < 0) {
+    return nullptr;
+  }
+  SetOption(descriptor, IPPROTO_TCP, TCP_NODELAY, 1);
+  SetOption(descriptor,
+            IPPROTO_TCP,
+            TCP_USER_TIMEOUT,
+            static_cast<int>(Milliseconds(aOptions.unacknowledged_limit)));
+  SetOption(descriptor, SOL_SOCKET, SO_KEEPALIVE, 1);
+  SetOption(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, kKeepAliveIdleSeconds);
+  SetOption(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, kKeepAliveIntervalSeconds);
+  SetOption(descriptor, IPPROTO_TCP, TCP_KEEPCNT, kKeepAliveProbes);
+  int outcome = connect(descriptor,
+                        reinterpret_cast<const sockaddr*>(&address),
+                        sizeof address);
+  if (outcome != 0 && errno != EINPROGRESS) {
+    close(descriptor);
+    return nullptr;
+  }
+  auto opened = std::make_shared<connection>(*this, descriptor, false);
+  opened->Adopt();
+  return opened->Closed() ? nullptr : opened;
+}
+
+} // namespace eelgrasstrack
--- /dev/null
+++ b/src/proxy/forwarded-request.cc
@@ -0,0 +1,97 @@
+#include "proxy/forwarded-request.h"
+
+#include <algorithm>
+#include <array>
+
+namespace eelgrasstrack {
+
+namespace {
+
+struct reason_name
+{
+  run_failure_reason reason;
+  std::string_view name;
+};
+
+constexpr std::array<reason_name, 7> kReasonNames{ {
+  { run_failure_reason::full, "full" },
+  { run_failure_reason::leaving, "leaving" },
+  { run_failure_reason::wrong_instance, "wrong_instance" },
+  { run_failure_reason::unreachable, "unreachable" },
+  { run_failure_reason::refused_by_instance, "refused_by_instance" },
+  { run_failure_reason::broken, "broken" },
+  { run_failure_reason::silent_host, "silent_host" },
+} };
+
+bool
+IsHopField(std::string_view aName)
+{
+  return aName.size() > kHopFieldPrefix.size() &&
+         SameName(aName.substr(0, kHopFieldPrefix.size()), kHopFieldPrefix);
+}
+
+} // namespace
+
+std::string_view
+NameOf(run_failure_reason aReason)
+{
+  for (const reason_name& row : kReasonNames) {
+    if (row.reason == aReason) {
+      return row.name;
+    }
+  }
+  return "unknown";
+}
+
+std::optional<run_failure_reason>
+RunFailureReasonFromName(std::string_view aName)
+{
+  for (const reason_name& row : kReasonNames) {
+    if (row.name == aName) {
+      return row.reason;
+    }
+  }
+  return std::nullopt;
+}
+
+void
+AppendForwardedFields(std::string& aText, const message_head& aHead)
+{
+  for (const header_field& field : aHead.fields) {
+    AppendField(aText, field.name, field.value);
+  }
+}
+
+body_framing
+AppendRequestFraming(std::string& aText, const forwarded_request& aRequest)
+{
+  body_framing framing = body_framing::length;
+  if (!aRequest.body_whole && !aRequest.body_length) {
+    AppendField(aText, "Transfer-Encoding", "chunked");
+    framing = body_framing::chunked;
+  } else if (aRequest.body_length || !aRequest.body.empty()) {
+    AppendField(aText,
+                "Content-Length",
+                std::to_string(aRequest.body_length.value_or(
+                  static_cast<std::uint64_t>(aRequest.body.size()))));
+  } else {
+    framing = body_framing::none;
+  }
+  aText += "\r\n";
+  return framing;
+}
+
+void
+KeepEndToEndFields(header_fields& aFields, const request_names& aNames)
+{
+  const std::string* connectionField = FindField(aFields, "Connection");
+  std::string listed = connectionField != nullptr ? *connectionField : "";
+  std::erase_if(aFields, [&](const header_field& aField) {
+    return IsHopByHop(aField.name, &listed) || IsHopField(aField.name) ||
+           SameName(aField.name, aNames.timeout_ms) ||
+           SameName(aField.name, aNames.target_instance) ||
+           SameName(aField.name, aNames.caller_service);
+  });
+}
+
+} // namespace eelgrasstrack
--- /dev/null
+++ b/src/proxy/hop-client.cc
@@ -0,0 +1,352 @@
+#include "proxy/hop-client.h"
+
+#include "proxy/hop-fields.h"
+
+namespace eelgrasstrack {
+
+namespace {
+
+/// Silence of a host, with an answer overdue, after which it is probed.
+constexpr duration kSilence = std::chrono::milliseconds(400);
+/// Time within which a connection to another node must come to be.
+constexpr duration kConnectLimit = std::chrono::milliseconds(400);
+/// Time after which unacknowledged bytes break a connection to a node.
+constexpr duration kUnacknowledgedLimit = std::chrono::milliseconds(1500);
+constexpr duration kIdleLimit = std::chrono::seconds(15);
+constexpr std::size_t kMaxIdlePerHost = 32;
+
+} // namespace
+
+/// One request that runs on another host.
+class hop_run final
+  : public client_channel::observer
+  , public run_handle
+  , public std::enable_shared_from_this<hop_run>
+{
+public:
+  hop_run(hop_client& aClient,
+          std::string aHostName,
+          forwarded_request aRequest,
+          std::shared_ptr<answer_sink> aSink)
+    : mClient(aClient)
+    , mHostName(std::move(aHostName))
+    , mRequest(std::move(aRequest))
+    , mSink(std::move(aSink))
+  {
+  }
+
+  /// Returns false if no connection could be begun.
+  bool Start()
+  {
+    hop_client::host_state& state = mClient.mHosts[mHostName];
+    mBegan = mClient.mHost.Loop().Now();
+    mChannel = mClient.TakeChannel(state);
+    if (!mChannel) {
+      return false;
+    }
+    state.runs.insert(this);
+    std::string text;
+    AppendRequestLine(text, mRequest.head);
+    AppendForwardedFields(text, mRequest.head);
+    AppendField(text, kCallField, EncodeCall(mRequest, mBegan));
+    mFraming = AppendRequestFraming(text, mRequest);
+    AppendBody(text, mRequest.body, mRequest.body_whole);
+    mChannel->Begin(text,
+                    shared_from_this(),
+                    { mClient.mNames.request_id, mRequest.request_id },
+                    mRequest.head.method == "HEAD");
+    return true;
+  }
+
+  time_point Began() const { return mBegan; }
+
+  /// Ends a request that never left, or that may run once more elsewhere.
+  void GiveUp(bool aHostLost)
+  {
+    bool unsent = !mChannel || !mChannel->Sent();
+    if (!unsent && (!aHostLost || !mRequest.idempotent || mAnswered)) {
+      return;
+    }
+    run_failure failure;
+    failure.reason = unsent ? run_failure_reason::unreachable
+                            : run_failure_reason::silent_host;
+    failure.not_run = unsent;
+    failure.reached = !unsent;
+    if (mChannel) {
+      mChannel->Abort();
+    }
+    FailWith(failure);
+  }
+
+  void Cancel() override
+  {
+    std::shared_ptr<hop_run> self = shared_from_this();
+    mSink.reset();
+    if (mChannel) {
+      mChannel->Abort();
+    }
+    Finish();
+  }
+
+  void SendBody(std::string_view aBytes, bool aLast) override
+  {
+    if (mChannel) {
+      std::string text;
+      AppendBody(text, aBytes, aLast);
+      mChannel->SendMore(text);
+    }
+  }
+
+  std::size_t Unsent() const override
+  {
+    return mChannel ? mChannel->Unsent() : 0;
+  }
+
+  void PauseAnswer(bool aPaused) override
+  {
+    if (mChannel) {
+      mChannel->PauseReading(aPaused);
+    }
+  }
+
+  void OnRequestSent() override
+  {
+    if (mSink && !mRequest.body_whole) {
+      mSink->OnBodyWanted();
+    }
+  }
+
+  void OnAnswerHead(message_head& aHead,
+                    std::optional<std::uint64_t> aLength) override
+  {
+    NoteHeard();
+    run_load load;
+    if (const std::string* text = FindField(aHead.fields, kLoadField)) {
+      load = DecodeLoad(*text).value_or(run_load{});
+    }
+    if (const std::string* text = FindField(aHead.fields, kFailedField)) {
+      mFailure = DecodeFailure(*text).value_or(run_failure{});
+      mFailure->load = load;
+      return;
+    }
+    mAnswered = true;
+    message_head head = std::move(aHead);
+    KeepEndToEndFields(head.fields, mClient.mNames);
+    mSink->OnAnswer(std::move(head), aLength, load);
+  }
+
+  void OnAnswerBody(std::string_view aBytes) override
+  {
+    NoteHeard();
+    if (mSink && !mFailure) {
+      mSink->OnAnswerBody(aBytes);
+    }
+  }
+
+  void OnAnswerEnd() override
+  {
+    std::shared_ptr<hop_run> self = shared_from_this();
+    mClient.KeepChannel(mClient.mHosts[mHostName], std::move(mChannel));
+    mChannel.reset();
+    if (mFailure) {
+      FailWith(*mFailure);
+      return;
+    }
+    std::shared_ptr<answer_sink> sink = std::move(mSink);
+    mSink.reset();
+    Finish();
+    if (sink) {
+      sink->OnAnswerEnd();
+    }
+  }
+
+  void OnChannelFailed(const channel_failure& aFailure) override
+  {
+    std::shared_ptr<hop_run> self = shared_from_this();
+    run_failure failure;
+    bool unsent = aFailure.end == connection_end::not_connected;
+    failure.reason =
+      unsent ? run_failure_reason::unreachable : run_failure_reason::broken;
+    failure.not_run = unsent;
+    failure.reached = !unsent;
+    mChannel.reset();
+    std::string host = mHostName;
+    hop_client& client = mClient;
+    FailWith(failure);
+    client.Doubt(host);
+  }
+
+private:
+  void NoteHeard()
+  {
+    mClient.mHosts[mHostName].last_heard = mClient.mHost.Loop().Now();
+  }
+
+  void AppendBody(std::string& aText, std::string_view aBytes, bool aLast)
+  {
+    if (mFraming != body_framing::chunked) {
+      aText += aBytes;
+      return;
+    }
+    AppendChunk(aText, aBytes);
+    if (aLast) {
+      aText += kLastChunk;
+    }
+  }
+
+  void FailWith(const run_failure& aFailure)
+  {
+    std::shared_ptr<hop_run> self = shared_from_this();
+    std::shared_ptr<answer_sink> sink = std::move(mSink);
+    mSink.reset();
+    Finish();
+    if (sink) {
+      sink->OnRunFailed(aFailure);
+    }
+  }
+
+  void Finish() { mClient.mHosts[mHostName].runs.erase(this); }
+
+  hop_client& mClient;
+  std::string mHostName;
+  forwarded_request mRequest;
+  std::shared_ptr<answer_sink> mSink;
+  std::shared_ptr<client_channel> mChannel;
+  std::optional<run_failure> mFailure;
+  body_framing mFraming = body_framing::none;
+  time_point mBegan{};
+  bool mAnswered = false;
+};
+
+hop_client::hop_client(socket_host& aHost, const request_names& aNames)
+  : mHost(aHost)
+  , mNames(aNames)
+{
+}
+
+void
+hop_client::OnDoubt(std::function<void(const std::string&)> aHandler)
+{
+  mOnDoubt = std::move(aHandler);
+}
+
+void
+hop_client::Doubt(const std::string& aHostName)
+{
+  if (mOnDoubt) {
+    mOnDoubt(aHostName);
+  }
+}
+
+run_start
+hop_client::Run(const std::string& aHostName,
+                const endpoint& aAddress,
+                forwarded_request aRequest,
+                std::shared_ptr<answer_sink> aSink)
+{
+  host_state& state = mHosts[aHostName];
+  if (!(state.address == aAddress)) {
+    for (const auto& channel : state.idle) {
+      channel->Abort();
+    }
+    state.idle.clear();
+    state.address = aAddress;
+  }
+  auto run = std::make_shared<hop_run>(
+    *this, aHostName, std::move(aRequest), std::move(aSink));
+  if (!run->Start()) {
+    run_failure failure;
+    failure.reason = run_failure_reason::unreachable;
+    failure.not_run = true;
+    return tl::unexpected<run_failure>(failure);
+  }
+  return std::shared_ptr<run_handle>(run);
+}
+
+std::shared_ptr<client_channel>
+hop_client::TakeChannel(host_state& aState)
+{
+  time_point now = mHost.Loop().Now();
+  while (!aState.idle.empty()) {
+    std::shared_ptr<client_channel> channel = aState.idle.back();
+    aState.idle.pop_back();
+    if (channel->Reusable(now)) {
+      return channel;
+    }
+    channel->Abort();
+  }
+  connect_options options;
+  options.unacknowledged_limit = kUnacknowledgedLimit;
+  return client_channel::Open(mHost, aState.address, options);
+}
+
+void
+hop_client::KeepChannel(host_state& aState,
+                        std::shared_ptr<client_channel> aChannel)
+{
+  if (!aChannel) {
+    return;
+  }
+  if (aState.idle.size() < kMaxIdlePerHost &&
+      aChannel->Reusable(mHost.Loop().Now())) {
+    aState.idle.push_back(std::move(aChannel));
+    return;
+  }
+  aChannel->Abort();
+}
+
+void
+hop_client::HostLost(const std::string& aHostName)
+{
+  auto found = mHosts.find(aHostName);
+  if (found == mHosts.end()) {
+    return;
+  }
+  for (const auto& channel : found->second.idle) {
+    channel->Abort();
+  }
+  found->second.idle.clear();
+  std::vector<std::shared_ptr<hop_run>> runs;
+  for (hop_run* run : found->second.runs) {
+    runs.push_back(run->shared_from_this());
+  }
+  for (const auto& run : runs) {
+    run->GiveUp(true);
+  }
+}
+
+void
+hop_client::Sweep(time_point aNow)
+{
+  std::vector<std::string> doubtful;
+  std::vector<std::shared_ptr<hop_run>> overdue;
+  for (auto& [name, state] : mHosts) {
+    std::erase_if(state.idle, [&](const auto& aChannel) {
+      bool old = !aChannel->Reusable(aNow) ||
+                 aNow - aChannel->IdleSince() > kIdleLimit;
+      if (old) {
+        aChannel->Abort();
+      }
+      return old;
+    });
+    bool silent = false;
+    for (hop_run* run : state.runs) {
+      if (aNow - run->Began() > kConnectLimit) {
+        overdue.push_back(run->shared_from_this());
+      }
+      silent = silent || (aNow - run->Began() > kSilence &&
+                          aNow - state.last_heard > kSilence);
+    }
+    if (silent) {
+      doubtful.push_back(name);
+    }
+  }
+  for (const auto& run : overdue) {
+    run->GiveUp(false); // only those that never left
+  }
+  for (const std::string& name : doubtful) {
+    Doubt(name);
+  }
+}
+
+} // namespace eelgrasstrack
--- /dev/null
+++ b/src/proxy/hop-client.h
@@ -0,0 +1,60 @@
+#ifndef EELGRASSTRACK_PROXY_HOP_CLIENT_H_
+#define EELGRASSTRACK_PROXY_HOP_CLIENT_H_
+
+#include <functional>
+#include <map>
+#include <set>
+
+#include "proxy/forwarded-request.h"
+#include "wire/client-channel.h"
+
+namespace eelgrasstrack {
+
+/// Sends requests to the nodes beside the chosen instances and keeps the
+/// connections to them.
+class hop_client
+{
+public:
+  hop_client(socket_host& aHost, const request_names& aNames);
+
+  /// Called with the name of a host that may be lost: a connection failed, or
+  /// an answer is overdue and nothing was heard from it for a while.
+  void OnDoubt(std::function<void(const std::string&)> aHandler);
+
+  run_start Run(const std::string& aHostName,
+                const endpoint& aAddress,
+                forwarded_request aRequest,
+                std::shared_ptr<answer_sink> aSink);
+
+  /// The host does not answer probes: ends the requests that may be sent
+  /// elsewhere. Others go on waiting, as their answer may still come.
+  void HostLost(const std::string& aHostName);
+
+  /// Looks for overdue answers and closes idle connections.
+  void Sweep(time_point aNow);
+
+private:
+  friend class hop_run;
+
+  struct host_state
+  {
+    std::vector<std::shared_ptr<client_channel>> idle;
+    std::set<class hop_run*> runs;
+    time_point last_heard{};
+    /// The host's address, as the idle connections go to it.
+    endpoint address;
+  };
+
+  std::shared_ptr<client_channel> TakeChannel(host_state& aState);
+  void KeepChannel(host_state& aState, std::shared_ptr<client_channel> aChannel);
+  void Doubt(const std::string& aHostName);
+
+  socket_host& mHost;
+  const request_names& mNames;
+  std::map<std::string, host_state> mHosts;
+  std::function<void(const std::string&)> mOnDoubt;
+};
+
+} // namespace eelgrasstrack
+
+#endif // EELGRASSTRACK_PROXY_HOP_CLIENT_H_
--- /dev/null
+++ b/src/proxy/hop-server.cc
@@ -0,0 +1,194 @@
+#include "proxy/hop-server.h"
+
+#include <limits>
+
+#include "base/log.h"
+#include "proxy/hop-fields.h"
+
+namespace eelgrasstrack {
+
+namespace {
+
+constexpr int kBadRequest = 400;
+constexpr int kUnavailable = 503;
+constexpr std::uint32_t kHeadBytes = 256U << 10U;
+constexpr duration kHeadTimeout = std::chrono::seconds(10);
+/// Longer than the other side keeps an idle connection, so that it closes.
+constexpr duration kIdleTimeout = std::chrono::seconds(60);
+constexpr std::size_t kStreamWindowBytes = 256U << 10U;
+
+/// One request of another node.
+class hop_request final
+  : public request_owner
+  , public answer_sink
+  , public std::enable_shared_from_this<hop_request>
+{
+public:
+  hop_request(instance_port& aLocal, std::shared_ptr<server_session> aSession)
+    : mLocal(aLocal)
+    , mSession(std::move(aSession))
+  {
+  }
+
+  void Start(forwarded_request aRequest)
+  {
+    run_start started = mLocal.Run(std::move(aRequest), shared_from_this());
+    if (!started) {
+      OnRunFailed(started.error());
+      return;
+    }
+    mRun = std::move(*started);
+  }
+
+  void OnSenderLeft() override
+  {
+    mSession.reset();
+    std::shared_ptr<run_handle> run = std::move(mRun);
+    mRun.reset();
+    if (run) {
+      run->Cancel();
+    }
+  }
+
+  void OnMoreBody(std::string_view aBytes, bool aLast) override
+  {
+    if (!mRun) {
+      return;
+    }
+    mRun->SendBody(aBytes, aLast);
+    if (mRun->Unsent() > kStreamWindowBytes) {
+      mSession->PauseBody(true);
+    }
+  }
+
+  void OnAnswerSent() override
+  {
+    if (mRun) {
+      mRun->PauseAnswer(false);
+    }
+  }
+
+  void OnBodyWanted() override
+  {
+    if (mSession) {
+      mSession->PauseBody(false);
+    }
+  }
+
+  void OnAnswer(message_head aHead,
+                std::optional<std::uint64_t> aLength,
+                const run_load& aLoad) override
+  {
+    aHead.fields.push_back({ std::string(kLoadField), EncodeLoad(aLoad) });
+    mBegun = true;
+    mSession->BeginAnswer(aHead, aLength);
+  }
+
+  void OnAnswerBody(std::string_view aBytes) override
+  {
+    mSession->AnswerBody(aBytes);
+    if (mRun && mSession->Unsent() > kStreamWindowBytes) {
+      mRun->PauseAnswer(true);
+    }
+  }
+
+  void OnAnswerEnd() override
+  {
+    mRun.reset();
+    std::shared_ptr<server_session> session = std::move(mSession);
+    mSession.reset();
+    session->EndAnswer();
+  }
+
+  void OnRunFailed(const run_failure& aFailure) override
+  {
+    mRun.reset();
+    std::shared_ptr<server_session> session = std::move(mSession);
+    mSession.reset();
+    if (!session) {
+      return;
+    }
+    if (mBegun) {
+      session->CutAnswer();
+      return;
+    }
+    header_fields fields;
+    fields.push_back({ std::string(kFailedField), EncodeFailure(aFailure) });
+    if (aFailure.load) {
+      fields.push_back({ std::string(kLoadField), EncodeLoad(*aFailure.load) });
+    }
+    session->Answer(kUnavailable, fields);
+  }
+
+private:
+  instance_port& mLocal;
+  std::shared_ptr<server_session> mSession;
+  std::shared_ptr<run_handle> mRun;
+  bool mBegun = false;
+};
+
+} // namespace
+
+hop_server::hop_server(socket_host& aHost,
+                       const request_names& aNames,
+                       instance_port& aLocal)
+  : mHost(aHost)
+  , mNames(aNames)
+  , mLocal(aLocal)
+{
+}
+
+result<void>
+hop_server::Listen(const endpoint& aAddress)
+{
+  return mHost.Listen(aAddress,
+                      [this](std::shared_ptr<connection> aConnection) {
+                        auto session = std::make_shared<server_session>(
+                          aConnection, *this, mSessions, mHost.Loop());
+                        mSessions.Add(session);
+                        aConnection->SetObserver(session);
+                      });
+}
+
+traffic_limits
+hop_server::Limits() const
+{
+  // The first hop has checked the request against the declared limits.
+  traffic_limits limits;
+  limits.head_bytes = kHeadBytes;
+  limits.body_bytes = std::numeric_limits<std::uint64_t>::max();
+  limits.head_timeout = kHeadTimeout;
+  limits.idle_timeout = kIdleTimeout;
+  return limits;
+}
+
+std::shared_ptr<request_owner>
+hop_server::Begin(received_request aRequest,
+                  const std::shared_ptr<server_session>& aSession)
+{
+  auto owner = std::make_shared<hop_request>(mLocal, aSession);
+  forwarded_request request;
+  const std::string* call = FindField(aRequest.head.fields, kCallField);
+  result<void> decoded = DecodeCall(
+    call != nullptr ? *call : "", mHost.Loop().Now(), request);
+  if (!decoded) {
+    LogEvent(log_level::warning,
+             "hop_request_refused",
+             { { "reason", decoded.error().message } });
+    aSession->Answer(kBadRequest, {});
+    return owner;
+  }
+  if (const std::string* id =
+        FindField(aRequest.head.fields, mNames.request_id)) {
+    request.request_id = *id;
+  }
+  request.head = std::move(aRequest.head);
+  KeepEndToEndFields(request.head.fields, mNames);
+  request.body = std::move(aRequest.body);
+  request.body_whole = aRequest.body_whole;
+  request.body_length = aRequest.body_length;
+  owner->Start(std::move(request));
+  return owner;
+}
+
+} // namespace eelgrasstrack
--- /dev/null
+++ b/src/proxy/hop-server.h
@@ -0,0 +1,40 @@
+#ifndef EELGRASSTRACK_PROXY_HOP_SERVER_H_
+#define EELGRASSTRACK_PROXY_HOP_SERVER_H_
+
+#include "proxy/instance-port.h"
+#include "proxy/server-session.h"
+
+namespace eelgrasstrack {
+
+/// Takes the requests that other nodes send to the instance beside this one.
+class hop_server final : public request_server
+{
+public:
+  hop_server(socket_host& aHost,
+             const request_names& aNames,
+             instance_port& aLocal);
+
+  result<void> Listen(const endpoint& aAddress);
+
+  void SetClosing(bool aClosing) { mClosing = aClosing; }
+  void CloseIdle() { mSessions.CloseIdle(); }
+  void Sweep(time_point aNow) { mSessions.Sweep(aNow); }
+  std::size_t Busy() const { return mSessions.Busy(); }
+
+  traffic_limits Limits() const override;
+  std::shared_ptr<request_owner> Begin(
+    received_request aRequest,
+    const std::shared_ptr<server_session>& aSession) override;
+  bool Closing() const override { return mClosing; }
+
+private:
+  socket_host& mHost;
+  const request_names& mNames;
+  instance_port& mLocal;
+  session_list mSessions;
+  bool mClosing = false;
+};
+
+} // namespace eelgrasstrack
+
+#endif // EELGRASSTRACK_PROXY_HOP_SERVER_H_
--- /dev/null
+++ b/src/proxy/ingress.h
@@ -0,0 +1,77 @@
+#ifndef EELGRASSTRACK_PROXY_INGRESS_H_
+#define EELGRASSTRACK_PROXY_INGRESS_H_
+
+#include "mesh/host-directory.h"
+#include "proxy/hop-client.h"
+#include "proxy/instance-chooser.h"
+#include "proxy/instance-port.h"
+#include "proxy/proxy-counters.h"
+#include "proxy/retry-window.h"
+#include "proxy/server-session.h"
+#include "proxy/version-gate.h"
+
+namespace eelgrasstrack {
+
+/// What the first hop works with. All of it outlives the ingress.
+struct ingress_parts
+{
+  socket_host& host;
+  const request_names& names;
+  instance_port& local;
+  hop_client& hops;
+  host_directory& directory;
+  instance_chooser& chooser;
+  retry_window& retries;
+  version_gate& versions;
+  proxy_counters& counters;
+};
+
+/// The first hop: takes the requests of callers on this host, finds the route
+/// and an instance for each, and answers.
+class ingress final : public request_server
+{
+public:
+  explicit ingress(ingress_parts aParts);
+
+  result<void> Listen(const endpoint& aAddress);
+
+  /// Service of the upstream on this host, as instances learn it.
+  void SetCallerService(std::string aService);
+
+  /// Takes a configuration. The version never falls.
+  void SetTable(traffic_table_ptr aTable);
+  const traffic_table_ptr& Table() const { return mTable; }
+
+  /// Every connection ends after its next answer.
+  void SetClosing(bool aClosing);
+
+  void Sweep(time_point aNow) { mSessions.Sweep(aNow); }
+  void CloseIdle() { mSessions.CloseIdle(); }
+  std::size_t Busy() const { return mSessions.Busy(); }
+
+  traffic_limits Limits() const override;
+  std::shared_ptr<request_owner> Begin(
+    received_request aRequest,
+    const std::shared_ptr<server_session>& aSession) override;
+  bool Closing() const override { return mClosing; }
+
+private:
+  friend class request_course;
+
+  /// The service that takes the next request of a route, by weight.
+  const std::string& NextTarget(const traffic_route& aRoute);
+  std::vector<instance_candidate> Candidates(const std::string& aService,
+                                             bool aTrial) const;
+
+  ingress_parts mParts;
+  std::string mCallerService;
+  traffic_table_ptr mTable;
+  session_list mSessions;
+  /// Weight that each target of a route has in hand, by route name.
+  std::map<std::string, std::map<std::string, double>> mWeights;
+  bool mClosing = false;
+};
+
+} // namespace eelgrasstrack
+
+#endif // EELGRASSTRACK_PROXY_INGRESS_H_
--- /dev/null
+++ b/src/proxy/instance-chooser.h
@@ -0,0 +1,88 @@
+#ifndef EELGRASSTRACK_PROXY_INSTANCE_CHOOSER_H_
+#define EELGRASSTRACK_PROXY_INSTANCE_CHOOSER_H_
+
+#include <random>
+#include <set>
+#include <unordered_map>
+
+#include "proxy/run-queue.h"
+
+namespace eelgrasstrack {
+
+/// An instance that a request may go to.
+struct instance_candidate
+{
+  std::string host;
+  std::string instance;
+  std::string domain;
+  unsigned slots = 1;
+  bool unreachable = false;
+  /// It started a short while ago and is slow.
+  bool cold = false;
+};
+
+/// Chooses instances by the time at which an answer is expected: how fast each
+/// is, what waits there, how often it failed lately, and what crossing failure
+/// domains costs.
+class instance_chooser
+{
+public:
+  instance_chooser(std::string aDomain, std::uint64_t aSeed);
+
+  /// Returns the index of the best candidate that is not in `aTried` (names
+  /// of instances). `aGoalLeft` scales the price of crossing domains.
+  std::optional<std::size_t> Choose(
+    const std::vector<instance_candidate>& aCandidates,
+    const std::set<std::string>& aTried,
+    duration aGoalLeft,
+    time_point aNow);
+
+  void Started(const std::string& aInstance);
+
+  enum class outcome
+  {
+    answered,
+    failed,
+    refused,
+    /// Nothing is learned, such as when the caller left.
+    withdrawn,
+  };
+
+  void Ended(const std::string& aInstance,
+             outcome aOutcome,
+             const std::optional<run_load>& aLoad,
+             time_point aNow);
+
+  /// Drops instances that were not chosen for a while.
+  void Forget(time_point aNow);
+
+private:
+  struct instance_load
+  {
+    unsigned outstanding = 0;
+    /// Requests of other nodes at the instance, as last reported.
+    double others = 0;
+    time_point reported{};
+    /// Moving average of the time a request takes, in microseconds.
+    double typical = 0;
+    /// Moving average of failures, 0 to 1.
+    double failures = 0;
+    time_point failed_at{};
+    time_point full_until{};
+    time_point used{};
+  };
+
+  double ExpectedMicroseconds(const instance_candidate& aCandidate,
+                              double aUsualTypical,
+                              duration aGoalLeft,
+                              time_point aNow);
+  double UsualTypical(const std::vector<instance_candidate>& aCandidates) const;
+
+  std::string mDomain;
+  std::mt19937_64 mRandom;
+  std::unordered_map<std::string, instance_load> mLoads;
+};
+
+} // namespace eelgrasstrack
+
+#endif // EELGRASSTRACK_PROXY_INSTANCE_CHOOSER_H_
--- /dev/null
+++ b/src/proxy/instance-port.cc
@@ -0,0 +1,482 @@
+#include "proxy/instance-port.h"
+
+#include "base/invariant.h"
+#include "base/log.h"
+
+namespace eelgrasstrack {
+
+namespace {
+
+/// How often waiting requests are looked at for those that are too late.
+constexpr duration kSweepPeriod = std::chrono::milliseconds(20);
+/// A connection to the instance that was idle for longer is not used again
+/// for a request that must not run twice: the instance may be closing it.
+constexpr duration kIdleLimitForUnsafe = std::chrono::milliseconds(1500);
+constexpr duration kIdleLimit = std::chrono::seconds(6);
+constexpr std::size_t kMaxIdle = 64;
+/// Time within which a connection to the instance beside must come to be.
+constexpr duration kUnacknowledgedLimit = std::chrono::seconds(2);
+
+} // namespace
+
+/// One request at the last hop, waiting or running.
+class instance_run final
+  : public client_channel::observer
+  , public run_handle
+  , public std::enable_shared_from_this<instance_run>
+{
+public:
+  instance_run(instance_port& aPort,
+               run_id aId,
+               forwarded_request aRequest,
+               std::shared_ptr<answer_sink> aSink)
+    : mPort(aPort)
+    , mId(aId)
+    , mRequest(std::move(aRequest))
+    , mSink(std::move(aSink))
+    , mVersion(aPort.mInstance.version)
+  {
+  }
+
+  void Start()
+  {
+    mStarted = true;
+    Dispatch(false);
+  }
+
+  void Refuse(run_failure_reason aReason, duration aRoomIn)
+  {
+    run_failure failure;
+    failure.reason = aReason;
+    failure.not_run = true;
+    failure.room_in = aRoomIn;
+    FailWith(failure);
+  }
+
+  void Cancel() override
+  {
+    mSink.reset();
+    if (mChannel) {
+      mChannel->Abort();
+      mChannel.reset();
+    }
+    if (mStarted) {
+      EndRun(duration(0));
+    } else {
+      mPort.mQueue.Withdraw(mId);
+      mPort.mRuns.erase(mId);
+    }
+  }
+
+  void SendBody(std::string_view aBytes, bool aLast) override
+  {
+    if (!mChannel) {
+      mRequest.body.append(aBytes);
+      mRequest.body_whole = mRequest.body_whole || aLast;
+      return;
+    }
+    std::string text;
+    AppendBody(text, aBytes, aLast);
+    mChannel->SendMore(text);
+  }
+
+  std::size_t Unsent() const override
+  {
+    return mChannel ? mChannel->Unsent() : mRequest.body.size();
+  }
+
+  void PauseAnswer(bool aPaused) override
+  {
+    if (mChannel) {
+      mChannel->PauseReading(aPaused);
+    }
+  }
+
+  void OnRequestSent() override
+  {
+    if (mSink && !mRequest.body_whole) {
+      mSink->OnBodyWanted();
+    }
+  }
+
+  void OnAnswerHead(message_head& aHead,
+                    std::optional<std::uint64_t> aLength) override
+  {
+    const request_names& names = mPort.mNames;
+    constexpr int kMisdirected = 421;
+    if (FindField(aHead.fields, names.not_executed) != nullptr ||
+        aHead.status == kMisdirected) {
+      mRefusedStatus = aHead.status;
+      return;
+    }
+    bool success = aHead.status >= 200 && aHead.status < 300;
+    if (success && FindField(aHead.fields, names.stamp) == nullptr) {
+      mBad = true; // no instance made it
+      return;
+    }
+    mStatus = aHead.status;
+    message_head head = std::move(aHead);
+    KeepEndToEndFields(head.fields, names);
+    mSink->OnAnswer(std::move(head), aLength, mPort.Load());
+  }
+
+  void OnAnswerBody(std::string_view aBytes) override
+  {
+    if (mSink && mRefusedStatus == 0 && !mBad) {
+      mSink->OnAnswerBody(aBytes);
+    }
+  }
+
+  void OnAnswerEnd() override
+  {
+    mPort.KeepChannel(std::move(mChannel));
+    mChannel.reset();
+    if (mRefusedStatus != 0) {
+      run_failure failure;
+      failure.reason = run_failure_reason::refused_by_instance;
+      failure.not_run = true;
+      failure.reached = true;
+      FailWith(failure);
+      return;
+    }
+    if (mBad) {
+      FailBroken("a success without the instance's mark");
+      return;
+    }
+    constexpr int kFirstServerError = 500;
+    Judge(mStatus >= kFirstServerError);
+    std::shared_ptr<answer_sink> sink = std::move(mSink);
+    mSink.reset();
+    EndRun(mStatus < kFirstServerError ? Took() : duration(0));
+    if (sink) {
+      sink->OnAnswerEnd();
+    }
+  }
+
+  void OnChannelFailed(const channel_failure& aFailure) override
+  {
+    mChannel.reset();
+    if (!aFailure.sent && aFailure.end == connection_end::not_connected) {
+      Refuse(run_failure_reason::unreachable, duration(0));
+      return;
+    }
+    if (mOnUsedChannel && !mRetried && !aFailure.answered &&
+        mRequest.idempotent && mRequest.body_whole) {
+      // The instance closed the idle connection as the request left.
+      mRetried = true;
+      Dispatch(true);
+      return;
+    }
+    FailBroken(aFailure.reason);
+  }
+
+private:
+  void Dispatch(bool aFreshOnly)
+  {
+    time_point now = mPort.mHost.Loop().Now();
+    mDispatched = now;
+    std::shared_ptr<client_channel> channel = mPort.TakeChannel(aFreshOnly);
+    if (!aFreshOnly && channel && !mRequest.idempotent &&
+        channel->UsedBefore() &&
+        now - channel->IdleSince() > kIdleLimitForUnsafe) {
+      channel->Abort();
+      channel = mPort.TakeChannel(true);
+    }
+    if (!channel) {
+      // No descriptor is left. The caller does not hold the handle yet.
+      mPort.mHost.Loop().After(duration(0), [self = shared_from_this()] {
+        self->Refuse(run_failure_reason::unreachable, duration(0));
+      });
+      return;
+    }
+    mOnUsedChannel = channel->UsedBefore();
+    mChannel = channel;
+    channel->Begin(RequestText(now),
+                   shared_from_this(),
+                   { mPort.mNames.request_id, mRequest.request_id },
+                   mRequest.head.method == "HEAD");
+  }
+
+  std::string RequestText(time_point aNow)
+  {
+    const request_names& names = mPort.mNames;
+    std::string text;
+    AppendRequestLine(text, mRequest.head);
+    AppendForwardedFields(text, mRequest.head);
+    std::int64_t left = Milliseconds(mRequest.deadline - aNow);
+    AppendField(
+      text, names.timeout_ms, std::to_string(left > 1 ? left : 1));
+    AppendField(text, names.target_instance, mRequest.instance);
+    AppendField(text, names.caller_service, mRequest.caller_service);
+    mFraming = AppendRequestFraming(text, mRequest);
+    AppendBody(text, mRequest.body, mRequest.body_whole);
+    return text;
+  }
+
+  void AppendBody(std::string& aText, std::string_view aBytes, bool aLast)
+  {
+    if (mFraming != body_framing::chunked) {
+      aText += aBytes;
+      return;
+    }
+    AppendChunk(aText, aBytes);
+    if (aLast) {
+      aText += kLastChunk;
+    }
+  }
+
+  duration Took() const { return mPort.mHost.Loop().Now() - mDispatched; }
+
+  void Judge(bool aFailed)
+  {
+    mPort.Report({ mRequest.route, mVersion, aFailed, Took() });
+  }
+
+  void FailBroken(const std::string& aReason)
+  {
+    LogEvent(log_level::info,
+             "instance_answer_broken",
+             { { "request", mRequest.request_id },
+               { "instance", mRequest.instance },
+               { "reason", aReason },
+               { "after_ms", std::to_string(Milliseconds(Took())) } });
+    Judge(true);
+    run_failure failure;
+    failure.reason = run_failure_reason::broken;
+    failure.reached = true;
+    FailWith(failure);
+  }
+
+  void FailWith(run_failure aFailure)
+  {
+    aFailure.load = mPort.Load();
+    std::shared_ptr<answer_sink> sink = std::move(mSink);
+    mSink.reset();
+    std::shared_ptr<instance_run> self = shared_from_this();
+    if (mStarted) {
+      EndRun(duration(0));
+    } else {
+      mPort.mRuns.erase(mId);
+    }
+    if (sink) {
+      sink->OnRunFailed(aFailure);
+    }
+  }
+
+  void EndRun(duration aTook)
+  {
+    std::shared_ptr<instance_run> self = shared_from_this();
+    if (!mEnded) {
+      mEnded = true;
+      mPort.Ended(mId, mRequest.route, aTook);
+    }
+  }
+
+  instance_port& mPort;
+  run_id mId;
+  forwarded_request mRequest;
+  std::shared_ptr<answer_sink> mSink;
+  std::string mVersion;
+  std::shared_ptr<client_channel> mChannel;
+  body_framing mFraming = body_framing::none;
+  time_point mDispatched{};
+  int mStatus = 0;
+  int mRefusedStatus = 0;
+  bool mBad = false;
+  bool mStarted = false;
+  bool mEnded = false;
+  bool mRetried = false;
+  bool mOnUsedChannel = false;
+};
+
+instance_port::instance_port(socket_host& aHost, const request_names& aNames)
+  : mHost(aHost)
+  , mNames(aNames)
+{
+}
+
+void
+instance_port::SetInstance(const instance_record& aInstance)
+{
+  bool other = aInstance.id != mInstance.id ||
+               aInstance.born_ms != mInstance.born_ms;
+  mInstance = aInstance;
+  mQueue.SetSlots(aInstance.slots);
+  if (other) {
+    for (const auto& channel : mIdle) {
+      channel->Abort();
+    }
+    mIdle.clear();
+    RefuseWaiting(mQueue.TakeAll(), run_failure_reason::wrong_instance);
+  }
+}
+
+void
+instance_port::OnResult(std::function<void(const run_result&)> aObserver)
+{
+  mOnResult = std::move(aObserver);
+}
+
+void
+instance_port::Report(const run_result& aResult)
+{
+  if (mOnResult) {
+    mOnResult(aResult);
+  }
+}
+
+std::optional<run_failure>
+instance_port::RefusalOf(const forwarded_request& aRequest) const
+{
+  run_failure failure;
+  failure.not_run = true;
+  failure.load = Load();
+  if (mLeaving || mInstance.state == instance_state::draining ||
+      mInstance.state == instance_state::gone) {
+    failure.reason = run_failure_reason::leaving;
+    return failure;
+  }
+  if (mInstance.state != instance_state::ready ||
+      mInstance.id != aRequest.instance) {
+    failure.reason = run_failure_reason::wrong_instance;
+    return failure;
+  }
+  return std::nullopt;
+}
+
+run_start
+instance_port::Run(forwarded_request aRequest,
+                   std::shared_ptr<answer_sink> aSink)
+{
+  if (std::optional<run_failure> refusal = RefusalOf(aRequest)) {
+    return tl::unexpected<run_failure>(*refusal);
+  }
+  run_entry entry;
+  entry.id = mNextId++;
+  entry.key = aRequest.route;
+  entry.rank = aRequest.rank;
+  entry.goal = aRequest.goal;
+  entry.deadline = aRequest.deadline;
+  run_offer offer = mQueue.Offer(entry, mHost.Loop().Now());
+  if (offer.verdict == run_verdict::refuse) {
+    run_failure failure;
+    failure.reason = run_failure_reason::full;
+    failure.not_run = true;
+    failure.room_in = offer.room_in;
+    failure.load = Load();
+    return tl::unexpected<run_failure>(failure);
+  }
+  auto run = std::make_shared<instance_run>(
+    *this, entry.id, std::move(aRequest), std::move(aSink));
+  mRuns.emplace(entry.id, run);
+  if (offer.verdict == run_verdict::run) {
+    run->Start();
+  } else {
+    ArmSweep();
+  }
+  if (!offer.displaced.empty()) {
+    mHost.Loop().After(duration(0), [this, displaced = offer.displaced] {
+      RefuseWaiting(displaced, run_failure_reason::full);
+    });
+  }
+  return std::shared_ptr<run_handle>(run);
+}
+
+void
+instance_port::RefuseWaiting(const std::vector<run_id>& aIds,
+                             run_failure_reason aReason)
+{
+  for (run_id id : aIds) {
+    auto found = mRuns.find(id);
+    if (found != mRuns.end()) {
+      std::shared_ptr<instance_run> run = found->second;
+      run->Refuse(aReason, mQueue.Load().typical);
+    }
+  }
+}
+
+void
+instance_port::ArmSweep()
+{
+  if (mSweepArmed) {
+    return;
+  }
+  mSweepArmed = true;
+  mHost.Loop().After(kSweepPeriod, [this] {
+    mSweepArmed = false;
+    RunNext();
+    if (mQueue.Load().waiting > 0) {
+      ArmSweep();
+    }
+  });
+}
+
+void
+instance_port::RunNext()
+{
+  while (true) {
+    run_queue::next_run next = mQueue.Next(mHost.Loop().Now());
+    RefuseWaiting(next.expired, run_failure_reason::full);
+    if (!next.run) {
+      return;
+    }
+    auto found = mRuns.find(*next.run);
+    if (found != mRuns.end()) {
+      std::shared_ptr<instance_run> run = found->second;
+      run->Start();
+    }
+  }
+}
+
+void
+instance_port::Ended(run_id aId, const std::string& aRoute, duration aTook)
+{
+  mRuns.erase(aId);
+  mQueue.Finished(aRoute, aTook);
+  RunNext();
+}
+
+std::shared_ptr<client_channel>
+instance_port::TakeChannel(bool aFreshOnly)
+{
+  time_point now = mHost.Loop().Now();
+  while (!aFreshOnly && !mIdle.empty()) {
+    std::shared_ptr<client_channel> channel = mIdle.back();
+    mIdle.pop_back();
+    if (channel->Reusable(now)) {
+      return channel;
+    }
+    channel->Abort();
+  }
+  connect_options options;
+  options.unacknowledged_limit = kUnacknowledgedLimit;
+  return client_channel::Open(mHost, mInstance.address, options);
+}
+
+void
+instance_port::KeepChannel(std::shared_ptr<client_channel> aChannel)
+{
+  if (!aChannel) {
+    return;
+  }
+  if (mIdle.size() < kMaxIdle && aChannel->Reusable(mHost.Loop().Now())) {
+    mIdle.push_back(std::move(aChannel));
+    return;
+  }
+  aChannel->Abort();
+}
+
+void
+instance_port::CloseIdle(time_point aNow)
+{
+  std::erase_if(mIdle, [&](const std::shared_ptr<client_channel>& aChannel) {
+    bool old = !aChannel->Reusable(aNow) ||
+               aNow - aChannel->IdleSince() > kIdleLimit;
+    if (old) {
+      aChannel->Abort();
+    }
+    return old;
+  });
+}
+
+} // namespace eelgrasstrack
--- /dev/null
+++ b/src/proxy/instance-port.h
@@ -0,0 +1,74 @@
+#ifndef EELGRASSTRACK_PROXY_INSTANCE_PORT_H_
+#define EELGRASSTRACK_PROXY_INSTANCE_PORT_H_
+
+#include <functional>
+#include <unordered_map>
+
+#include "mesh/host-record.h"
+#include "proxy/forwarded-request.h"
+#include "wire/client-channel.h"
+
+namespace eelgrasstrack {
+
+/// How a request ended at the instance, for the evidence of a rollout.
+struct run_result
+{
+  std::string route;
+  std::string version;
+  bool failed = false;
+  duration took{ 0 };
+};
+
+/// The last hop: the only sender of work to the instance beside this node.
+/// It decides what runs, what waits and what is refused as not run.
+class instance_port
+{
+public:
+  instance_port(socket_host& aHost, const request_names& aNames);
+
+  /// Takes what the instance says of itself. A new incarnation begins with no
+  /// connection and an empty queue.
+  void SetInstance(const instance_record& aInstance);
+  const instance_record& Instance() const { return mInstance; }
+
+  /// The node stops: nothing new is taken.
+  void SetLeaving(bool aLeaving) { mLeaving = aLeaving; }
+
+  void OnResult(std::function<void(const run_result&)> aObserver);
+
+  run_start Run(forwarded_request aRequest, std::shared_ptr<answer_sink> aSink);
+
+  run_load Load() const { return mQueue.Load(); }
+  std::size_t Active() const { return mRuns.size(); }
+
+  /// Closes connections that are idle for long.
+  void CloseIdle(time_point aNow);
+
+private:
+  friend class instance_run;
+
+  std::optional<run_failure> RefusalOf(const forwarded_request& aRequest) const;
+  std::shared_ptr<client_channel> TakeChannel(bool aFreshOnly);
+  void KeepChannel(std::shared_ptr<client_channel> aChannel);
+  void Ended(run_id aId, const std::string& aRoute, duration aTook);
+  void RunNext();
+  void RefuseWaiting(const std::vector<run_id>& aIds,
+                     run_failure_reason aReason);
+  void ArmSweep();
+  void Report(const run_result& aResult);
+
+  socket_host& mHost;
+  const request_names& mNames;
+  instance_record mInstance;
+  bool mLeaving = false;
+  bool mSweepArmed = false;
+  run_queue mQueue{ 1 };
+  run_id mNextId = 1;
+  std::unordered_map<run_id, std::shared_ptr<class instance_run>> mRuns;
+  std::vector<std::shared_ptr<client_channel>> mIdle;
+  std::function<void(const run_result&)> mOnResult;
+};
+
+} // namespace eelgrasstrack
+
+#endif // EELGRASSTRACK_PROXY_INSTANCE_PORT_H_
--- /dev/null
+++ b/src/proxy/proxy-counters.h
@@ -0,0 +1,66 @@
+#ifndef EELGRASSTRACK_PROXY_PROXY_COUNTERS_H_
+#define EELGRASSTRACK_PROXY_PROXY_COUNTERS_H_
+
+#include <array>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "metrics/latency-histogram.h"
+
+namespace eelgrasstrack {
+
+/// What is counted of the requests and of the node's work.
+enum class proxy_event
+{
+  request_received,
+  answered,
+  answered_late,
+  failed_by_instance,
+  no_configuration,
+  no_route,
+  no_instance,
+  refused_full,
+  refused_by_instance,
+  answer_broken,
+  timed_out,
+  sender_left,
+  sent_again,
+  retry_denied,
+  hop_refused,
+  hop_failed,
+  store_call,
+  store_failed,
+  peer_message,
+  peer_failed,
+  count,
+};
+
+std::string_view
+NameOf(proxy_event aEvent);
+
+class proxy_counters
+{
+public:
+  void Add(proxy_event aEvent)
+  {
+    ++mCounts[static_cast<std::size_t>(aEvent)];
+  }
+  std::uint64_t Of(proxy_event aEvent) const
+  {
+    return mCounts[static_cast<std::size_t>(aEvent)];
+  }
+  latency_histogram& Latency() { return mLatency; }
+
+  /// Appends all in the text exposition format.
+  void Expose(std::string& aText) const;
+
+private:
+  std::array<std::uint64_t, static_cast<std::size_t>(proxy_event::count)>
+    mCounts{};
+  latency_histogram mLatency;
+};
+
+} // namespace eelgrasstrack
+
+#endif // EELGRASSTRACK_PROXY_PROXY_COUNTERS_H_
--- /dev/null
+++ b/src/proxy/run-queue.h
@@ -0,0 +1,110 @@
+#ifndef EELGRASSTRACK_PROXY_RUN_QUEUE_H_
+#define EELGRASSTRACK_PROXY_RUN_QUEUE_H_
+
+#include <list>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/clock.h"
+
+namespace eelgrasstrack {
+
+using run_id = std::uint64_t;
+
+/// A request that asks for a slot of an instance.
+struct run_entry
+{
+  run_id id = 0;
+  /// Requests of one key take similar time.
+  std::string key;
+  /// 0 is the most urgent.
+  unsigned rank = 0;
+  /// An answer after this is worth less.
+  time_point goal{};
+  /// An answer after this is worth nothing.
+  time_point deadline{};
+};
+
+enum class run_verdict
+{
+  run,
+  wait,
+  refuse,
+};
+
+struct run_offer
+{
+  run_verdict verdict = run_verdict::refuse;
+  /// Waiting requests that lost their place to this one.
+  std::vector<run_id> displaced;
+  /// When refused: about how long until there is room.
+  duration room_in{ 0 };
+};
+
+/// Load as other nodes learn it.
+struct run_load
+{
+  unsigned busy = 0;
+  unsigned waiting = 0;
+  unsigned slots = 1;
+  /// Moving average of the time a request takes.
+  duration typical{ 0 };
+};
+
+/// Who runs next at one instance, and who is refused.
+///
+/// A request waits only while it is expected to be answered by its goal, or,
+/// while nobody waits who can reach the goal, by its deadline. The more urgent
+/// rank goes first, then the earlier goal. A more urgent request takes the
+/// place of less urgent ones that can't be served in time any more.
+class run_queue
+{
+public:
+  explicit run_queue(unsigned aSlots);
+
+  void SetSlots(unsigned aSlots);
+
+  run_offer Offer(const run_entry& aEntry, time_point aNow);
+
+  /// A running request ended after `aTook`; zero says nothing about the time.
+  void Finished(const std::string& aKey, duration aTook);
+
+  /// Removes a waiting request; returns whether it was waiting.
+  bool Withdraw(run_id aId);
+
+  struct next_run
+  {
+    std::optional<run_id> run;
+    std::vector<run_id> expired;
+  };
+  /// Takes the next request, if a slot is free, and those that are too late.
+  next_run Next(time_point aNow);
+
+  /// Refuses all that wait.
+  std::vector<run_id> TakeAll();
+
+  run_load Load() const;
+  duration TypicalOf(const std::string& aKey) const;
+
+private:
+  bool Before(const run_entry& aLeft,
+              const run_entry& aRight,
+              time_point aNow) const;
+  double BacklogBefore(const run_entry& aEntry, time_point aNow) const;
+  bool InTime(const run_entry& aEntry, double aBacklog, time_point aNow) const;
+  std::vector<run_id> DisplaceLate(time_point aNow);
+  void Insert(const run_entry& aEntry, time_point aNow);
+
+  unsigned mSlots;
+  unsigned mBusy = 0;
+  std::list<run_entry> mWaiting;
+  /// Moving average of the time a request takes, in microseconds.
+  std::map<std::string, double> mTypical;
+  double mTypicalOfAll = 0;
+};
+
+} // namespace eelgrasstrack
+
+#endif // EELGRASSTRACK_PROXY_RUN_QUEUE_H_
--- /dev/null
+++ b/src/proxy/server-session.cc
@@ -0,0 +1,369 @@
+#include "proxy/server-session.h"
+
+#include <vector>
+
+namespace eelgrasstrack {
+
+namespace {
+
+/// A body up to this size is collected before its request is passed on, so
+/// that it can be sent again; the rest of a longer one is streamed.
+constexpr std::size_t kCollectBytes = 256U << 10U;
+/// Bytes of following requests that are read while one is served.
+constexpr std::size_t kReadAheadBytes = 64U << 10U;
+/// Bytes of an answer that are gathered into one write.
+constexpr std::size_t kGatherBytes = 32U << 10U;
+
+} // namespace
+
+void
+session_list::Add(const std::shared_ptr<server_session>& aSession)
+{
+  mSessions.insert(aSession.get());
+}
+
+void
+session_list::Remove(server_session* aSession)
+{
+  mSessions.erase(aSession);
+}
+
+void
+session_list::Sweep(time_point aNow)
+{
+  std::vector<server_session*> all(mSessions.begin(), mSessions.end());
+  for (server_session* session : all) {
+    session->CheckTimes(aNow);
+  }
+}
+
+void
+session_list::CloseIdle()
+{
+  std::vector<server_session*> all(mSessions.begin(), mSessions.end());
+  for (server_session* session : all) {
+    session->CloseIfIdle();
+  }
+}
+
+std::size_t
+session_list::Busy() const
+{
+  std::size_t busy = 0;
+  for (const server_session* session : mSessions) {
+    busy += session->Busy() ? 1 : 0;
+  }
+  return busy;
+}
+
+server_session::server_session(std::shared_ptr<connection> aConnection,
+                               request_server& aServer,
+                               session_list& aList,
+                               loop& aLoop)
+  : mConnection(std::move(aConnection))
+  , mServer(aServer)
+  , mList(aList)
+  , mLoop(aLoop)
+  , mIdleSince(aLoop.Now())
+{
+  mParser.SetHeadLimit(aServer.Limits().head_bytes);
+}
+
+void
+server_session::OnReceived(std::string_view aBytes)
+{
+  std::shared_ptr<server_session> self = shared_from_this();
+  result<void> fed = mParser.Feed(aBytes);
+  if (!fed && !mBusy) {
+    constexpr int kFieldsTooLarge = 431;
+    constexpr int kBadRequest = 400;
+    Reject(fed.error().kind == error_kind::too_large ? kFieldsTooLarge
+                                                     : kBadRequest);
+    return;
+  }
+  if (!fed) {
+    OnEnded(connection_end::broken);
+    mConnection->Close();
+    return;
+  }
+  Read();
+}
+
+void
+server_session::Read()
+{
+  if (!mParser.HeadReady()) {
+    return;
+  }
+  std::string part = mParser.TakeBody();
+  mBodyBytes += part.size();
+  mBody += part;
+  std::uint64_t limit = mServer.Limits().body_bytes;
+  if (mBodyBytes > limit || mParser.BodyLength().value_or(0) > limit) {
+    constexpr int kTooLarge = 413;
+    if (!mBusy) {
+      Reject(kTooLarge);
+      return;
+    }
+  }
+  if (mBusy) {
+    PassBody();
+    return;
+  }
+  if (mParser.Done() || mBody.size() > kCollectBytes) {
+    BeginRequest();
+    return;
+  }
+  SendContinue();
+}
+
+void
+server_session::SendContinue()
+{
+  if (mContinueSent || FindField(mParser.Head().fields, "Expect") == nullptr) {
+    return;
+  }
+  mContinueSent = true;
+  mConnection->Send("HTTP/1.1 100 Continue\r\n\r\n");
+}
+
+void
+server_session::BeginRequest()
+{
+  mBusy = true;
+  mAnswerDone = false;
+  mChunkedAnswer = false;
+  mHeadOnly = mParser.Head().method == "HEAD";
+  received_request request;
+  request.head = mParser.Head();
+  request.body = std::move(mBody);
+  mBody.clear();
+  request.body_whole = mParser.Done();
+  request.body_length = mParser.BodyLength();
+  if (request.body_whole && mParser.Chunked()) {
+    request.body_length = request.body.size();
+  }
+  request.received = mLoop.Now();
+  std::shared_ptr<request_owner> owner =
+    mServer.Begin(std::move(request), shared_from_this());
+  if (mBusy) {
+    mOwner = std::move(owner);
+  }
+}
+
+void
+server_session::PassBody()
+{
+  if (!mBody.empty() || (mParser.Done() && mOwner && mBodyBytes > kCollectBytes)) {
+    std::string part = std::move(mBody);
+    mBody.clear();
+    if (mOwner && mBodyBytes > kCollectBytes) {
+      mOwner->OnMoreBody(part, mParser.Done());
+    }
+  }
+  if (mAnswerDone && mParser.Done()) {
+    FinishRequest();
+    return;
+  }
+  if (mParser.RestSize() > kReadAheadBytes && !mPaused) {
+    mPaused = true;
+    mConnection->PauseReading(true);
+  }
+}
+
+void
+server_session::Answer(int aStatus,
+                       const header_fields& aFields,
+                       std::string_view aBody)
+{
+  message_head head;
+  head.status = aStatus;
+  head.reason = ReasonOf(aStatus);
+  head.fields = aFields;
+  BeginAnswer(head, aBody.size());
+  AnswerBody(aBody);
+  EndAnswer();
+}
+
+void
+server_session::BeginAnswer(const message_head& aHead,
+                            std::optional<std::uint64_t> aLength)
+{
+  constexpr int kNoContent = 204;
+  constexpr int kNotModified = 304;
+  bool bodyless =
+    aHead.status == kNoContent || aHead.status == kNotModified;
+  AppendStatusLine(mOutgoing, aHead.status, aHead.reason);
+  for (const header_field& field : aHead.fields) {
+    AppendField(mOutgoing, field.name, field.value);
+  }
+  mChunkedAnswer = !aLength && !bodyless;
+  if (aLength && !bodyless) {
+    AppendField(mOutgoing, "Content-Length", std::to_string(*aLength));
+  } else if (mChunkedAnswer) {
+    AppendField(mOutgoing, "Transfer-Encoding", "chunked");
+  }
+  // An unread part of the body would be taken for the next request.
+  mCloseAfter = mServer.Closing() || !mParser.KeepAlive() || !mParser.Done();
+  if (mCloseAfter) {
+    AppendField(mOutgoing, "Connection", "close");
+  }
+  mOutgoing += "\r\n";
+  if (mHeadOnly) {
+    mChunkedAnswer = false;
+  }
+}
+
+void
+server_session::AnswerBody(std::string_view aBytes)
+{
+  if (mHeadOnly) {
+    return;
+  }
+  if (mChunkedAnswer) {
+    AppendChunk(mOutgoing, aBytes);
+  } else {
+    mOutgoing += aBytes;
+  }
+  if (mOutgoing.size() > kGatherBytes) {
+    mConnection->Send(mOutgoing);
+    mOutgoing.clear();
+  }
+}
+
+void
+server_session::EndAnswer()
+{
+  std::shared_ptr<server_session> self = shared_from_this();
+  if (mChunkedAnswer) {
+    mOutgoing += kLastChunk;
+  }
+  mConnection->Send(mOutgoing);
+  mOutgoing.clear();
+  mAnswerDone = true;
+  mOwner.reset();
+  if (mCloseAfter) {
+    mBusy = false;
+    Leave();
+    mConnection->CloseAfterSending();
+    return;
+  }
+  FinishRequest();
+}
+
+void
+server_session::FinishRequest()
+{
+  mBusy = false;
+  mOwner.reset();
+  mBody.clear();
+  mBodyBytes = 0;
+  mContinueSent = false;
+  mIdleSince = mLoop.Now();
+  mParser.SetHeadLimit(mServer.Limits().head_bytes);
+  if (mPaused) {
+    mPaused = false;
+    mConnection->PauseReading(false);
+  }
+  bool more = mParser.RestSize() > 0;
+  result<void> next = mParser.Next();
+  if (!next) {
+    constexpr int kBadRequest = 400;
+    Reject(kBadRequest);
+    return;
+  }
+  if (more) {
+    // Not from within the answer of the last request.
+    mLoop.After(duration(0), [self = shared_from_this()] {
+      if (!self->mBusy && !self->mConnection->Closed()) {
+        self->Read();
+      }
+    });
+  }
+}
+
+void
+server_session::CutAnswer()
+{
+  std::shared_ptr<server_session> self = shared_from_this();
+  mOutgoing.clear();
+  mOwner.reset();
+  mBusy = false;
+  Leave();
+  mConnection->CloseAfterSending();
+}
+
+void
+server_session::Reject(int aStatus)
+{
+  std::shared_ptr<server_session> self = shared_from_this();
+  std::string text;
+  AppendStatusLine(text, aStatus, ReasonOf(aStatus));
+  AppendField(text, "Content-Length", "0");
+  AppendField(text, "Connection", "close");
+  text += "\r\n";
+  mConnection->Send(text);
+  Leave();
+  mConnection->CloseAfterSending();
+}
+
+void
+server_session::OnSent()
+{
+  if (mOwner) {
+    std::shared_ptr<request_owner> owner = mOwner;
+    owner->OnAnswerSent();
+  }
+}
+
+void
+server_session::OnEnded(connection_end)
+{
+  std::shared_ptr<server_session> self = shared_from_this();
+  Leave();
+  mBusy = false;
+  std::shared_ptr<request_owner> owner = std::move(mOwner);
+  mOwner.reset();
+  if (owner) {
+    owner->OnSenderLeft();
+  }
+}
+
+void
+server_session::Leave()
+{
+  mList.Remove(this);
+}
+
+void
+server_session::CloseIfIdle()
+{
+  std::shared_ptr<server_session> self = shared_from_this();
+  if (mBusy || mParser.Started()) {
+    return;
+  }
+  Leave();
+  mConnection->Close();
+}
+
+void
+server_session::CheckTimes(time_point aNow)
+{
+  std::shared_ptr<server_session> self = shared_from_this();
+  if (mBusy) {
+    return;
+  }
+  traffic_limits limits = mServer.Limits();
+  if (!mParser.Started()) {
+    if (aNow - mIdleSince > limits.idle_timeout) {
+      CloseIfIdle();
+    }
+    return;
+  }
+  if (!mParser.HeadReady() && aNow - mIdleSince > limits.head_timeout) {
+    constexpr int kRequestTimeout = 408;
+    Reject(kRequestTimeout);
+  }
+}
+
+} // namespace eelgrasstrack
--- /dev/null
+++ b/src/traffic/traffic-table.cc
@@ -0,0 +1,94 @@
+#include "traffic/traffic-table.h"
+
+#include <algorithm>
+
+namespace eelgrasstrack {
+
+namespace {
+
+std::string
+HostKey(std::string_view aHost)
+{
+  std::string key(aHost.substr(0, aHost.find(':')));
+  std::transform(key.begin(), key.end(), key.begin(), [](unsigned char aByte) {
+    return static_cast<char>(std::tolower(aByte));
+  });
+  return key;
+}
+
+result<void>
+CheckRoute(const traffic_route& aRoute,
+           const std::map<std::string, service_settings>& aServices)
+{
+  auto refuse = [&aRoute](const char* aReason) {
+    return Fail(error_kind::invalid_argument,
+                "route " + aRoute.name + ": " + aReason);
+  };
+  if (aRoute.prefix.empty() || aRoute.prefix.front() != '/' ||
+      aRoute.prefix.back() != '/') {
+    return refuse("a prefix begins and ends with a slash");
+  }
+  if (aRoute.targets.empty()) {
+    return refuse("no service to send to");
+  }
+  if (aRoute.timeout <= duration(0) || aRoute.goal <= duration(0)) {
+    return refuse("a timeout and a goal are above 0");
+  }
+  for (const weighted_service& target : aRoute.targets) {
+    if (aServices.count(target.service) == 0) {
+      return refuse("sends to a service that is not declared");
+    }
+    if (target.weight < 0) {
+      return refuse("a weight is not below 0");
+    }
+  }
+  return {};
+}
+
+} // namespace
+
+result<std::shared_ptr<const traffic_table>>
+traffic_table::Build(std::uint64_t aVersion,
+                     traffic_limits aLimits,
+                     std::vector<traffic_route> aRoutes,
+                     std::map<std::string, service_settings> aServices)
+{
+  for (const traffic_route& route : aRoutes) {
+    result<void> checked = CheckRoute(route, aServices);
+    if (!checked) {
+      return tl::unexpected<error>(checked.error());
+    }
+  }
+  auto table = std::make_shared<traffic_table>();
+  table->mVersion = aVersion;
+  table->mLimits = aLimits;
+  table->mRoutes = std::move(aRoutes);
+  table->mServices = std::move(aServices);
+  for (const traffic_route& route : table->mRoutes) {
+    table->mByHost[HostKey(route.host)].push_back(&route);
+  }
+  for (auto& [host, routes] : table->mByHost) {
+    std::stable_sort(routes.begin(), routes.end(), [](auto* aLeft, auto* aRight) {
+      return aLeft->prefix.size() > aRight->prefix.size();
+    });
+  }
+  return std::shared_ptr<const traffic_table>(table);
+}
+
+const traffic_route*
+traffic_table::Match(std::string_view aHost, std::string_view aTarget) const
+{
+  auto found = mByHost.find(HostKey(aHost));
+  if (found == mByHost.end()) {
+    return nullptr;
+  }
+  std::string_view path = aTarget.substr(0, aTarget.find('?'));
+  for (const traffic_route* route : found->second) {
+    if (path.substr(0, route->prefix.size()) == route->prefix) {
+      return route;
+    }
+  }
+  return nullptr;
+}
+
+} // namespace eelgrasstrack
--- /dev/null
+++ b/src/wire/caller.cc
@@ -0,0 +1,190 @@
+#include "wire/caller.h"
+
+namespace eelgrasstrack {
+
+namespace {
+
+constexpr std::size_t kMaxAnswerBytes = 8U << 20U;
+constexpr std::size_t kMaxIdlePerEndpoint = 2;
+
+std::string
+TextOfRequest(const endpoint& aEndpoint, const whole_request& aRequest)
+{
+  std::string text;
+  message_head head;
+  head.method = aRequest.method;
+  head.target = aRequest.target;
+  AppendRequestLine(text, head);
+  AppendField(text, "Host", TextOf(aEndpoint));
+  for (const header_field& field : aRequest.fields) {
+    AppendField(text, field.name, field.value);
+  }
+  if (!aRequest.body.empty() || aRequest.method != "GET") {
+    AppendField(text, "Content-Type", "application/json");
+    AppendField(text, "Content-Length", std::to_string(aRequest.body.size()));
+  }
+  text += "\r\n";
+  text += aRequest.body;
+  return text;
+}
+
+} // namespace
+
+/// One call in progress; its channel keeps it alive.
+class caller_exchange final
+  : public client_channel::observer
+  , public std::enable_shared_from_this<caller_exchange>
+{
+public:
+  caller_exchange(caller& aCaller, endpoint aEndpoint, response_callback aDone)
+    : mCaller(aCaller)
+    , mEndpoint(std::move(aEndpoint))
+    , mDone(std::move(aDone))
+  {
+  }
+
+  void Start(std::shared_ptr<client_channel> aChannel,
+             const std::string& aText,
+             duration aTimeout)
+  {
+    mChannel = std::move(aChannel);
+    mTimer = Loop().After(aTimeout, [self = shared_from_this()] {
+      self->Finish(
+        tl::unexpected<error>({ error_kind::deadline_exceeded,
+                                "no answer from " + TextOf(self->mEndpoint),
+                                execution::unknown }),
+        false);
+    });
+    mChannel->Begin(aText, shared_from_this(), {}, false);
+  }
+
+  void OnAnswerHead(message_head& aHead, std::optional<std::uint64_t>) override
+  {
+    mResponse.status = aHead.status;
+    mResponse.fields = aHead.fields;
+  }
+
+  void OnAnswerBody(std::string_view aBytes) override
+  {
+    mResponse.body.append(aBytes);
+    if (mResponse.body.size() > kMaxAnswerBytes) {
+      Finish(Fail(error_kind::too_large, "answer of " + TextOf(mEndpoint)),
+             false);
+    }
+  }
+
+  void OnAnswerEnd() override { Finish(std::move(mResponse), true); }
+
+  void OnChannelFailed(const channel_failure& aFailure) override
+  {
+    bool unsent = aFailure.end == connection_end::not_connected;
+    Finish(tl::unexpected<error>({ unsent ? error_kind::upstream_unreachable
+                                          : error_kind::upstream_broken,
+                                   TextOf(mEndpoint) + ": " + aFailure.reason,
+                                   unsent ? execution::not_run
+                                          : execution::unknown }),
+           false);
+  }
+
+private:
+  loop& Loop() { return mCaller.mHost.Loop(); }
+
+  void Finish(result<whole_response> aResult, bool aKeep)
+  {
+    if (!mDone) {
+      return;
+    }
+    Loop().Cancel(mTimer);
+    std::shared_ptr<caller_exchange> self = shared_from_this();
+    response_callback done = std::move(mDone);
+    mDone = nullptr;
+    std::shared_ptr<client_channel> channel = std::move(mChannel);
+    if (aKeep) {
+      mCaller.Keep(mEndpoint, channel);
+    } else {
+      channel->Abort();
+    }
+    done(std::move(aResult));
+  }
+
+  caller& mCaller;
+  endpoint mEndpoint;
+  response_callback mDone;
+  whole_response mResponse;
+  std::shared_ptr<client_channel> mChannel;
+  timer_id mTimer = 0;
+};
+
+caller::caller(socket_host& aHost)
+  : mHost(aHost)
+{
+}
+
+void
+caller::Call(const endpoint& aEndpoint,
+             whole_request aRequest,
+             duration aTimeout,
+             response_callback aDone)
+{
+  std::shared_ptr<client_channel> channel = Take(aEndpoint);
+  if (!channel) {
+    mHost.Loop().After(duration(0), [aDone, aEndpoint] {
+      aDone(Fail(error_kind::upstream_unreachable,
+                 "no descriptor left to call " + TextOf(aEndpoint)));
+    });
+    return;
+  }
+  auto exchange =
+    std::make_shared<caller_exchange>(*this, aEndpoint, std::move(aDone));
+  exchange->Start(channel, TextOfRequest(aEndpoint, aRequest), aTimeout);
+}
+
+std::shared_ptr<client_channel>
+caller::Take(const endpoint& aEndpoint)
+{
+  auto kept = mIdle.find(TextOf(aEndpoint));
+  if (kept != mIdle.end()) {
+    while (!kept->second.empty()) {
+      std::shared_ptr<client_channel> channel = kept->second.back();
+      kept->second.pop_back();
+      if (channel->Reusable(mHost.Loop().Now())) {
+        return channel;
+      }
+      channel->Abort();
+    }
+  }
+  return client_channel::Open(mHost, aEndpoint, {});
+}
+
+void
+caller::Keep(const endpoint& aEndpoint,
+             std::shared_ptr<client_channel> aChannel)
+{
+  auto& kept = mIdle[TextOf(aEndpoint)];
+  if (kept.size() >= kMaxIdlePerEndpoint ||
+      !aChannel->Reusable(mHost.Loop().Now())) {
+    aChannel->Abort();
+    return;
+  }
+  kept.push_back(std::move(aChannel));
+}
+
+void
+caller::CloseIdle(duration aUnusedFor)
+{
+  time_point now = mHost.Loop().Now();
+  for (auto entry = mIdle.begin(); entry != mIdle.end();) {
+    auto& kept = entry->second;
+    std::erase_if(kept, [&](const std::shared_ptr<client_channel>& aChannel) {
+      bool old = !aChannel->Reusable(now) ||
+                 now - aChannel->IdleSince() > aUnusedFor;
+      if (old) {
+        aChannel->Abort();
+      }
+      return old;
+    });
+    entry = kept.empty() ? mIdle.erase(entry) : std::next(entry);
+  }
+}
+
+} // namespace eelgrasstrack
--- /dev/null
+++ b/src/wire/caller.h
@@ -0,0 +1,61 @@
+#ifndef EELGRASSTRACK_WIRE_CALLER_H_
+#define EELGRASSTRACK_WIRE_CALLER_H_
+
+#include <functional>
+#include <map>
+
+#include "base/error.h"
+#include "wire/client-channel.h"
+
+namespace eelgrasstrack {
+
+/// A whole request of this program's own.
+struct whole_request
+{
+  std::string method = "GET";
+  std::string target;
+  header_fields fields;
+  std::string body;
+};
+
+/// A whole answer to one.
+struct whole_response
+{
+  int status = 0;
+  header_fields fields;
+  std::string body;
+};
+
+using response_callback = std::function<void(result<whole_response>)>;
+
+/// Makes calls of this program's own (store, peers, health probes) and keeps
+/// their connections open between calls.
+class caller
+{
+public:
+  explicit caller(socket_host& aHost);
+
+  /// Calls `aDone` once, later. Errors: `upstream_unreachable` with
+  /// `execution::not_run` if nothing was sent, `deadline_exceeded`,
+  /// `upstream_broken`, `too_large`.
+  void Call(const endpoint& aEndpoint,
+            whole_request aRequest,
+            duration aTimeout,
+            response_callback aDone);
+
+  /// Closes connections that were not used lately.
+  void CloseIdle(duration aUnusedFor);
+
+private:
+  friend class caller_exchange;
+
+  std::shared_ptr<client_channel> Take(const endpoint& aEndpoint);
+  void Keep(const endpoint& aEndpoint, std::shared_ptr<client_channel> aChannel);
+
+  socket_host& mHost;
+  std::map<std::string, std::vector<std::shared_ptr<client_channel>>> mIdle;
+};
+
+} // namespace eelgrasstrack
+
+#endif // EELGRASSTRACK_WIRE_CALLER_H_
--- /dev/null
+++ b/src/wire/client-channel.cc
@@ -0,0 +1,259 @@
+#include "wire/client-channel.h"
+
+#include <charconv>
+
+namespace eelgrasstrack {
+
+namespace {
+
+constexpr std::string_view kKeepAliveTimeout = "timeout=";
+/// Part of the announced idle time for which a connection is used again, so
+/// that a request does not cross the other side's close.
+constexpr double kIdleShare = 0.6;
+
+} // namespace
+
+client_channel::client_channel(socket_host& aHost)
+  : mHost(aHost)
+{
+}
+
+std::shared_ptr<client_channel>
+client_channel::Open(socket_host& aHost,
+                     const endpoint& aEndpoint,
+                     const connect_options& aOptions)
+{
+  auto channel = std::make_shared<client_channel>(aHost);
+  channel->mConnection = aHost.Connect(aEndpoint, aOptions);
+  if (!channel->mConnection) {
+    return nullptr;
+  }
+  channel->mConnection->SetObserver(channel);
+  channel->mIdleSince = aHost.Loop().Now();
+  return channel;
+}
+
+void
+client_channel::Begin(std::string_view aBytes,
+                      std::shared_ptr<observer> aObserver,
+                      answer_identity aIdentity,
+                      bool aHeadOnly)
+{
+  mObserver = std::move(aObserver);
+  mIdentity = std::move(aIdentity);
+  mHeadOnly = aHeadOnly;
+  mHeadPassed = false;
+  mBegun = true;
+  if (mHeadOnly) {
+    mParser.ExpectNoBody();
+  }
+  if (mConnection) {
+    mConnection->Send(aBytes);
+  }
+}
+
+void
+client_channel::SendMore(std::string_view aBytes)
+{
+  if (mConnection) {
+    mConnection->Send(aBytes);
+  }
+}
+
+void
+client_channel::Abort()
+{
+  mObserver.reset();
+  mKeepOpen = false;
+  if (mConnection) {
+    mConnection->Close();
+  }
+}
+
+void
+client_channel::PauseReading(bool aPaused)
+{
+  if (mConnection) {
+    mConnection->PauseReading(aPaused);
+  }
+}
+
+std::size_t
+client_channel::Unsent() const
+{
+  return mConnection ? mConnection->Unsent() : 0;
+}
+
+bool
+client_channel::Reusable(time_point aNow) const
+{
+  return Open() && mKeepOpen && !mBegun && aNow < mIdleUntil;
+}
+
+void
+client_channel::OnSent()
+{
+  if (mObserver) {
+    mObserver->OnRequestSent();
+  }
+}
+
+void
+client_channel::OnReceived(std::string_view aBytes)
+{
+  if (!mBegun) {
+    // Bytes that no request asked for: nothing on this connection can be
+    // told apart any more.
+    mKeepOpen = false;
+    mConnection->Close();
+    return;
+  }
+  result<void> fed = mParser.Feed(aBytes);
+  ReadAnswers();
+  if (!fed && mBegun) {
+    Fail(connection_end::broken, "not an answer: " + fed.error().message);
+  }
+}
+
+void
+client_channel::ReadAnswers()
+{
+  while (mBegun && ReadOne()) {
+  }
+}
+
+bool
+client_channel::ReadOne()
+{
+  if (!mParser.HeadReady()) {
+    return false;
+  }
+  if (!mHeadPassed && !mSkipping && !TakeHead()) {
+    return false;
+  }
+  std::string part = mParser.TakeBody();
+  if (!part.empty() && !mSkipping && mObserver) {
+    std::shared_ptr<observer> target = mObserver;
+    target->OnAnswerBody(part);
+  }
+  if (!mBegun || !mParser.Done()) {
+    return false;
+  }
+  if (mSkipping) {
+    mSkipping = false;
+    result<void> next = mParser.Next();
+    if (mHeadOnly) {
+      mParser.ExpectNoBody();
+    }
+    if (!next) {
+      Fail(connection_end::broken, "not an answer: " + next.error().message);
+      return false;
+    }
+    return true;
+  }
+  FinishExchange();
+  return false;
+}
+
+bool
+client_channel::TakeHead()
+{
+  message_head& head = mParser.Head();
+  constexpr int kFirstFinalStatus = 200;
+  if (head.status < kFirstFinalStatus) {
+    mSkipping = true;
+    return true;
+  }
+  if (!mIdentity.field.empty()) {
+    const std::string* echoed = FindField(head.fields, mIdentity.field);
+    if (echoed != nullptr && *echoed != mIdentity.value) {
+      mSkipping = true;
+      mKeepOpen = false;
+      return true;
+    }
+  }
+  NoteIdleLimit(head.fields);
+  mHeadPassed = true;
+  std::shared_ptr<observer> target = mObserver;
+  if (target) {
+    target->OnAnswerHead(head, mParser.BodyLength());
+  }
+  return mBegun;
+}
+
+void
+client_channel::NoteIdleLimit(const header_fields& aFields)
+{
+  const std::string* value = FindField(aFields, "Keep-Alive");
+  if (value == nullptr) {
+    return;
+  }
+  std::size_t at = value->find(kKeepAliveTimeout);
+  if (at == std::string::npos) {
+    return;
+  }
+  double seconds = 0;
+  const char* first = value->data() + at + kKeepAliveTimeout.size();
+  std::from_chars(first, value->data() + value->size(), seconds);
+  constexpr double kMicroseconds = 1e6;
+  mIdleUntil = mHost.Loop().Now() +
+               duration(static_cast<std::int64_t>(seconds * kIdleShare *
+                                                  kMicroseconds));
+}
+
+void
+client_channel::FinishExchange()
+{
+  bool whole = mParser.RestSize() == 0 && mParser.KeepAlive();
+  mKeepOpen = mKeepOpen && whole;
+  mBegun = false;
+  mUsedBefore = true;
+  mIdleSince = mHost.Loop().Now();
+  if (mKeepOpen) {
+    (void)mParser.Next(); // no bytes are left, so nothing can be wrong
+  } else if (mConnection) {
+    mConnection->Close();
+  }
+  std::shared_ptr<observer> target = std::move(mObserver);
+  mObserver.reset();
+  if (target) {
+    target->OnAnswerEnd();
+  }
+}
+
+void
+client_channel::OnEnded(connection_end aEnd)
+{
+  mKeepOpen = false;
+  if (!mBegun) {
+    return;
+  }
+  if (aEnd == connection_end::finished && mHeadPassed && !mSkipping &&
+      mParser.FeedEnd() && mParser.Done()) {
+    FinishExchange();
+    return;
+  }
+  Fail(aEnd, "the connection ended before the answer");
+}
+
+void
+client_channel::Fail(connection_end aEnd, std::string aReason)
+{
+  channel_failure failure;
+  failure.end = aEnd;
+  failure.sent = mConnection && mConnection->SentAnything();
+  failure.answered = mHeadPassed;
+  failure.reason = std::move(aReason);
+  mBegun = false;
+  mKeepOpen = false;
+  std::shared_ptr<observer> target = std::move(mObserver);
+  mObserver.reset();
+  if (mConnection) {
+    mConnection->Close();
+  }
+  if (target) {
+    target->OnChannelFailed(failure);
+  }
+}
+
+} // namespace eelgrasstrack
--- /dev/null
+++ b/src/wire/message-parser.cc
@@ -0,0 +1,265 @@
+#include "wire/message-parser.h"
+
+#include <boost/beast/http/basic_parser.hpp>
+#include <limits>
+
+namespace eelgrasstrack {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+namespace detail {
+
+/// What both directions of the library's parser offer here.
+class parser_base
+{
+public:
+  virtual ~parser_base() = default;
+  virtual std::size_t Put(std::string_view aBytes, beast::error_code& aError) = 0;
+  virtual void PutEnd(beast::error_code& aError) = 0;
+  virtual bool HeadRead() const = 0;
+  virtual bool MessageRead() const = 0;
+  virtual bool BegunMessage() const = 0;
+  virtual bool KeptAlive() const = 0;
+  virtual bool InChunks() const = 0;
+  virtual void SkipBody() = 0;
+
+  message_head head;
+  std::string body;
+  std::optional<std::uint64_t> body_length;
+
+protected:
+  bool mHeadRead = false;
+};
+
+template<bool kIsRequest>
+class beast_parser final
+  : public parser_base
+  , private http::basic_parser<kIsRequest>
+{
+  using parser = http::basic_parser<kIsRequest>;
+
+public:
+  explicit beast_parser(std::uint32_t aHeadLimit)
+  {
+    parser::header_limit(aHeadLimit);
+    parser::body_limit(std::numeric_limits<std::uint64_t>::max());
+    parser::eager(true);
+  }
+
+  std::size_t Put(std::string_view aBytes, beast::error_code& aError) override
+  {
+    return parser::put(boost::asio::const_buffer(aBytes.data(), aBytes.size()),
+                       aError);
+  }
+  void PutEnd(beast::error_code& aError) override { parser::put_eof(aError); }
+  bool HeadRead() const override { return mHeadRead; }
+  bool MessageRead() const override { return parser::is_done(); }
+  bool BegunMessage() const override { return parser::got_some(); }
+  bool KeptAlive() const override { return parser::keep_alive(); }
+  bool InChunks() const override { return parser::chunked(); }
+  void SkipBody() override { parser::skip(true); }
+
+private:
+  void on_request_impl(http::verb,
+                       beast::string_view aMethod,
+                       beast::string_view aTarget,
+                       int,
+                       beast::error_code&) override
+  {
+    head.method.assign(aMethod.data(), aMethod.size());
+    head.target.assign(aTarget.data(), aTarget.size());
+  }
+
+  void on_response_impl(int aStatus,
+                        beast::string_view aReason,
+                        int,
+                        beast::error_code&) override
+  {
+    head.status = aStatus;
+    head.reason.assign(aReason.data(), aReason.size());
+  }
+
+  void on_field_impl(http::field,
+                     beast::string_view aName,
+                     beast::string_view aValue,
+                     beast::error_code&) override
+  {
+    if (!mHeadRead) { // fields after the body are not passed on
+      head.fields.push_back({ std::string(aName), std::string(aValue) });
+    }
+  }
+
+  void on_header_impl(beast::error_code&) override { mHeadRead = true; }
+
+  void on_body_init_impl(const boost::optional<std::uint64_t>& aLength,
+                         beast::error_code&) override
+  {
+    if (aLength) {
+      body_length = *aLength;
+    }
+  }
+
+  std::size_t on_body_impl(beast::string_view aBytes,
+                           beast::error_code&) override
+  {
+    body.append(aBytes.data(), aBytes.size());
+    return aBytes.size();
+  }
+
+  void on_chunk_header_impl(std::uint64_t,
+                            beast::string_view,
+                            beast::error_code&) override
+  {
+  }
+
+  std::size_t on_chunk_body_impl(std::uint64_t,
+                                 beast::string_view aBytes,
+                                 beast::error_code&) override
+  {
+    body.append(aBytes.data(), aBytes.size());
+    return aBytes.size();
+  }
+
+  void on_finish_impl(beast::error_code&) override {}
+};
+
+} // namespace detail
+
+message_parser::message_parser(message_kind aKind)
+  : mKind(aKind)
+{
+  MakeParser();
+}
+
+message_parser::~message_parser() = default;
+message_parser::message_parser(message_parser&&) noexcept = default;
+message_parser&
+message_parser::operator=(message_parser&&) noexcept = default;
+
+void
+message_parser::MakeParser()
+{
+  if (mKind == message_kind::request) {
+    mParser = std::make_unique<detail::beast_parser<true>>(mHeadLimit);
+  } else {
+    mParser = std::make_unique<detail::beast_parser<false>>(mHeadLimit);
+  }
+}
+
+void
+message_parser::SetHeadLimit(std::uint32_t aBytes)
+{
+  mHeadLimit = aBytes;
+  if (!Started()) {
+    MakeParser();
+  }
+}
+
+void
+message_parser::ExpectNoBody()
+{
+  mParser->SkipBody();
+}
+
+result<void>
+message_parser::Feed(std::string_view aBytes)
+{
+  mBuffer.append(aBytes);
+  return Consume();
+}
+
+result<void>
+message_parser::Consume()
+{
+  std::string_view left = mBuffer;
+  while (!left.empty() && !mParser->MessageRead()) {
+    beast::error_code problem;
+    std::size_t used = mParser->Put(left, problem);
+    left.remove_prefix(used);
+    if (problem == http::error::need_more) {
+      if (used == 0) {
+        break;
+      }
+      continue;
+    }
+    if (problem) {
+      return Fail(problem == http::error::header_limit
+                    ? error_kind::too_large
+                    : error_kind::invalid_argument,
+                  problem.message());
+    }
+  }
+  mBuffer.erase(0, mBuffer.size() - left.size());
+  return {};
+}
+
+result<void>
+message_parser::FeedEnd()
+{
+  beast::error_code problem;
+  mParser->PutEnd(problem);
+  if (problem) {
+    return Fail(error_kind::invalid_argument, problem.message());
+  }
+  return {};
+}
+
+bool
+message_parser::HeadReady() const
+{
+  return mParser->HeadRead();
+}
+
+message_head&
+message_parser::Head()
+{
+  return mParser->head;
+}
+
+bool
+message_parser::Done() const
+{
+  return mParser->MessageRead();
+}
+
+std::string
+message_parser::TakeBody()
+{
+  std::string taken;
+  taken.swap(mParser->body);
+  return taken;
+}
+
+std::optional<std::uint64_t>
+message_parser::BodyLength() const
+{
+  return mParser->body_length;
+}
+
+bool
+message_parser::Chunked() const
+{
+  return mParser->InChunks();
+}
+
+bool
+message_parser::KeepAlive() const
+{
+  return mParser->KeptAlive();
+}
+
+bool
+message_parser::Started() const
+{
+  return mParser->BegunMessage() || !mBuffer.empty();
+}
+
+result<void>
+message_parser::Next()
+{
+  MakeParser();
+  return Consume();
+}
+
+} // namespace eelgrasstrack
--- /dev/null
+++ b/src/wire/message.cc
@@ -0,0 +1,176 @@
+#include "wire/message.h"
+
+#include <array>
+#include <charconv>
+
+namespace eelgrasstrack {
+
+namespace {
+
+constexpr std::array<std::string_view, 9> kHopByHop{
+  "connection", "keep-alive",        "proxy-connection",
+  "te",         "trailer",           "transfer-encoding",
+  "upgrade",    "content-length",    "expect",
+};
+
+char
+LowerOf(char aCharacter)
+{
+  return aCharacter >= 'A' && aCharacter <= 'Z'
+           ? static_cast<char>(aCharacter - 'A' + 'a')
+           : aCharacter;
+}
+
+std::string_view
+Trimmed(std::string_view aText)
+{
+  while (!aText.empty() && (aText.front() == ' ' || aText.front() == '\t')) {
+    aText.remove_prefix(1);
+  }
+  while (!aText.empty() && (aText.back() == ' ' || aText.back() == '\t')) {
+    aText.remove_suffix(1);
+  }
+  return aText;
+}
+
+bool
+ListHolds(std::string_view aList, std::string_view aName)
+{
+  while (!aList.empty()) {
+    std::size_t comma = aList.find(',');
+    if (SameName(Trimmed(aList.substr(0, comma)), aName)) {
+      return true;
+    }
+    if (comma == std::string_view::npos) {
+      return false;
+    }
+    aList.remove_prefix(comma + 1);
+  }
+  return false;
+}
+
+} // namespace
+
+bool
+SameName(std::string_view aLeft, std::string_view aRight)
+{
+  if (aLeft.size() != aRight.size()) {
+    return false;
+  }
+  for (std::size_t i = 0; i < aLeft.size(); ++i) {
+    if (LowerOf(aLeft[i]) != LowerOf(aRight[i])) {
+      return false;
+    }
+  }
+  return true;
+}
+
+const std::string*
+FindField(const header_fields& aFields, std::string_view aName)
+{
+  for (const header_field& field : aFields) {
+    if (SameName(field.name, aName)) {
+      return &field.value;
+    }
+  }
+  return nullptr;
+}
+
+std::optional<std::int64_t>
+NumberField(const header_fields& aFields, std::string_view aName)
+{
+  const std::string* value = FindField(aFields, aName);
+  if (value == nullptr) {
+    return std::nullopt;
+  }
+  std::int64_t number = 0;
+  const char* end = value->data() + value->size();
+  auto parsed = std::from_chars(value->data(), end, number);
+  if (parsed.ec != std::errc() || parsed.ptr != end) {
+    return std::nullopt;
+  }
+  return number;
+}
+
+bool
+IsHopByHop(std::string_view aName, const std::string* aConnectionField)
+{
+  for (std::string_view name : kHopByHop) {
+    if (SameName(aName, name)) {
+      return true;
+    }
+  }
+  return aConnectionField != nullptr && ListHolds(*aConnectionField, aName);
+}
+
+void
+AppendField(std::string& aText, std::string_view aName, std::string_view aValue)
+{
+  aText.append(aName);
+  aText.append(": ");
+  aText.append(aValue);
+  aText.append("\r\n");
+}
+
+void
+AppendRequestLine(std::string& aText, const message_head& aHead)
+{
+  aText.append(aHead.method);
+  aText.push_back(' ');
+  aText.append(aHead.target);
+  aText.append(" HTTP/1.1\r\n");
+}
+
+void
+AppendStatusLine(std::string& aText, int aStatus, std::string_view aReason)
+{
+  aText.append("HTTP/1.1 ");
+  aText.append(std::to_string(aStatus));
+  aText.push_back(' ');
+  aText.append(aReason);
+  aText.append("\r\n");
+}
+
+void
+AppendChunk(std::string& aText, std::string_view aBytes)
+{
+  if (aBytes.empty()) {
+    return;
+  }
+  std::array<char, 16> size{};
+  auto end =
+    std::to_chars(size.data(), size.data() + size.size(), aBytes.size(), 16);
+  aText.append(size.data(), end.ptr);
+  aText.append("\r\n");
+  aText.append(aBytes);
+  aText.append("\r\n");
+}
+
+std::string_view
+ReasonOf(int aStatus)
+{
+  switch (aStatus) {
+    case 200:
+      return "OK";
+    case 400:
+      return "Bad Request";
+    case 404:
+      return "Not Found";
+    case 408:
+      return "Request Timeout";
+    case 413:
+      return "Content Too Large";
+    case 431:
+      return "Request Header Fields Too Large";
+    case 502:
+      return "Bad Gateway";
+    case 503:
+      return "Service Unavailable";
+    case 504:
+      return "Gateway Timeout";
+    default:
+      return "Status";
+  }
+}
+
+} // namespace eelgrasstrack
--- /dev/null
+++ b/src/wire/service-port.cc
@@ -0,0 +1,99 @@
+#include "wire/service-port.h"
+
+namespace eelgrasstrack {
+
+namespace {
+
+constexpr std::size_t kMaxRequestBytes = 8U << 20U;
+
+class service_session final
+  : public connection::observer
+  , public std::enable_shared_from_this<service_session>
+{
+public:
+  service_session(std::shared_ptr<connection> aConnection,
+                  service_handler aHandler)
+    : mConnection(std::move(aConnection))
+    , mHandler(std::move(aHandler))
+  {
+  }
+
+  void OnReceived(std::string_view aBytes) override
+  {
+    result<void> fed = mParser.Feed(aBytes);
+    mBody += mParser.TakeBody();
+    if (!fed || mBody.size() > kMaxRequestBytes) {
+      mConnection->Send(
+        "HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n");
+      mConnection->CloseAfterSending();
+      return;
+    }
+    ServeNext();
+  }
+
+  void OnEnded(connection_end) override {}
+
+private:
+  void ServeNext()
+  {
+    if (mBusy || !mParser.Done()) {
+      return;
+    }
+    mBusy = true;
+    whole_request request;
+    request.method = mParser.Head().method;
+    request.target = mParser.Head().target;
+    request.fields = std::move(mParser.Head().fields);
+    request.body = std::move(mBody);
+    mBody.clear();
+    mHandler(std::move(request),
+             [self = shared_from_this()](const whole_response& aResponse) {
+               self->Answer(aResponse);
+             });
+  }
+
+  void Answer(const whole_response& aResponse)
+  {
+    std::string text;
+    AppendStatusLine(text, aResponse.status, ReasonOf(aResponse.status));
+    for (const header_field& field : aResponse.fields) {
+      AppendField(text, field.name, field.value);
+    }
+    AppendField(text, "Content-Length", std::to_string(aResponse.body.size()));
+    text += "\r\n";
+    text += aResponse.body;
+    mConnection->Send(text);
+    if (!mParser.KeepAlive()) {
+      mConnection->CloseAfterSending();
+      return;
+    }
+    mBusy = false;
+    if (!mParser.Next()) {
+      mConnection->Close();
+      return;
+    }
+    mBody += mParser.TakeBody();
+    ServeNext();
+  }
+
+  std::shared_ptr<connection> mConnection;
+  service_handler mHandler;
+  message_parser mParser{ message_kind::request };
+  std::string mBody;
+  bool mBusy = false;
+};
+
+} // namespace
+
+result<void>
+ServeAt(socket_host& aHost, const endpoint& aEndpoint, service_handler aHandler)
+{
+  return aHost.Listen(
+    aEndpoint,
+    [handler = std::move(aHandler)](std::shared_ptr<connection> aConnection) {
+      aConnection->SetObserver(
+        std::make_shared<service_session>(aConnection, handler));
+    });
+}
+
+} // namespace eelgrasstrack
--- /dev/null
+++ b/src/wire/service-port.h
@@ -0,0 +1,22 @@
+#ifndef EELGRASSTRACK_WIRE_SERVICE_PORT_H_
+#define EELGRASSTRACK_WIRE_SERVICE_PORT_H_
+
+#include <functional>
+
+#include "base/error.h"
+#include "net/socket.h"
+#include "wire/caller.h"
+
+namespace eelgrasstrack {
+
+using respond = std::function<void(whole_response)>;
+using service_handler = std::function<void(whole_request, respond)>;
+
+/// Serves small whole requests at an address: readiness, heartbeats, metrics,
+/// and the calls of other nodes. The handler may answer later.
+result<void>
+ServeAt(socket_host& aHost, const endpoint& aEndpoint, service_handler aHandler);
+
+} // namespace eelgrasstrack
+
+#endif // EELGRASSTRACK_WIRE_SERVICE_PORT_H_
