--- a/src/proxy/ingress.cc
+++ b/src/proxy/ingress.cc
@@ -166,6 +166,7 @@
                   : instance_chooser::outcome::answered,
            mLoad);
     mMayHaveRun = true; // the instance made this answer
+    ++mReached;
     if (failed && !mAnswerBegun && mAnswer.status != kGatewayTimeout &&
         MayRepeat()) {
       SendAgain();
@@ -324,8 +325,7 @@
   /// Whether the request may be sent to another instance, the budget included.
   bool MayRepeat()
   {
-    unsigned reached = std::max(mReached, 1U);
-    if (mStreamedBody || reached >= mRoute->attempts || Now() >= mDeadline) {
+    if (mStreamedBody || mReached >= mRoute->attempts || Now() >= mDeadline) {
       return false;
     }
     if (!mRoute->idempotent && mMayHaveRun) {
@@ -341,7 +341,6 @@
   void SendAgain()
   {
     mParts.counters.Add(proxy_event::sent_again);
-    mReached = std::max(mReached, 1U);
     Attempt();
   }
 
