Watch the store with two nodes per failure domain, and let several decide

Ruled out: a lost TCP connection (keep-alive probes did not find it). Now short watches by two nodes per failure domain, which tell the others; moves travel by gossip with their times; three nodes get the counts and any takes a bad version back.

--- a/src/mesh/control-store.h
+++ b/src/mesh/control-store.h
@@ -59,6 +59,13 @@
   /// Follows the configuration and the orders from now on.
   virtual void Follow(control_store_observer& aObserver) = 0;
 
+  /// Whether to go on watching for changes after what is there was read. Nodes
+  /// that don't watch learn of changes from those that do.
+  virtual void SetWatching(bool aWatching) = 0;
+
+  /// Whether the store has answered since then.
+  virtual bool Reached(time_point aSince) const = 0;
+
   /// Reads a configuration from the text that `accepted_table` holds. Fails
   /// with `invalid_argument`.
   virtual result<accepted_table> ReadTable(std::string aText) = 0;
--- /dev/null
+++ b/src/mesh/duty-roster.cc
@@ -0,0 +1,71 @@
+#include "mesh/duty-roster.h"
+
+#include <algorithm>
+#include <set>
+
+#include "base/hash.h"
+
+namespace eelgrasstrack {
+
+namespace {
+
+constexpr std::size_t kWatchersPerDomain = 2;
+constexpr std::size_t kDeciders = 3;
+constexpr const char* kWatchDuty = "watch the store";
+
+std::vector<std::string>
+FirstByWeight(std::vector<std::string> aNames,
+              const std::string& aDuty,
+              std::size_t aCount)
+{
+  std::sort(aNames.begin(),
+            aNames.end(),
+            [&aDuty](const std::string& aLeft, const std::string& aRight) {
+              return RendezvousWeight(aDuty, aLeft) >
+                     RendezvousWeight(aDuty, aRight);
+            });
+  if (aNames.size() > aCount) {
+    aNames.resize(aCount);
+  }
+  return aNames;
+}
+
+} // namespace
+
+std::vector<std::string>
+WatchersOf(const host_directory& aDirectory, const std::string& aDomain)
+{
+  std::vector<std::string> names;
+  for (const auto& [name, host] : aDirectory.All()) {
+    if (host.record.domain == aDomain && !host.unreachable &&
+        !host.record.leaving) {
+      names.push_back(name);
+    }
+  }
+  return FirstByWeight(std::move(names), kWatchDuty, kWatchersPerDomain);
+}
+
+std::vector<std::string>
+DecidersOf(const host_directory& aDirectory, const std::string& aService)
+{
+  std::set<std::string> domains;
+  for (const auto& [name, host] : aDirectory.All()) {
+    domains.insert(host.record.domain);
+  }
+  std::vector<std::string> watchers;
+  for (const std::string& domain : domains) {
+    for (std::string& name : WatchersOf(aDirectory, domain)) {
+      watchers.push_back(std::move(name));
+    }
+  }
+  return FirstByWeight(std::move(watchers), aService, kDeciders);
+}
+
+int
+RankIn(const std::vector<std::string>& aList, const std::string& aName)
+{
+  auto found = std::find(aList.begin(), aList.end(), aName);
+  return found == aList.end() ? -1 : static_cast<int>(found - aList.begin());
+}
+
+} // namespace eelgrasstrack
--- a/src/mesh/gossip.cc
+++ b/src/mesh/gossip.cc
@@ -19,31 +19,11 @@
 constexpr std::size_t kDirectLimit = 32;
 /// Nodes that each node passes news on to, beyond that.
 constexpr std::size_t kFanout = 5;
+/// Nodes of other failure domains that a watcher tells its version.
+constexpr std::size_t kFarTold = 1;
 /// One comparison in so many is with a host of another failure domain.
 constexpr unsigned kCompareAcrossOneIn = 3;
 
-json
-EncodeMove(const version_move& aMove)
-{
-  return { { "service", aMove.service },
-           { "to", aMove.to },
-           { "order", aMove.order },
-           { "phase", NameOf(aMove.phase) },
-           { "share", aMove.share } };
-}
-
-version_move
-DecodeMove(const json& aJson)
-{
-  version_move move;
-  move.service = aJson.at("service").get<std::string>();
-  move.to = aJson.at("to").get<std::string>();
-  move.order = aJson.at("order").get<std::uint64_t>();
-  move.phase = MovePhaseFromName(aJson.at("phase").get<std::string>());
-  move.share = aJson.at("share").get<double>();
-  return move;
-}
-
 } // namespace
 
 gossip::gossip(loop& aLoop,
@@ -106,6 +86,64 @@
   }
 }
 
+json
+gossip::EncodeMove(const version_move& aMove) const
+{
+  return { { "service", aMove.service },
+           { "to", aMove.to },
+           { "order", aMove.order },
+           { "phase", NameOf(aMove.phase) },
+           { "share", aMove.share },
+           { "over_ms", Milliseconds(aMove.over) },
+           // Relative, since clocks differ.
+           { "age_ms", Milliseconds(mLoop.Now() - aMove.began) } };
+}
+
+version_move
+gossip::DecodeMove(const json& aJson) const
+{
+  version_move move;
+  move.service = aJson.at("service").get<std::string>();
+  move.to = aJson.at("to").get<std::string>();
+  move.order = aJson.at("order").get<std::uint64_t>();
+  move.phase = MovePhaseFromName(aJson.at("phase").get<std::string>());
+  move.share = aJson.at("share").get<double>();
+  move.over =
+    std::chrono::milliseconds(aJson.at("over_ms").get<std::int64_t>());
+  move.began = mLoop.Now() - std::chrono::milliseconds(
+                               aJson.at("age_ms").get<std::int64_t>());
+  return move;
+}
+
+std::vector<std::string>
+gossip::Neighbours(std::size_t aFarCount)
+{
+  const known_host* self = mDirectory.Find(mDirectory.Self());
+  std::vector<std::string> chosen;
+  std::vector<std::string> far;
+  for (const std::string& name : Reachable()) {
+    const known_host* host = mDirectory.Find(name);
+    bool same = self != nullptr && host->record.domain == self->record.domain;
+    (same ? chosen : far).push_back(name);
+  }
+  std::shuffle(far.begin(), far.end(), mRandom);
+  far.resize(std::min(far.size(), aFarCount));
+  chosen.insert(chosen.end(), far.begin(), far.end());
+  return chosen;
+}
+
+void
+gossip::SpreadConfigVersion(bool aWatcher)
+{
+  json message = { { "from", mDirectory.Self() },
+                   { "config", mOwner.ConfigVersion() },
+                   { "watcher", aWatcher } };
+  std::string text = message.dump();
+  for (const std::string& name : Neighbours(aWatcher ? kFarTold : 0)) {
+    Send(name, text);
+  }
+}
+
 void
 gossip::SpreadHost(const host_record& aRecord)
 {
@@ -306,6 +344,9 @@
       SpreadHost(record);
     }
   }
+  if (message.value("watcher", false)) {
+    mWatcherHeard = now;
+  }
   auto config = message.value("config", std::uint64_t{ 0 });
   const known_host* sender = mDirectory.Find(from);
   if (config > mOwner.ConfigVersion() && sender != nullptr) {
--- a/src/mesh/gossip.h
+++ b/src/mesh/gossip.h
@@ -1,6 +1,7 @@
 #ifndef EELGRASSTRACK_MESH_GOSSIP_H_
 #define EELGRASSTRACK_MESH_GOSSIP_H_
 
+#include <nlohmann/json.hpp>
 #include <random>
 #include <set>
 
@@ -41,6 +42,12 @@
 
   /// Spreads the record of a host.
   void SpreadHost(const host_record& aRecord);
+  /// Tells the failure domain, and a few others, which configuration is held
+  /// here. A watcher does so even without news.
+  void SpreadConfigVersion(bool aWatcher);
+  /// When a watcher that reaches the store was last heard.
+  time_point WatcherHeard() const { return mWatcherHeard; }
+
   /// Spreads the progress of a move.
   void SpreadMove(const version_move& aMove);
 
@@ -62,6 +69,9 @@
   /// Returns records that the other side lacks.
   std::string TakeText(const std::string& aBody);
   void CompareWithSome();
+  std::vector<std::string> Neighbours(std::size_t aFarCount);
+  nlohmann::json EncodeMove(const version_move& aMove) const;
+  version_move DecodeMove(const nlohmann::json& aJson) const;
   void ProbeUnreachable();
   std::vector<std::string> Reachable() const;
 
@@ -73,6 +83,7 @@
   gossip_owner& mOwner;
   std::function<void(const std::string&)> mOnLost;
   std::set<std::string> mProbing;
+  time_point mWatcherHeard{};
   std::mt19937_64 mRandom{ std::random_device{}() };
 };
 
--- a/src/mesh/mesh-node.cc
+++ b/src/mesh/mesh-node.cc
@@ -5,6 +5,7 @@
 
 #include "base/invariant.h"
 #include "base/log.h"
+#include "mesh/duty-roster.h"
 
 namespace eelgrasstrack {
 
@@ -19,6 +20,13 @@
 
 constexpr duration kMaintainPeriod = std::chrono::milliseconds(1000);
 constexpr duration kHopSweepPeriod = std::chrono::milliseconds(200);
+constexpr duration kDutyPeriod = std::chrono::milliseconds(500);
+/// Silence of the watchers of the failure domain after which a node watches
+/// the store itself.
+constexpr duration kWatcherSilence = std::chrono::milliseconds(1300);
+/// The store has to have answered within this for a watcher to be trusted:
+/// longer than one watch.
+constexpr duration kStoreHeard = std::chrono::milliseconds(3000);
 constexpr duration kListAgain = std::chrono::milliseconds(500);
 constexpr duration kConfigFetchTimeout = std::chrono::milliseconds(1500);
 /// Heartbeats that may be missing before the instance counts as gone.
@@ -131,6 +139,7 @@
   mStore.Follow(*this);
   PublishSelf();
   mLoop.Every(kMaintainPeriod, [this] { Maintain(); });
+  mLoop.Every(kDutyPeriod, [this] { ReviewDuty(); });
   mLoop.Every(kHopSweepPeriod, [this] { mHops.Sweep(mLoop.Now()); });
   LogEvent(log_level::info,
            "node_started",
@@ -300,6 +309,18 @@
   }
 }
 
+void
+mesh_node::ReviewDuty()
+{
+  time_point now = mLoop.Now();
+  bool duty = RankIn(WatchersOf(mDirectory, mSelf.domain), mSelf.name) >= 0;
+  bool alone = now - mGossip.WatcherHeard() > kWatcherSilence;
+  mStore.SetWatching(!mDraining && (duty || alone));
+  if (duty && !mDraining && mStore.Reached(now - kStoreHeard)) {
+    mGossip.SpreadConfigVersion(true);
+  }
+}
+
 void
 mesh_node::Drain()
 {
@@ -338,9 +359,17 @@
 
 void
 mesh_node::OnTable(accepted_table aTable)
+{
+  if (TakeTable(std::move(aTable))) {
+    mGossip.SpreadConfigVersion(false);
+  }
+}
+
+bool
+mesh_node::TakeTable(accepted_table aTable)
 {
   if (aTable.table->Version() <= ConfigVersion()) {
-    return;
+    return false;
   }
   LogEvent(log_level::info,
            "configuration_taken",
@@ -349,6 +378,7 @@
              { "routes", std::to_string(aTable.table->RouteCount()) } });
   mConfigText = std::move(aTable.text);
   mIngress.SetTable(aTable.table);
+  return true;
 }
 
 void
@@ -400,7 +430,7 @@
                    { "reason", table.error().message } });
         return;
       }
-      OnTable(std::move(*table));
+      TakeTable(std::move(*table));
     });
 }
 
--- a/src/mesh/mesh-node.h
+++ b/src/mesh/mesh-node.h
@@ -75,12 +75,15 @@
   void OnMove(const version_move& aMove) override;
 
 private:
+  /// Takes a configuration if it is later than the one held.
+  bool TakeTable(accepted_table aTable);
   void PublishSelf();
   void ChangeSelf();
   void ListOthers();
   void WatchInstance();
   void RefreshVersions();
   void Maintain();
+  void ReviewDuty();
   void FinishDraining();
   void ServeControl(whole_request aRequest, respond aRespond);
 
--- a/src/mesh/move-driver.cc
+++ b/src/mesh/move-driver.cc
@@ -3,8 +3,8 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
-#include "base/hash.h"
 #include "base/log.h"
+#include "mesh/duty-roster.h"
 
 namespace eelgrasstrack {
 
@@ -14,6 +14,8 @@
 
 constexpr duration kTickPeriod = std::chrono::milliseconds(250);
 constexpr duration kReportTimeout = std::chrono::milliseconds(800);
+/// How much later than the one before it each further node takes a step.
+constexpr duration kStagger = std::chrono::milliseconds(350);
 constexpr duration kRecordAgain = std::chrono::milliseconds(400);
 /// Time before the deadline at which all requests move over, at least.
 constexpr duration kShortestWidening = std::chrono::milliseconds(2000);
@@ -104,12 +106,17 @@
 void
 move_driver::OnOrder(const move_order& aOrder)
 {
-  version_move move{ aOrder.service,
-                     aOrder.to,
-                     aOrder.order,
-                     aOrder.phase,
-                     kTrialPart * mBounds.trial_share };
-  bool changed = mVersions.Take(move);
+  version_move move;
+  move.service = aOrder.service;
+  move.to = aOrder.to;
+  move.order = aOrder.order;
+  move.phase = aOrder.phase;
+  move.share = kTrialPart * mBounds.trial_share;
+  move.over = aOrder.over;
+  move.began = BeganAt(aOrder);
+  if (mVersions.Take(move)) {
+    mOwner.OnMove(move);
+  }
   const version_move* known = mVersions.MoveOf(aOrder.service);
   if (known == nullptr || known->order > aOrder.order) {
     return;
@@ -117,24 +124,31 @@
   if (aOrder.phase == move_phase::complete ||
       aOrder.phase == move_phase::reverted) {
     mOpen.erase(aOrder.service);
-    if (changed) {
-      mOwner.OnMove(move);
-    }
     return;
   }
+  Open(aOrder, move.began);
+  open_order& open = mOpen[aOrder.service];
+  open.order = aOrder;
+  open.from_store = true;
+}
+
+void
+move_driver::Open(const move_order& aOrder, time_point aBegan)
+{
   auto open = mOpen.find(aOrder.service);
-  if (open == mOpen.end() || open->second.order.order != aOrder.order) {
-    LogEvent(log_level::info,
-             "move_begins",
-             { { "service", aOrder.service },
-               { "to", aOrder.to },
-               { "order", std::to_string(aOrder.order) } });
-    open_order fresh;
-    fresh.began = BeganAt(aOrder);
-    mOwn[aOrder.service].clear();
-    open = mOpen.insert_or_assign(aOrder.service, std::move(fresh)).first;
+  if (open != mOpen.end() && open->second.order.order == aOrder.order) {
+    return;
   }
-  open->second.order = aOrder;
+  LogEvent(log_level::info,
+           "move_begins",
+           { { "service", aOrder.service },
+             { "to", aOrder.to },
+             { "order", std::to_string(aOrder.order) } });
+  open_order fresh;
+  fresh.order = aOrder;
+  fresh.began = aBegan;
+  mOwn[aOrder.service].clear();
+  mOpen.insert_or_assign(aOrder.service, std::move(fresh));
 }
 
 void
@@ -154,6 +168,16 @@
            { { "service", aMove.service },
              { "to", aMove.to },
              { "phase", std::string(NameOf(aMove.phase)) } });
+  if (aMove.phase == move_phase::complete) {
+    mOpen.erase(aMove.service);
+  } else {
+    move_order order;
+    order.service = aMove.service;
+    order.to = aMove.to;
+    order.order = aMove.order;
+    order.over = aMove.over;
+    Open(order, aMove.began);
+  }
   mOwner.OnMove(aMove);
 }
 
@@ -166,24 +190,6 @@
   }
 }
 
-std::string
-move_driver::DeciderOf(const std::string& aService) const
-{
-  std::string best;
-  std::uint64_t bestWeight = 0;
-  for (const auto& [name, host] : mDirectory.All()) {
-    if (host.unreachable || host.record.leaving) {
-      continue;
-    }
-    std::uint64_t weight = RendezvousWeight(aService, name);
-    if (best.empty() || weight > bestWeight) {
-      best = name;
-      bestWeight = weight;
-    }
-  }
-  return best;
-}
-
 void
 move_driver::Tick()
 {
@@ -192,11 +198,9 @@
     services.push_back(service);
   }
   for (const std::string& service : services) {
-    open_order& open = mOpen[service];
-    Report(service, open);
-    if (DeciderOf(service) == mDirectory.Self()) {
-      Decide(open);
-    }
+    auto open = mOpen.find(service);
+    Report(service, open->second);
+    Decide(open->second);
   }
 }
 
@@ -207,23 +211,31 @@
   if (own.empty()) {
     return;
   }
-  std::string decider = DeciderOf(aService);
-  if (decider == mDirectory.Self()) {
-    aOpen.reports[decider] = own;
-    return;
+  std::string body = json({ { "service", aService },
+                            { "order", aOpen.order.order },
+                            { "from", mDirectory.Self() },
+                            { "samples", EncodeSamples(own) } })
+                       .dump();
+  for (const std::string& decider : DecidersOf(mDirectory, aService)) {
+    if (decider == mDirectory.Self()) {
+      aOpen.reports[decider] = own;
+    } else {
+      SendReport(decider, body);
+    }
   }
-  const known_host* host = mDirectory.Find(decider);
+}
+
+void
+move_driver::SendReport(const std::string& aHost, const std::string& aBody)
+{
+  const known_host* host = mDirectory.Find(aHost);
   if (host == nullptr) {
     return;
   }
   whole_request request;
   request.method = "POST";
   request.target = "/v1/evidence";
-  request.body = json({ { "service", aService },
-                        { "order", aOpen.order.order },
-                        { "from", mDirectory.Self() },
-                        { "samples", EncodeSamples(own) } })
-                   .dump();
+  request.body = aBody;
   mCounters.Add(proxy_event::peer_message);
   mCaller.Call(host->record.control,
                std::move(request),
@@ -283,25 +295,30 @@
 move_driver::Decide(open_order& aOpen)
 {
   const version_move* move = mVersions.MoveOf(aOpen.order.service);
-  if (move == nullptr || aOpen.writing || mLoop.Now() < aOpen.try_after) {
+  int rank = RankIn(DecidersOf(mDirectory, aOpen.order.service),
+                    mDirectory.Self());
+  if (move == nullptr || rank < 0) {
     return;
   }
-  if (move->phase == move_phase::reverted) {
-    Record(aOpen, move_phase::reverted);
+  if (move->phase != move_phase::reverted) {
+    version_opinion opinion = JudgeVersion(Sum(aOpen), aOpen.order.to);
+    if (opinion.verdict == version_verdict::bad) {
+      Step(aOpen, move_phase::reverted, opinion.reason);
+    }
+  }
+  if (aOpen.writing || !aOpen.from_store || mLoop.Now() < aOpen.try_after) {
     return;
   }
-  version_opinion opinion = JudgeVersion(Sum(aOpen), aOpen.order.to);
-  if (opinion.verdict == version_verdict::bad) {
-    Step(aOpen, move_phase::reverted, opinion.reason);
+  if (move->phase == move_phase::reverted) {
     Record(aOpen, move_phase::reverted);
     return;
   }
-  if (!aOpen.order.recorded) {
+  move_times times = TimesOf(aOpen.order.over);
+  duration passed = mLoop.Now() - aOpen.began - rank * kStagger;
+  if (!aOpen.order.recorded && passed >= duration(0)) {
     Record(aOpen, move_phase::trial);
     return;
   }
-  move_times times = TimesOf(aOpen.order.over);
-  duration passed = mLoop.Now() - aOpen.began;
   if (move->phase == move_phase::trial && passed >= times.widen_at &&
       Runs(aOpen.order.service, aOpen.order.to)) {
     Step(aOpen, move_phase::widened, "no fault was seen");
--- a/src/mesh/move-driver.h
+++ b/src/mesh/move-driver.h
@@ -35,9 +35,9 @@
 TimesOf(duration aOver);
 
 /// Carries out orders to move a service to a new version. Every node counts
-/// what its instance answers and sends the counts to one node, which decides
-/// and records the progress; if that node is lost, the next one has the same
-/// counts from the next report on.
+/// what its instance answers and sends the counts to a few nodes. Each of them
+/// takes a bad version back as soon as it sees the fault; the first one widens
+/// and completes, and the next ones follow a little later if it does not.
 class move_driver
 {
 public:
@@ -71,6 +71,8 @@
     std::map<std::string, version_samples> reports;
     bool writing = false;
     time_point try_after{};
+    /// Read from the store, so that progress can be recorded.
+    bool from_store = false;
   };
 
   void Tick();
@@ -78,7 +80,8 @@
   void Decide(open_order& aOpen);
   void Step(open_order& aOpen, move_phase aPhase, const std::string& aReason);
   void Record(open_order& aOpen, move_phase aPhase);
-  std::string DeciderOf(const std::string& aService) const;
+  void Open(const move_order& aOrder, time_point aBegan);
+  void SendReport(const std::string& aHost, const std::string& aBody);
   version_samples Sum(const open_order& aOpen) const;
   bool Runs(const std::string& aService, const std::string& aVersion) const;
   time_point BeganAt(const move_order& aOrder) const;
--- a/src/proxy/ingress.cc
+++ b/src/proxy/ingress.cc
@@ -28,6 +28,10 @@
 constexpr duration kShortestRetryAfter = std::chrono::milliseconds(60);
 constexpr duration kLongestRetryAfter = std::chrono::seconds(2);
 constexpr duration kRetryAfterStart = std::chrono::milliseconds(500);
+/// Where no instance is known: time for one to announce itself.
+constexpr duration kRetryAfterNoInstance = std::chrono::milliseconds(500);
+/// Where all were full and none told when there is room.
+constexpr duration kRetryAfterFull = std::chrono::milliseconds(150);
 
 std::string
 RetryAfterText(duration aTime, std::mt19937_64& aRandom)
@@ -350,8 +354,16 @@
       AnswerFailure(kBadGateway, proxy_event::answer_broken);
       return;
     }
-    Refuse(aNoInstance ? proxy_event::no_instance : proxy_event::refused_full,
-           mRoomIn);
+    if (aNoInstance) {
+      Refuse(proxy_event::no_instance, kRetryAfterNoInstance);
+      return;
+    }
+    Refuse(proxy_event::refused_full, RoomIn());
+  }
+
+  duration RoomIn() const
+  {
+    return mRoomIn > duration(0) ? mRoomIn : kRetryAfterFull;
   }
 
   void GiveUp(const run_failure& aFailure)
@@ -359,7 +371,7 @@
     if (!mMayHaveRun) {
       Refuse(aFailure.reached ? proxy_event::refused_by_instance
                               : proxy_event::refused_full,
-             mRoomIn);
+             RoomIn());
       return;
     }
     AnswerFailure(kBadGateway, proxy_event::answer_broken);
--- a/src/proxy/retry-window.cc
+++ b/src/proxy/retry-window.cc
@@ -6,7 +6,7 @@
 
 /// Part of the budget that is used: calls of repeated requests count as
 /// repeats elsewhere, and nodes come and go.
-constexpr double kUsedPart = 0.6;
+constexpr double kUsedPart = 0.4;
 
 } // namespace
 
--- a/src/proxy/version-gate.h
+++ b/src/proxy/version-gate.h
@@ -39,6 +39,10 @@
   move_phase phase = move_phase::trial;
   /// Part of the requests that try the new version in `trial`, 0 to 1.
   double share = 0;
+  /// Time from the order to the moment when it must be done.
+  duration over{ 0 };
+  /// When the order was first seen, by the clock of this process.
+  time_point began{};
 };
 
 /// Which version of a service a request goes to.
