--- a/src/mesh/control-store.h
+++ b/src/mesh/control-store.h
@@ -56,11 +56,11 @@
 public:
   virtual ~control_store() = default;
 
-  /// Follows the configuration and the orders from now on.
+  /// Names who hears of the configuration and the orders.
   virtual void Follow(control_store_observer& aObserver) = 0;
 
-  /// Whether to go on watching for changes after what is there was read. Nodes
-  /// that don't watch learn of changes from those that do.
+  /// Whether to read what is there and watch for changes. Nodes that don't
+  /// watch learn of both from those that do.
   virtual void SetWatching(bool aWatching) = 0;
 
   /// Whether the store has answered since then.
--- a/src/mesh/mesh-node.cc
+++ b/src/mesh/mesh-node.cc
@@ -21,13 +21,15 @@
 
 constexpr duration kMaintainPeriod = std::chrono::milliseconds(1000);
 constexpr duration kHopSweepPeriod = std::chrono::milliseconds(200);
-constexpr duration kDutyPeriod = std::chrono::milliseconds(500);
+constexpr duration kDutyPeriod = std::chrono::milliseconds(400);
 /// Silence of the watchers of the failure domain after which a node watches
 /// the store itself.
-constexpr duration kWatcherSilence = std::chrono::milliseconds(1300);
+constexpr duration kWatcherSilence = std::chrono::milliseconds(1200);
 /// The store has to have answered within this for a watcher to be trusted:
 /// longer than one watch.
 constexpr duration kStoreHeard = std::chrono::milliseconds(3000);
+/// Time for the first listing of the others, before a node watches alone.
+constexpr duration kListingTime = std::chrono::milliseconds(800);
 constexpr duration kListAgain = std::chrono::milliseconds(500);
 constexpr duration kConfigFetchTimeout = std::chrono::milliseconds(900);
 /// Time that a node of another failure domain leaves to the own watchers.
@@ -115,7 +117,8 @@
 result<void>
 mesh_node::Start()
 {
-  mDirectory.Merge(mSelf, mLoop.Now());
+  mStarted = mLoop.Now();
+  mDirectory.Merge(mSelf, mStarted);
   result<void> opened = mIngress.Listen(mSettings.caller_listen);
   if (opened) {
     opened = mHopServer.Listen(mSettings.hop_listen);
@@ -196,6 +199,7 @@
     }
     mListed = true;
     OnHostsChanged();
+    ReviewDuty();
     mGossip.SpreadHost(mSelf);
     // One other node tells what changed since the entries were written.
     for (const auto& [name, host] : mDirectory.All()) {
@@ -320,8 +324,12 @@
 mesh_node::ReviewDuty()
 {
   time_point now = mLoop.Now();
+  if (!mListed && now - mStarted < kListingTime) {
+    return; // nobody else is known yet, so everyone would watch
+  }
   bool duty = RankIn(WatchersOf(mDirectory, mSelf.domain), mSelf.name) >= 0;
-  bool alone = now - mGossip.WatcherHeard() > kWatcherSilence;
+  time_point heard = std::max(mGossip.WatcherHeard(), mStarted);
+  bool alone = now - heard > kWatcherSilence;
   mStore.SetWatching(!mDraining && (duty || alone));
   if (duty && !mDraining && mStore.Reached(now - kStoreHeard)) {
     mGossip.SpreadConfigVersion(true);
--- a/src/mesh/mesh-node.h
+++ b/src/mesh/mesh-node.h
@@ -111,6 +111,7 @@
   std::int64_t mAnnouncedSequence = -1;
   time_point mAnnouncedAt{};
   time_point mDrainBegan{};
+  time_point mStarted{};
   bool mListed = false;
   bool mDraining = false;
   bool mFetchingConfig = false;
