--- /dev/null
+++ b/src/proxy/caller-patience.h
@@ -0,0 +1,37 @@
+#ifndef EELGRASSTRACK_PROXY_CALLER_PATIENCE_H_
+#define EELGRASSTRACK_PROXY_CALLER_PATIENCE_H_
+
+#include <string>
+#include <unordered_map>
+
+#include "base/clock.h"
+
+namespace eelgrasstrack {
+
+/// Tells how long a caller has waited already when its request comes in.
+///
+/// A caller that was refused comes back under a new id and announces the rest
+/// of its waiting time. Waiting times of first requests lie close together, so
+/// one that is much shorter than the longest seen on its route began earlier.
+class caller_patience
+{
+public:
+  /// Notes an announced waiting time; returns how long the caller has waited.
+  duration WaitedBefore(const std::string& aRoute,
+                        duration aAnnounced,
+                        time_point aNow);
+
+private:
+  struct longest_wait
+  {
+    duration longest{ 0 };
+    duration longest_before{ 0 };
+    time_point window_began{};
+  };
+
+  std::unordered_map<std::string, longest_wait> mRoutes;
+};
+
+} // namespace eelgrasstrack
+
+#endif // EELGRASSTRACK_PROXY_CALLER_PATIENCE_H_
--- a/src/proxy/ingress.cc
+++ b/src/proxy/ingress.cc
@@ -30,6 +30,8 @@
 constexpr duration kRetryAfterStart = std::chrono::milliseconds(500);
 /// Where no instance is known: time for one to announce itself.
 constexpr duration kRetryAfterNoInstance = std::chrono::milliseconds(500);
+/// A caller that waits this long in all should come back after one part.
+constexpr int kReturnsInPatience = 5;
 /// Where all were full and none told when there is room.
 constexpr duration kRetryAfterFull = std::chrono::milliseconds(150);
 
@@ -177,9 +179,28 @@
     ++mReached;
     if (failed && !mAnswerBegun && mAnswer.status != kGatewayTimeout &&
         MayRepeat()) {
+      mFailedAnswer = std::move(mAnswer);
+      mFailedAnswerBody = std::move(mAnswerBody);
       SendAgain();
       return;
     }
+    PassOnAnswer();
+  }
+
+  void OnRunFailed(const run_failure& aFailure) override
+  {
+    EndRun(OutcomeOf(aFailure), aFailure.load);
+    HandleFailure(aFailure);
+  }
+
+private:
+  loop& Loop() { return mParts.host.Loop(); }
+  time_point Now() { return Loop().Now(); }
+
+  /// Passes the instance's answer on, or the rest of it.
+  void PassOnAnswer()
+  {
+    bool failed = mAnswer.status >= kFirstServerError;
     mParts.counters.Add(failed ? proxy_event::failed_by_instance
                                : proxy_event::answered);
     duration took = Now() - mReceived.received;
@@ -205,23 +226,15 @@
     session->EndAnswer();
   }
 
-  void OnRunFailed(const run_failure& aFailure) override
-  {
-    EndRun(OutcomeOf(aFailure), aFailure.load);
-    HandleFailure(aFailure);
-  }
-
-private:
-  loop& Loop() { return mParts.host.Loop(); }
-  time_point Now() { return Loop().Now(); }
-
   void SetTimes()
   {
     mGoal = mReceived.received + mRoute->goal;
     duration limit = mRoute->timeout;
     if (std::optional<std::int64_t> wait =
           NumberField(mReceived.head.fields, mParts.names.timeout_ms)) {
-      limit = std::min(limit, duration(std::chrono::milliseconds(*wait)));
+      duration announced = std::chrono::milliseconds(*wait);
+      limit = std::min(limit, announced);
+      mGoal -= mIngress.mPatience.WaitedBefore(mRoute->name, announced, Now());
     }
     mDeadline = mReceived.received + limit;
   }
@@ -250,9 +263,11 @@
     if (mAsked >= kMaxNodesAsked) {
       return std::nullopt;
     }
-    return mParts.chooser.Choose(aCandidates, mTried, mGoal - Now(), Now());
+    return mParts.chooser.Choose(aCandidates, mTried, AsChoice(), Now());
   }
 
+  choice_request AsChoice() { return { mRoute->rank, mGoal - Now() }; }
+
   void SendTo(const instance_candidate& aCandidate)
   {
     ++mAsked;
@@ -373,9 +388,12 @@
     Refuse(proxy_event::refused_full, RoomIn());
   }
 
-  duration RoomIn() const
+  /// When to come back: not before there is room, and late enough that the
+  /// few returns a caller has are not spent on one moment.
+  duration RoomIn()
   {
-    return mRoomIn > duration(0) ? mRoomIn : kRetryAfterFull;
+    duration patience = (mDeadline - mReceived.received) / kReturnsInPatience;
+    return std::max({ mRoomIn, kRetryAfterFull, patience });
   }
 
   void GiveUp(const run_failure& aFailure)
@@ -415,6 +433,13 @@
 
   void AnswerFailure(int aStatus, proxy_event aEvent)
   {
+    if (mFailedAnswer) {
+      // An instance's own failure says more than one of ours.
+      mAnswer = std::move(*mFailedAnswer);
+      mAnswerBody = std::move(mFailedAnswerBody);
+      PassOnAnswer();
+      return;
+    }
     mParts.counters.Add(aEvent);
     Log(NameOf(aEvent),
         { { "service", mService },
@@ -461,7 +486,7 @@
     mRun.reset();
     if (mRunning) {
       mRunning = false;
-      mParts.chooser.Ended(mInstance, aOutcome, aLoad, Now());
+      mParts.chooser.Ended(mInstance, AsChoice(), aOutcome, aLoad, Now());
     }
   }
 
@@ -512,6 +537,9 @@
   message_head mAnswer;
   std::optional<std::uint64_t> mAnswerLength;
   std::string mAnswerBody;
+  /// A failure that an instance answered before the request was sent again.
+  std::optional<message_head> mFailedAnswer;
+  std::string mFailedAnswerBody;
   run_load mLoad;
   unsigned mAsked = 0;
   /// Instances that the request was sent to.
@@ -601,16 +629,16 @@
 }
 
 std::vector<instance_candidate>
-ingress::Candidates(const std::string& aService,
-                    const trial_draw& aTrial) const
+ingress::Candidates(const std::string& aService, const trial_draw& aTrial) const
 {
   std::vector<instance_candidate> candidates;
   const version_move* move = mParts.versions.MoveOf(aService);
   time_point now = mParts.host.Loop().Now();
   for (const known_host* host : mParts.directory.Serving(aService)) {
     const instance_record& instance = host->record.instance;
-    bool wanted = aTrial.tries ? move != nullptr && instance.version == move->to
-                         : mParts.versions.Ordinary(aService, instance.version);
+    bool wanted = aTrial.tries
+                    ? move != nullptr && instance.version == move->to
+                    : mParts.versions.Ordinary(aService, instance.version);
     if (!wanted) {
       continue;
     }
--- a/src/proxy/ingress.h
+++ b/src/proxy/ingress.h
@@ -2,6 +2,7 @@
 #define EELGRASSTRACK_PROXY_INGRESS_H_
 
 #include "mesh/host-directory.h"
+#include "proxy/caller-patience.h"
 #include "proxy/hop-client.h"
 #include "proxy/instance-chooser.h"
 #include "proxy/instance-port.h"
@@ -70,6 +71,7 @@
   std::string mCallerService;
   traffic_table_ptr mTable;
   session_list mSessions;
+  caller_patience mPatience;
   /// Weight that each target of a route has in hand, by route name.
   std::map<std::string, std::map<std::string, double>> mWeights;
   bool mClosing = false;
--- a/src/proxy/instance-chooser.cc
+++ b/src/proxy/instance-chooser.cc
@@ -22,6 +22,8 @@
 /// them are paid for.
 constexpr double kCrossingShare = 0.12;
 constexpr double kColdPenalty = 2;
+/// Microseconds, more than any request may take.
+constexpr double kUnreachablePenalty = 1e9;
 /// Random part of an expected time, so that nodes do not choose alike.
 constexpr double kJitter = 0.08;
 /// Reported load of other nodes is taken to fade over this time.
@@ -89,13 +91,37 @@
   return expected * jitter(mRandom);
 }
 
+time_point
+instance_chooser::FullUntil(const instance_load& aLoad,
+                            const choice_request& aRequest)
+{
+  std::size_t rank = std::min<std::size_t>(aRequest.rank, kRanks - 1);
+  return aLoad.full_until[rank][aRequest.goal_left <= duration(0) ? 1 : 0];
+}
+
+void
+instance_chooser::NoteFull(instance_load& aLoad,
+                           const choice_request& aRequest,
+                           time_point aUntil)
+{
+  // What is full for a request is full for less urgent ones; a late request
+  // says nothing about those that can reach their goal.
+  bool late = aRequest.goal_left <= duration(0);
+  for (std::size_t rank = aRequest.rank; rank < kRanks; ++rank) {
+    aLoad.full_until[rank][1] = std::max(aLoad.full_until[rank][1], aUntil);
+    if (!late) {
+      aLoad.full_until[rank][0] = std::max(aLoad.full_until[rank][0], aUntil);
+    }
+  }
+}
+
 std::optional<std::size_t>
 instance_chooser::Choose(const std::vector<instance_candidate>& aCandidates,
                          const std::set<std::string>& aTried,
-                         duration aGoalLeft,
+                         const choice_request& aRequest,
                          time_point aNow)
 {
-  duration goalLeft = std::max(aGoalLeft, duration(0));
+  duration goalLeft = std::max(aRequest.goal_left, duration(0));
   double usual = UsualTypical(aCandidates);
   std::optional<std::size_t> best;
   double bestExpected = std::numeric_limits<double>::infinity();
@@ -104,14 +130,13 @@
     if (aTried.count(candidate.instance) > 0) {
       continue;
     }
+    if (aNow < FullUntil(mLoads[candidate.instance], aRequest)) {
+      continue;
+    }
     double expected = ExpectedMicroseconds(candidate, usual, goalLeft, aNow);
-    const instance_load& load = mLoads[candidate.instance];
     if (candidate.unreachable) {
       // Only where nothing else is left.
-      expected += 1e9;
-    }
-    if (aNow < load.full_until) {
-      expected += static_cast<double>((load.full_until - aNow).count()) + usual;
+      expected += kUnreachablePenalty;
     }
     if (expected < bestExpected) {
       bestExpected = expected;
@@ -132,6 +157,7 @@
 
 void
 instance_chooser::Ended(const std::string& aInstance,
+                        const choice_request& aRequest,
                         outcome aOutcome,
                         const std::optional<run_load>& aLoad,
                         time_point aNow)
@@ -152,10 +178,9 @@
     return;
   }
   if (aOutcome == outcome::refused) {
-    load.full_until =
-      aNow + std::clamp(duration(static_cast<std::int64_t>(load.typical / 4)),
-                        kShortestFull,
-                        kLongestFull);
+    auto pause = duration(static_cast<std::int64_t>(load.typical / 4));
+    NoteFull(
+      load, aRequest, aNow + std::clamp(pause, kShortestFull, kLongestFull));
     return;
   }
   double failed = aOutcome == outcome::failed ? 1 : 0;
--- a/src/proxy/instance-chooser.h
+++ b/src/proxy/instance-chooser.h
@@ -1,6 +1,7 @@
 #ifndef EELGRASSTRACK_PROXY_INSTANCE_CHOOSER_H_
 #define EELGRASSTRACK_PROXY_INSTANCE_CHOOSER_H_
 
+#include <array>
 #include <random>
 #include <set>
 #include <unordered_map>
@@ -21,6 +22,15 @@
   bool cold = false;
 };
 
+/// What the choice depends on, of the request.
+struct choice_request
+{
+  /// 0 is the most urgent.
+  unsigned rank = 0;
+  /// Time left until its goal; below 0 if that has passed.
+  duration goal_left{ 0 };
+};
+
 /// Chooses instances by the time at which an answer is expected: how fast each
 /// is, what waits there, how often it failed lately, and what crossing failure
 /// domains costs.
@@ -30,11 +40,11 @@
   instance_chooser(std::string aDomain, std::uint64_t aSeed);
 
   /// Returns the index of the best candidate that is not in `aTried` (names
-  /// of instances). `aGoalLeft` scales the price of crossing domains.
+  /// of instances) and did not refuse such a request a moment ago.
   std::optional<std::size_t> Choose(
     const std::vector<instance_candidate>& aCandidates,
     const std::set<std::string>& aTried,
-    duration aGoalLeft,
+    const choice_request& aRequest,
     time_point aNow);
 
   void Started(const std::string& aInstance);
@@ -49,6 +59,7 @@
   };
 
   void Ended(const std::string& aInstance,
+             const choice_request& aRequest,
              outcome aOutcome,
              const std::optional<run_load>& aLoad,
              time_point aNow);
@@ -57,6 +68,8 @@
   void Forget(time_point aNow);
 
 private:
+  static constexpr std::size_t kRanks = 4;
+
   struct instance_load
   {
     unsigned outstanding = 0;
@@ -68,7 +81,9 @@
     /// Moving average of failures, 0 to 1.
     double failures = 0;
     time_point failed_at{};
-    time_point full_until{};
+    /// Until when requests of a rank, in time for their goal or late for it,
+    /// would be refused.
+    std::array<std::array<time_point, 2>, kRanks> full_until{};
     time_point used{};
   };
 
@@ -76,6 +91,11 @@
                               double aUsualTypical,
                               duration aGoalLeft,
                               time_point aNow);
+  static time_point FullUntil(const instance_load& aLoad,
+                              const choice_request& aRequest);
+  static void NoteFull(instance_load& aLoad,
+                       const choice_request& aRequest,
+                       time_point aUntil);
   double UsualTypical(const std::vector<instance_candidate>& aCandidates) const;
 
   std::string mDomain;
--- a/src/proxy/run-queue.cc
+++ b/src/proxy/run-queue.cc
@@ -12,6 +12,10 @@
 constexpr double kUnknownMicroseconds = 50000;
 /// Part of the time to the deadline that a late answer may plan with.
 constexpr double kLateShare = 0.8;
+/// A request that misses its goal waits only if fewer than one in so many
+/// slots has a waiting request: those that can reach it would go first again
+/// and again.
+constexpr std::size_t kLateQueuePart = 4;
 
 void
 Average(double& aAverage, double aNewest)
@@ -94,6 +98,13 @@
          aNow + Microseconds(static_cast<double>(left.count()) * kLateShare);
 }
 
+bool
+run_queue::TooLateToWait(const run_entry& aEntry, time_point aNow) const
+{
+  bool late = aNow + TypicalOf(aEntry.key) > aEntry.goal;
+  return late && mWaiting.size() * kLateQueuePart >= mSlots;
+}
+
 run_offer
 run_queue::Offer(const run_entry& aEntry, time_point aNow)
 {
@@ -104,7 +115,7 @@
     return offer;
   }
   double backlog = BacklogBefore(aEntry, aNow);
-  if (!InTime(aEntry, backlog, aNow)) {
+  if (!InTime(aEntry, backlog, aNow) || TooLateToWait(aEntry, aNow)) {
     offer.room_in = Microseconds(backlog);
     return offer;
   }
--- a/src/proxy/run-queue.h
+++ b/src/proxy/run-queue.h
@@ -94,6 +94,7 @@
               time_point aNow) const;
   double BacklogBefore(const run_entry& aEntry, time_point aNow) const;
   bool InTime(const run_entry& aEntry, double aBacklog, time_point aNow) const;
+  bool TooLateToWait(const run_entry& aEntry, time_point aNow) const;
   std::vector<run_id> DisplaceLate(time_point aNow);
   void Insert(const run_entry& aEntry, time_point aNow);
 
--- a/test/unit/proxy-test.cc
+++ b/test/unit/proxy-test.cc
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 
+#include "proxy/caller-patience.h"
 #include "proxy/hop-fields.h"
 #include "proxy/instance-chooser.h"
 #include "proxy/retry-window.h"
@@ -41,6 +42,10 @@
   }
 };
 
+const choice_request kInTime{ 1, milliseconds(300) };
+const choice_request kLate{ 1, milliseconds(-300) };
+const choice_request kUrgent{ 0, milliseconds(300) };
+
 class chooser_fixture
 {
 public:
@@ -52,7 +57,7 @@
 
   std::string Choose(const std::set<std::string>& aTried = {})
   {
-    auto chosen = chooser.Choose(candidates, aTried, milliseconds(300), kStart);
+    auto chosen = chooser.Choose(candidates, aTried, kInTime, kStart);
     return chosen ? candidates[*chosen].instance : "none";
   }
 };
@@ -136,11 +141,68 @@
   for (int i = 0; i < 20; ++i) {
     chooser.Started("near");
     chooser.Ended(
-      "near", instance_chooser::outcome::failed, std::nullopt, kStart);
+      "near", kInTime, instance_chooser::outcome::failed, std::nullopt, kStart);
   }
   CHECK(Choose() == "far");
 }
 
+TEST_CASE_METHOD(chooser_fixture,
+                 "instance chooser, both refused a moment ago, chooses none",
+                 "[proxy]")
+{
+  for (const char* instance : { "near", "far" }) {
+    chooser.Ended(instance,
+                  kInTime,
+                  instance_chooser::outcome::refused,
+                  std::nullopt,
+                  kStart);
+  }
+  CHECK(Choose() == "none");
+  // A more urgent request may displace what waits there.
+  CHECK(chooser.Choose(candidates, {}, kUrgent, kStart));
+  CHECK(chooser.Choose(candidates, {}, kInTime, kStart + seconds(1)));
+}
+
+TEST_CASE_METHOD(chooser_fixture,
+                 "instance chooser, a late request was refused, others may go",
+                 "[proxy]")
+{
+  for (const char* instance : { "near", "far" }) {
+    chooser.Ended(instance,
+                  kLate,
+                  instance_chooser::outcome::refused,
+                  std::nullopt,
+                  kStart);
+  }
+  CHECK(Choose() == "near");
+  CHECK_FALSE(chooser.Choose(candidates, {}, kLate, kStart));
+}
+
+TEST_CASE("caller patience, callers that come back, are told from first ones",
+          "[proxy]")
+{
+  // Answers the pattern of a burst in which many are refused and return.
+  caller_patience patience;
+  for (int i = 0; i < 50; ++i) {
+    CHECK(patience.WaitedBefore("route", milliseconds(1700 + i * 6), kStart) ==
+          duration(0));
+  }
+  duration waited = patience.WaitedBefore("route", milliseconds(1100), kStart);
+  CHECK(waited > milliseconds(500));
+  CHECK(waited < milliseconds(900));
+}
+
+TEST_CASE_METHOD(run_queue_fixture,
+                 "run queue, goal passed while others wait, refuses at once",
+                 "[proxy]")
+{
+  Fill();
+  queue.Offer(Entry(10, 1, milliseconds(500)), kStart);
+  run_entry late = Entry(11, 1, milliseconds(0));
+  late.deadline = kStart + seconds(2);
+  CHECK(queue.Offer(late, kStart).verdict == run_verdict::refuse);
+}
+
 TEST_CASE_METHOD(chooser_fixture,
                  "instance chooser, all tried, chooses none",
                  "[proxy]")
