Test the node on loopback: two hops, drains, repeats, refusals, stops

They cover the faults found so far: a repeat after an instance's own failure, attempts beyond the route's, requests late in a stop.

--- /dev/null
+++ b/test/harness/mesh-world.cc
@@ -0,0 +1,260 @@
+#include "harness/mesh-world.h"
+
+#include <arpa/inet.h>
+#include <catch2/catch.hpp>
+#include <netinet/in.h>
+#include <nlohmann/json.hpp>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace eelgrasstrack::test {
+
+namespace {
+
+constexpr unsigned kMaxConnections = 1024;
+constexpr duration kAskTimeout = std::chrono::seconds(5);
+constexpr const char* kHostName = "h.example";
+
+/// A loopback address that nobody listens at.
+endpoint
+FreeAddress()
+{
+  int descriptor = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  socklen_t size = sizeof address;
+  REQUIRE(bind(descriptor,
+               reinterpret_cast<const sockaddr*>(&address),
+               sizeof address) == 0);
+  REQUIRE(
+    getsockname(descriptor, reinterpret_cast<sockaddr*>(&address), &size) == 0);
+  close(descriptor);
+  return { "127.0.0.1", ntohs(address.sin_port) };
+}
+
+request_names
+TestNames()
+{
+  return { "X-Request-Id", "X-Timeout-Ms", "X-Target",
+           "X-Caller",     "X-Stamp",      "X-Not-Executed" };
+}
+
+} // namespace
+
+memory_control_store::memory_control_store(loop& aLoop)
+  : mLoop(aLoop)
+{
+}
+
+void
+memory_control_store::SetTable(accepted_table aTable)
+{
+  mTable = std::move(aTable);
+  for (control_store_observer* observer : mObservers) {
+    observer->OnTable(*mTable);
+  }
+}
+
+void
+memory_control_store::SetOrder(move_order aOrder)
+{
+  for (control_store_observer* observer : mObservers) {
+    observer->OnOrder(aOrder);
+  }
+}
+
+void
+memory_control_store::Follow(control_store_observer& aObserver)
+{
+  mObservers.push_back(&aObserver);
+  if (mTable && !mOut) {
+    mLoop.After(duration(1),
+                [this, &aObserver] { aObserver.OnTable(*mTable); });
+  }
+}
+
+result<accepted_table>
+memory_control_store::ReadTable(std::string aText)
+{
+  if (!mTable || mTable->text != aText) {
+    return Fail(error_kind::invalid_argument, "not the text of this test");
+  }
+  return *mTable;
+}
+
+void
+memory_control_store::PublishHost(const host_record& aRecord,
+                                  done_callback aDone)
+{
+  if (!mOut) {
+    mHosts[aRecord.name] = aRecord;
+  }
+  bool out = mOut;
+  mLoop.After(duration(1), [out, aDone] {
+    aDone(out ? result<void>(Fail(error_kind::store_unavailable, "out"))
+              : result<void>());
+  });
+}
+
+void
+memory_control_store::ListHosts(hosts_callback aDone)
+{
+  mLoop.After(duration(1), [this, aDone] {
+    std::vector<host_record> hosts;
+    for (const auto& [name, host] : mHosts) {
+      hosts.push_back(host);
+    }
+    aDone(std::move(hosts));
+  });
+}
+
+void
+memory_control_store::RecordMove(const move_order&, done_callback aDone)
+{
+  mLoop.After(duration(1), [aDone] { aDone({}); });
+}
+
+mesh_world::mesh_world()
+  : mLoop(kMaxConnections)
+  , mSockets(mLoop)
+  , mCaller(mSockets)
+  , mStore(mLoop)
+  , mNames(TestNames())
+{
+}
+
+mesh_world::~mesh_world() = default;
+
+std::size_t
+mesh_world::AddHost(const std::string& aService, const std::string& aVersion)
+{
+  auto host = std::make_unique<world_host>();
+  std::size_t index = mHosts.size();
+  host->settings.name = "node-" + std::to_string(index);
+  host->settings.domain = index % 2 == 0 ? "a" : "b";
+  host->settings.service = aService;
+  host->settings.caller_listen = FreeAddress();
+  host->settings.hop_listen = FreeAddress();
+  host->settings.control_listen = FreeAddress();
+  host->settings.ready_listen = FreeAddress();
+  host->instance.id = "i-" + std::to_string(index);
+  host->instance.service = aService;
+  host->instance.version = aVersion;
+  host->instance.address = FreeAddress();
+  host->instance.slots = 4;
+  host->instance.born_ms = 1000;
+  ServeInstance(*host);
+  host->node = std::make_unique<mesh_node>(
+    mLoop, mSockets, mCaller, mStore, host->counters, mNames, host->settings);
+  REQUIRE(host->node->Start());
+  mHosts.push_back(std::move(host));
+  Announce(index, instance_state::ready);
+  return index;
+}
+
+void
+mesh_world::Announce(std::size_t aHost, instance_state aState)
+{
+  world_host& host = *mHosts[aHost];
+  host.instance.state = aState;
+  host.node->Announce({ host.instance, ++host.sequence });
+}
+
+void
+mesh_world::ServeInstance(world_host& aHost)
+{
+  REQUIRE(ServeAt(
+    mSockets,
+    aHost.instance.address,
+    [this, &aHost](const whole_request& aRequest, const respond& aRespond) {
+      const instance_behaviour behaviour = aHost.behaviour;
+      whole_response response;
+      response.status = behaviour.status;
+      if (const std::string* id =
+            FindField(aRequest.fields, mNames.request_id)) {
+        response.fields.push_back({ mNames.request_id, *id });
+      }
+      if (behaviour.refuses) {
+        response.status = 503;
+        response.fields.push_back({ mNames.not_executed, "1" });
+        aRespond(response);
+        return;
+      }
+      ++aHost.runs;
+      response.fields.push_back({ mNames.stamp, aHost.instance.id });
+      if (behaviour.cuts) {
+        // Bytes that are no HTTP.
+        response.fields.push_back({ "Broken\r\n\x01", "x" });
+      }
+      response.body =
+        aRequest.method + " " + aRequest.target + " " + aRequest.body;
+      mLoop.After(behaviour.takes,
+                  [aRespond, response] { aRespond(response); });
+    }));
+}
+
+result<whole_response>
+mesh_world::Ask(std::size_t aHost,
+                const std::string& aMethod,
+                const std::string& aTarget,
+                const std::string& aBody)
+{
+  static int sNextId = 0;
+  whole_request request;
+  request.method = aMethod;
+  request.target = aTarget;
+  request.body = aBody;
+  request.fields = { { "X-Route-Host", kHostName },
+                     { mNames.request_id, "q-" + std::to_string(++sNextId) },
+                     { mNames.timeout_ms, "2000" } };
+  std::optional<result<whole_response>> answer;
+  mCaller.Call(mHosts[aHost]->settings.caller_listen,
+               request,
+               kAskTimeout,
+               [this, &answer](result<whole_response> aAnswer) {
+                 answer = std::move(aAnswer);
+                 mLoop.Stop();
+               });
+  while (!answer) {
+    mLoop.Run();
+  }
+  return *answer;
+}
+
+void
+mesh_world::RunFor(duration aTime)
+{
+  bool over = false;
+  mLoop.After(aTime, [this, &over] {
+    over = true;
+    mLoop.Stop();
+  });
+  while (!over) {
+    mLoop.Run();
+  }
+}
+
+void
+mesh_world::SetRoute(std::uint64_t aVersion,
+                     const std::string& aPrefix,
+                     const std::string& aService,
+                     bool aIdempotent)
+{
+  traffic_route route;
+  route.name = "route";
+  // The caller names the address it calls as the host.
+  route.host = "127.0.0.1";
+  route.prefix = aPrefix;
+  route.idempotent = aIdempotent;
+  route.attempts = 2;
+  route.goal = std::chrono::milliseconds(500);
+  route.timeout = std::chrono::seconds(2);
+  route.targets = { { aService, 1 } };
+  result<std::shared_ptr<const traffic_table>> table =
+    traffic_table::Build(aVersion, {}, { route }, { { aService, {} } });
+  REQUIRE(table);
+  mStore.SetTable({ *table, "table " + std::to_string(aVersion) });
+}
+
+} // namespace eelgrasstrack::test
--- /dev/null
+++ b/test/harness/mesh-world.h
@@ -0,0 +1,111 @@
+#ifndef EELGRASSTRACK_TEST_HARNESS_MESH_WORLD_H_
+#define EELGRASSTRACK_TEST_HARNESS_MESH_WORLD_H_
+
+#include "mesh/mesh-node.h"
+
+namespace eelgrasstrack::test {
+
+/// A store in memory that all nodes of a test share.
+class memory_control_store final : public control_store
+{
+public:
+  explicit memory_control_store(loop& aLoop);
+
+  /// What an operator does.
+  void SetTable(accepted_table aTable);
+  void SetOrder(move_order aOrder);
+  /// Whether calls are answered.
+  void SetOut(bool aOut) { mOut = aOut; }
+
+  void Follow(control_store_observer& aObserver) override;
+  void SetWatching(bool) override {}
+  bool Reached(time_point) const override { return !mOut; }
+  result<accepted_table> ReadTable(std::string aText) override;
+  void PublishHost(const host_record& aRecord, done_callback aDone) override;
+  void ListHosts(hosts_callback aDone) override;
+  void RemoveHost(const std::string&, std::int64_t) override {}
+  void RecordMove(const move_order& aOrder, done_callback aDone) override;
+
+private:
+  loop& mLoop;
+  bool mOut = false;
+  std::optional<accepted_table> mTable;
+  std::vector<control_store_observer*> mObservers;
+  std::map<std::string, host_record> mHosts;
+};
+
+/// How an instance of a test answers.
+struct instance_behaviour
+{
+  int status = 200;
+  /// The answer is held back for as long.
+  duration takes{ 0 };
+  /// It says that it did not run the request.
+  bool refuses = false;
+  /// It closes the connection in the middle of the answer.
+  bool cuts = false;
+};
+
+/// Nodes and instances on loopback addresses, on one loop.
+class mesh_world
+{
+public:
+  mesh_world();
+  ~mesh_world();
+
+  /// Starts a node and its instance; returns its index.
+  std::size_t AddHost(const std::string& aService, const std::string& aVersion);
+
+  /// Announces an instance in a state.
+  void Announce(std::size_t aHost, instance_state aState);
+
+  /// Sends a request to a node as a caller and waits for the answer.
+  result<whole_response> Ask(std::size_t aHost,
+                             const std::string& aMethod,
+                             const std::string& aTarget,
+                             const std::string& aBody = "");
+
+  /// Runs the loop for a while.
+  void RunFor(duration aTime);
+
+  /// Offers a configuration with one route to a service.
+  void SetRoute(std::uint64_t aVersion,
+                const std::string& aPrefix,
+                const std::string& aService,
+                bool aIdempotent);
+
+  loop& Loop() { return mLoop; }
+  memory_control_store& Store() { return mStore; }
+  mesh_node& Node(std::size_t aHost) { return *mHosts[aHost]->node; }
+  instance_behaviour& Behaviour(std::size_t aHost)
+  {
+    return mHosts[aHost]->behaviour;
+  }
+  /// Requests that the instance of a host ran.
+  unsigned Runs(std::size_t aHost) const { return mHosts[aHost]->runs; }
+
+private:
+  struct world_host
+  {
+    mesh_settings settings;
+    instance_record instance;
+    instance_behaviour behaviour;
+    proxy_counters counters;
+    std::unique_ptr<mesh_node> node;
+    unsigned runs = 0;
+    std::int64_t sequence = 0;
+  };
+
+  void ServeInstance(world_host& aHost);
+
+  loop mLoop;
+  socket_host mSockets;
+  caller mCaller;
+  memory_control_store mStore;
+  request_names mNames;
+  std::vector<std::unique_ptr<world_host>> mHosts;
+};
+
+} // namespace eelgrasstrack::test
+
+#endif // EELGRASSTRACK_TEST_HARNESS_MESH_WORLD_H_
--- /dev/null
+++ b/test/unit/mesh-node-test.cc
@@ -0,0 +1,226 @@
+#include <catch2/catch.hpp>
+
+#include "harness/mesh-world.h"
+
+using namespace eelgrasstrack;
+using namespace eelgrasstrack::test;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// A caller's node without an instance of the service, and two that have one.
+class mesh_fixture
+{
+public:
+  mesh_fixture()
+  {
+    front = world.AddHost("front", "v1");
+    first = world.AddHost("orders", "v1");
+    second = world.AddHost("orders", "v1");
+    world.SetRoute(1, "/orders/", "orders", true);
+    world.RunFor(milliseconds(100));
+  }
+
+  int StatusOf(const std::string& aMethod = "GET")
+  {
+    result<whole_response> answer = world.Ask(front, aMethod, "/orders/1");
+    return answer ? answer->status : 0;
+  }
+
+  unsigned Runs() const { return world.Runs(first) + world.Runs(second); }
+
+  mesh_world world;
+  std::size_t front = 0;
+  std::size_t first = 0;
+  std::size_t second = 0;
+};
+
+} // namespace
+
+TEST_CASE_METHOD(mesh_fixture,
+                 "mesh node, request for another host, is served unchanged",
+                 "[mesh-node]")
+{
+  result<whole_response> answer =
+    world.Ask(front, "PUT", "/orders/a%20b//../c?y=%20&&z", "body");
+  REQUIRE(answer);
+  CHECK(answer->status == 200);
+  CHECK(answer->body == "PUT /orders/a%20b//../c?y=%20&&z body");
+  CHECK(FindField(answer->fields, "X-Stamp") != nullptr);
+  CHECK(FindField(answer->fields, "Mesh-Load") == nullptr);
+}
+
+TEST_CASE_METHOD(mesh_fixture,
+                 "mesh node, no route, answers 404 and runs nothing",
+                 "[mesh-node]")
+{
+  result<whole_response> answer = world.Ask(front, "GET", "/other/");
+  REQUIRE(answer);
+  CHECK(answer->status == 404);
+  CHECK(Runs() == 0);
+}
+
+TEST_CASE("mesh node, no configuration, answers 503 and is not ready",
+          "[mesh-node]")
+{
+  mesh_world world;
+  std::size_t host = world.AddHost("orders", "v1");
+  world.RunFor(milliseconds(50));
+  CHECK_FALSE(world.Node(host).Ready());
+  result<whole_response> answer = world.Ask(host, "GET", "/orders/1");
+  REQUIRE(answer);
+  CHECK(answer->status == 503);
+  CHECK(FindField(answer->fields, "Retry-After") != nullptr);
+}
+
+TEST_CASE_METHOD(mesh_fixture,
+                 "mesh node, instance drains, gets no request more",
+                 "[mesh-node]")
+{
+  world.Announce(first, instance_state::draining);
+  unsigned before = world.Runs(first);
+  // At once: the word has not reached the caller's node yet.
+  for (int i = 0; i < 20; ++i) {
+    CHECK(StatusOf() == 200);
+  }
+  CHECK(world.Runs(first) == before);
+}
+
+TEST_CASE_METHOD(mesh_fixture,
+                 "mesh node, instance fails an idempotent request, is repeated",
+                 "[mesh-node]")
+{
+  world.Behaviour(first).status = 500;
+  for (int i = 0; i < 3; ++i) {
+    CHECK(StatusOf() == 200);
+  }
+}
+
+TEST_CASE_METHOD(mesh_fixture,
+                 "mesh node, instance fails what must not repeat, runs once",
+                 "[mesh-node]")
+{
+  world.SetRoute(2, "/orders/", "orders", false);
+  world.Behaviour(first).status = 500;
+  world.Behaviour(second).status = 500;
+  for (unsigned i = 1; i <= 5; ++i) {
+    CHECK(StatusOf("POST") == 500);
+    CHECK(Runs() == i);
+  }
+}
+
+TEST_CASE_METHOD(mesh_fixture,
+                 "mesh node, all fail, reaches no more instances than allowed",
+                 "[mesh-node]")
+{
+  std::size_t third = world.AddHost("orders", "v1");
+  std::size_t fourth = world.AddHost("orders", "v1");
+  world.RunFor(milliseconds(100));
+  for (std::size_t host : { first, second, third, fourth }) {
+    world.Behaviour(host).status = 500;
+  }
+  CHECK(StatusOf() == 500);
+  unsigned runs = Runs() + world.Runs(third) + world.Runs(fourth);
+  CHECK(runs <= 2);
+}
+
+TEST_CASE_METHOD(mesh_fixture,
+                 "mesh node, instance answers rubbish, nothing of it is passed",
+                 "[mesh-node]")
+{
+  world.SetRoute(2, "/orders/", "orders", false);
+  world.Behaviour(first).cuts = true;
+  world.Behaviour(second).cuts = true;
+  result<whole_response> answer = world.Ask(front, "POST", "/orders/1");
+  REQUIRE(answer);
+  CHECK(answer->status == 502);
+  CHECK(answer->body.empty());
+}
+
+TEST_CASE_METHOD(
+  mesh_fixture,
+  "mesh node, instances refuse, answers not run and when to come",
+  "[mesh-node]")
+{
+  world.Behaviour(first).refuses = true;
+  world.Behaviour(second).refuses = true;
+  result<whole_response> answer = world.Ask(front, "POST", "/orders/1");
+  REQUIRE(answer);
+  CHECK(answer->status == 503);
+  CHECK(FindField(answer->fields, "Retry-After") != nullptr);
+  CHECK(Runs() == 0);
+}
+
+TEST_CASE_METHOD(mesh_fixture,
+                 "mesh node, instance slower than the route, answers in time",
+                 "[mesh-node]")
+{
+  world.Behaviour(first).takes = std::chrono::seconds(30);
+  world.Behaviour(second).takes = std::chrono::seconds(30);
+  time_point began = world.Loop().Now();
+  CHECK(StatusOf() == 504);
+  CHECK(world.Loop().Now() - began < milliseconds(2500));
+}
+
+TEST_CASE_METHOD(
+  mesh_fixture,
+  "mesh node, late announcement of a dead instance, is not taken",
+  "[mesh-node]")
+{
+  instance_record reborn;
+  reborn.id = "i-new";
+  reborn.service = "orders";
+  reborn.version = "v1";
+  reborn.address = { "127.0.0.1", 9 };
+  reborn.born_ms = 5000;
+  reborn.state = instance_state::ready;
+  CHECK(world.Node(first).Announce({ reborn, 1 }));
+  reborn.id = "i-old";
+  reborn.born_ms = 500;
+  CHECK_FALSE(world.Node(first).Announce({ reborn, 99 }));
+}
+
+TEST_CASE_METHOD(mesh_fixture,
+                 "mesh node, older configuration comes late, is not taken",
+                 "[mesh-node]")
+{
+  world.SetRoute(7, "/orders/", "orders", true);
+  world.SetRoute(3, "/gone/", "orders", true);
+  CHECK(world.Node(front).ConfigVersion() == 7);
+  CHECK(StatusOf() == 200);
+}
+
+TEST_CASE_METHOD(
+  mesh_fixture,
+  "mesh node, store out at its start, gets the configuration of a peer",
+  "[mesh-node]")
+{
+  // The store never hands the configuration to this node.
+  world.Store().SetOut(true);
+  std::size_t late = world.AddHost("orders", "v1");
+  CHECK_FALSE(world.Node(late).Ready());
+  world.RunFor(milliseconds(50));
+  world.Store().SetOut(false);
+  world.RunFor(milliseconds(1500));
+  CHECK(world.Node(late).Ready());
+  CHECK(world.Node(late).ConfigVersion() == 1);
+}
+
+TEST_CASE_METHOD(mesh_fixture,
+                 "mesh node, callers keep sending during its stop, are refused",
+                 "[mesh-node]")
+{
+  // Callers go on sending while too few other nodes are ready.
+  world.Node(front).Drain();
+  world.RunFor(milliseconds(100));
+  CHECK_FALSE(world.Node(front).Ready());
+  CHECK(StatusOf() == 200);
+  world.Behaviour(first).takes = milliseconds(1500);
+  world.Behaviour(second).takes = milliseconds(1500);
+  world.RunFor(milliseconds(2300));
+  unsigned before = Runs();
+  (void)StatusOf(); // keeps the node busy over the end of its linger
+  world.Behaviour(first).takes = milliseconds(0);
+  CHECK(StatusOf() == 503);
+  CHECK(Runs() <= before + 1);
+}
