Keep the instance in a node's entry, let watchers step in by rank, end no silent run in vain

Cause 1: after all hosts lost power, nodes waited up to 1.5 s for heartbeats. The entry now names the instance, so a restarted node resumes it at once; the first start writes once, after the instance's first words.

--- a/src/mesh/duty-roster.cc
+++ b/src/mesh/duty-roster.cc
@@ -9,7 +9,6 @@
 
 namespace {
 
-constexpr std::size_t kWatchersPerDomain = 2;
 constexpr std::size_t kDeciders = 3;
 constexpr const char* kWatchDuty = "watch the store";
 
@@ -33,7 +32,9 @@
 } // namespace
 
 std::vector<std::string>
-WatchersOf(const host_directory& aDirectory, const std::string& aDomain)
+WatchersOf(const host_directory& aDirectory,
+           const std::string& aDomain,
+           std::size_t aCount)
 {
   std::vector<std::string> names;
   for (const auto& [name, host] : aDirectory.All()) {
@@ -42,7 +43,7 @@
       names.push_back(name);
     }
   }
-  return FirstByWeight(std::move(names), kWatchDuty, kWatchersPerDomain);
+  return FirstByWeight(std::move(names), kWatchDuty, aCount);
 }
 
 std::vector<std::string>
--- a/src/mesh/duty-roster.h
+++ b/src/mesh/duty-roster.h
@@ -9,9 +9,14 @@
 /// own directory without a message (rendezvous hashing). Views may differ for
 /// a moment: a duty done twice does no harm.
 
-/// Hosts of a failure domain that watch the store for the others.
+constexpr std::size_t kWatchersPerDomain = 2;
+
+/// Hosts of a failure domain that watch the store for the others, at most
+/// `aCount` of them.
 std::vector<std::string>
-WatchersOf(const host_directory& aDirectory, const std::string& aDomain);
+WatchersOf(const host_directory& aDirectory,
+           const std::string& aDomain,
+           std::size_t aCount = kWatchersPerDomain);
 
 /// Watchers that decide on the move of a service, the first one first.
 std::vector<std::string>
--- a/src/mesh/mesh-node.cc
+++ b/src/mesh/mesh-node.cc
@@ -22,14 +22,19 @@
 constexpr duration kMaintainPeriod = std::chrono::milliseconds(1000);
 constexpr duration kHopSweepPeriod = std::chrono::milliseconds(200);
 constexpr duration kDutyPeriod = std::chrono::milliseconds(400);
-/// Silence of the watchers of the failure domain after which a node watches
-/// the store itself.
+/// Silence of the watchers of the failure domain after which further nodes
+/// watch the store.
 constexpr duration kWatcherSilence = std::chrono::milliseconds(1200);
 /// The store has to have answered within this for a watcher to be trusted:
 /// longer than one watch.
 constexpr duration kStoreHeard = std::chrono::milliseconds(3000);
 /// Time for the first listing of the others, before a node watches alone.
 constexpr duration kListingTime = std::chrono::milliseconds(800);
+/// How long a first start waits for the first announcement of its instance.
+constexpr duration kFirstWords = std::chrono::milliseconds(2000);
+constexpr duration kFirstWordsCheck = std::chrono::milliseconds(100);
+/// Changes of the node's entry within this time are written at once.
+constexpr duration kPublishDelay = std::chrono::milliseconds(700);
 constexpr duration kListAgain = std::chrono::milliseconds(500);
 constexpr duration kConfigFetchTimeout = std::chrono::milliseconds(900);
 /// Time that a node of another failure domain leaves to the own watchers.
@@ -148,7 +153,7 @@
   mGossip.Start();
   mMoves.Start();
   mStore.Follow(*this);
-  PublishSelf();
+  Join();
   mLoop.Every(kMaintainPeriod, [this] { Maintain(); });
   mLoop.Every(kDutyPeriod, [this] { ReviewDuty(); });
   mLoop.Every(kHopSweepPeriod, [this] { mHops.Sweep(mLoop.Now()); });
@@ -163,21 +168,71 @@
 bool
 mesh_node::Ready() const
 {
-  return mIngress.Table() != nullptr && mListed && !mDraining;
+  return mIngress.Table() != nullptr && mDirectory.All().size() > 1 &&
+         !mDraining;
+}
+
+void
+mesh_node::Join()
+{
+  if (!mSettings.first_start) {
+    ListOthers();
+    return;
+  }
+  // One write is enough if it holds the instance: wait for its first words.
+  bool waiting = mSelf.instance.state == instance_state::absent &&
+                 mLoop.Now() - mStarted < kFirstWords;
+  if (waiting) {
+    mLoop.After(kFirstWordsCheck, [this] { Join(); });
+    return;
+  }
+  PublishSelf();
 }
 
 void
 mesh_node::PublishSelf()
 {
-  mStore.PublishHost(mSelf, [this](result<void> aDone) {
+  if (mPublishing || mDraining) {
+    return;
+  }
+  if (mPublished && mPublished->hop == mSelf.hop &&
+      mPublished->control == mSelf.control &&
+      mPublished->instance.id == mSelf.instance.id &&
+      mPublished->instance.state == mSelf.instance.state) {
+    return;
+  }
+  mPublishing = true;
+  host_record written = mSelf;
+  mStore.PublishHost(written, [this, written](result<void> aDone) {
+    mPublishing = false;
     if (!aDone) {
       LogEvent(log_level::debug,
                "publish_failed",
                { { "reason", aDone.error().message } });
-      mLoop.After(kListAgain, [this] { PublishSelf(); });
+      PublishSoon();
       return;
     }
-    ListOthers();
+    // Whoever writes and lists after this sees this node; those who wrote
+    // before have to be listed once more.
+    bool first = !mPublished;
+    mPublished = written;
+    if (first) {
+      ListOthers();
+    }
+    PublishSelf(); // what changed meanwhile
+  });
+}
+
+void
+mesh_node::PublishSoon()
+{
+  if (mPublishSoon) {
+    return;
+  }
+  mPublishSoon = true;
+  mLoop.After(kPublishDelay, [this] {
+    mPublishSoon = false;
+    PublishSelf();
   });
 }
 
@@ -193,7 +248,9 @@
       return;
     }
     for (const host_record& record : *aHosts) {
-      if (record.name != mSelf.name) {
+      if (record.name == mSelf.name) {
+        TakeOwnEntry(record);
+      } else {
         mDirectory.Merge(record, mLoop.Now());
       }
     }
@@ -208,9 +265,31 @@
         break;
       }
     }
+    PublishSoon();
   });
 }
 
+void
+mesh_node::TakeOwnEntry(const host_record& aEntry)
+{
+  if (!mPublished) {
+    mPublished = aEntry;
+  }
+  // The instance lived on while this process was away. Should it have been
+  // replaced, it refuses what is meant for the one named here.
+  if (mSelf.instance.state == instance_state::absent &&
+      aEntry.instance.state == instance_state::ready) {
+    mSelf.instance = aEntry.instance;
+    mSelf.instance.cold_left = duration(0);
+    mAnnouncedAt = mLoop.Now();
+    mLocal.SetInstance(mSelf.instance);
+    ChangeSelf();
+    LogEvent(log_level::info,
+             "instance_resumed",
+             { { "instance", mSelf.instance.id } });
+  }
+}
+
 void
 mesh_node::ChangeSelf()
 {
@@ -218,6 +297,9 @@
   mDirectory.Merge(mSelf, mLoop.Now());
   RefreshVersions();
   mGossip.SpreadHost(mSelf);
+  if (mListed) {
+    PublishSoon();
+  }
 }
 
 bool
@@ -327,11 +409,14 @@
   if (!mListed && now - mStarted < kListingTime) {
     return; // nobody else is known yet, so everyone would watch
   }
-  bool duty = RankIn(WatchersOf(mDirectory, mSelf.domain), mSelf.name) >= 0;
-  time_point heard = std::max(mGossip.WatcherHeard(), mStarted);
-  bool alone = now - heard > kWatcherSilence;
-  mStore.SetWatching(!mDraining && (duty || alone));
-  if (duty && !mDraining && mStore.Reached(now - kStoreHeard)) {
+  // While no watcher reaches the store, a few more try as time goes by.
+  duration silence = now - std::max(mGossip.WatcherHeard(), mStarted);
+  auto further = static_cast<std::size_t>(silence / kWatcherSilence);
+  std::vector<std::string> watchers =
+    WatchersOf(mDirectory, mSelf.domain, kWatchersPerDomain * (1 + further));
+  bool watches = !mDraining && RankIn(watchers, mSelf.name) >= 0;
+  mStore.SetWatching(watches);
+  if (watches && mStore.Reached(now - kStoreHeard)) {
     mGossip.SpreadConfigVersion(true);
   }
 }
@@ -469,7 +554,7 @@
 void
 mesh_node::OnHostsChanged()
 {
-  if (!mListed && mDirectory.All().size() > 1) {
+  if (!mListed && !mSettings.first_start && mDirectory.All().size() > 1) {
     mListed = true; // others have told what the store could not
   }
   RefreshVersions();
--- a/src/mesh/mesh-node.h
+++ b/src/mesh/mesh-node.h
@@ -78,9 +78,14 @@
   /// Takes a configuration if it is later than the one held.
   bool TakeTable(accepted_table aTable);
   void FetchConfig(const endpoint& aFrom, std::uint64_t aVersion);
+  /// Lists the others; on a first start this node's own entry comes before.
+  void Join();
+  void ListOthers();
+  void TakeOwnEntry(const host_record& aEntry);
+  /// Writes this node's entry if it says something else than the last one.
   void PublishSelf();
+  void PublishSoon();
   void ChangeSelf();
-  void ListOthers();
   void WatchInstance();
   void RefreshVersions();
   void Maintain();
@@ -112,6 +117,10 @@
   time_point mAnnouncedAt{};
   time_point mDrainBegan{};
   time_point mStarted{};
+  /// The entry as it stands in the store, as far as this node knows.
+  std::optional<host_record> mPublished;
+  bool mPublishing = false;
+  bool mPublishSoon = false;
   bool mListed = false;
   bool mDraining = false;
   bool mFetchingConfig = false;
--- a/src/mesh/mesh-settings.h
+++ b/src/mesh/mesh-settings.h
@@ -40,6 +40,8 @@
   /// Takes the heartbeats of the instance on this host.
   endpoint heartbeat_listen;
   endpoint store;
+  /// The whole mesh starts for the first time: nobody is listed yet.
+  bool first_start = false;
   duration heartbeat_interval = std::chrono::milliseconds(1500);
   unsigned max_connections = 4096;
   mesh_bounds bounds;
--- a/src/net/socket.cc
+++ b/src/net/socket.cc
@@ -178,6 +178,7 @@
   }
   lws_set_opaque_user_data(mSession, this);
   mSelf = shared_from_this();
+  mHost.mOpen.insert(this);
   if (!mConnected) {
     AskForWritable();
   }
@@ -386,6 +387,7 @@
 connection::HandleReleased()
 {
   std::shared_ptr<connection> self = std::move(mSelf);
+  mHost.mOpen.erase(this);
   lws_set_opaque_user_data(mSession, nullptr);
   bool unexpected = !Closed();
   mSession = nullptr;
@@ -408,6 +410,15 @@
   }
 }
 
+socket_host::~socket_host()
+{
+  // What observed the connections may be gone already.
+  std::vector<connection*> open(mOpen.begin(), mOpen.end());
+  for (connection* each : open) {
+    each->Close();
+  }
+}
+
 result<void>
 socket_host::Listen(const endpoint& aEndpoint, accept_handler aHandler)
 {
--- a/src/net/socket.h
+++ b/src/net/socket.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <unordered_set>
 #include <vector>
 
 #include "base/error.h"
@@ -118,6 +119,8 @@
 {
 public:
   explicit socket_host(loop& aLoop);
+  /// Closes all connections; their observers hear nothing.
+  ~socket_host();
   socket_host(const socket_host&) = delete;
   socket_host& operator=(const socket_host&) = delete;
 
@@ -146,6 +149,7 @@
   loop& mLoop;
   lws_vhost* mVhost = nullptr;
   std::vector<std::unique_ptr<listener>> mListeners;
+  std::unordered_set<connection*> mOpen;
 };
 
 } // namespace eelgrasstrack
--- a/src/proxy/forwarded-request.h
+++ b/src/proxy/forwarded-request.h
@@ -97,6 +97,9 @@
   virtual void OnAnswerBody(std::string_view aBytes) = 0;
   virtual void OnAnswerEnd() = 0;
   virtual void OnRunFailed(const run_failure& aFailure) = 0;
+  /// The host of the instance fell silent. Whether the request is to be ended
+  /// there, as it may run elsewhere; otherwise its answer may still come.
+  virtual bool EndForSilence() { return false; }
   /// The receiver of a streamed request body can take more.
   virtual void OnBodyWanted() {}
 };
--- a/src/proxy/hop-client.cc
+++ b/src/proxy/hop-client.cc
@@ -64,7 +64,8 @@
   void GiveUp(bool aHostLost)
   {
     bool unsent = !mChannel || !mChannel->Sent();
-    if (!unsent && (!aHostLost || !mRequest.idempotent || mAnswered)) {
+    if (!unsent &&
+        (!aHostLost || mAnswered || !mSink || !mSink->EndForSilence())) {
       return;
     }
     run_failure failure;
--- a/src/proxy/ingress.cc
+++ b/src/proxy/ingress.cc
@@ -1,6 +1,7 @@
 #include "proxy/ingress.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "base/invariant.h"
 #include "base/log.h"
@@ -137,6 +138,16 @@
 
   // answer_sink
 
+  bool EndForSilence() override
+  {
+    ++mReached; // it may have arrived there
+    mRepeatGranted = mRoute->idempotent && !mAnswerBegun && MayRepeat();
+    if (!mRepeatGranted) {
+      --mReached;
+    }
+    return mRepeatGranted;
+  }
+
   void OnBodyWanted() override
   {
     if (mSession) {
@@ -329,7 +340,8 @@
         { { "instance", mInstance },
           { "reason", std::string(NameOf(aFailure.reason)) },
           { "not_run", aFailure.not_run ? "yes" : "no" } });
-    if (aFailure.reached) {
+    bool granted = std::exchange(mRepeatGranted, false);
+    if (aFailure.reached && !granted) {
       ++mReached;
     }
     mMayHaveRun = mMayHaveRun || !aFailure.not_run;
@@ -346,7 +358,7 @@
       return;
     }
     bool repeatable = aFailure.not_run || mRoute->idempotent;
-    if (repeatable && MayRepeat()) {
+    if (granted || (repeatable && MayRepeat())) {
       SendAgain();
       return;
     }
@@ -545,6 +557,8 @@
   /// Instances that the request was sent to.
   unsigned mReached = 0;
   bool mRunning = false;
+  /// A repeat was taken out of the budget before the try was ended.
+  bool mRepeatGranted = false;
   trial_draw mTrial;
   bool mMayHaveRun = false;
   bool mStreamedBody = false;
--- a/test/harness/mesh-world.cc
+++ b/test/harness/mesh-world.cc
@@ -1,5 +1,6 @@
 #include "harness/mesh-world.h"
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <catch2/catch.hpp>
 #include <netinet/in.h>
@@ -134,6 +135,7 @@
   host->settings.name = "node-" + std::to_string(index);
   host->settings.domain = index % 2 == 0 ? "a" : "b";
   host->settings.service = aService;
+  host->settings.first_start = mFirstStart;
   host->settings.caller_listen = FreeAddress();
   host->settings.hop_listen = FreeAddress();
   host->settings.control_listen = FreeAddress();
@@ -149,7 +151,9 @@
     mLoop, mSockets, mCaller, mStore, host->counters, mNames, host->settings);
   REQUIRE(host->node->Start());
   mHosts.push_back(std::move(host));
-  Announce(index, instance_state::ready);
+  if (mFirstStart) {
+    Announce(index, instance_state::ready);
+  }
   return index;
 }
 
@@ -235,6 +239,35 @@
   }
 }
 
+bool
+mesh_world::KnowsAll(const mesh_node& aNode) const
+{
+  nlohmann::json dump = nlohmann::json::parse(aNode.Dump());
+  std::size_t known = 0;
+  for (const nlohmann::json& host : dump.at("hosts")) {
+    known += host.contains("instance") ? 1 : 0;
+  }
+  return known == mHosts.size();
+}
+
+void
+mesh_world::RunUntilKnown()
+{
+  constexpr duration kStep = std::chrono::milliseconds(20);
+  constexpr int kMostSteps = 500;
+  for (int step = 0; step < kMostSteps; ++step) {
+    bool all =
+      std::all_of(mHosts.begin(), mHosts.end(), [this](const auto& aHost) {
+        return KnowsAll(*aHost->node);
+      });
+    if (all) {
+      return;
+    }
+    RunFor(kStep);
+  }
+  FAIL("the nodes did not find each other");
+}
+
 void
 mesh_world::SetRoute(std::uint64_t aVersion,
                      const std::string& aPrefix,
--- a/test/harness/mesh-world.h
+++ b/test/harness/mesh-world.h
@@ -56,6 +56,10 @@
   /// Starts a node and its instance; returns its index.
   std::size_t AddHost(const std::string& aService, const std::string& aVersion);
 
+  /// Hosts that are added from now on join a mesh that runs already; their
+  /// instances are not announced.
+  void EndFirstStart() { mFirstStart = false; }
+
   /// Announces an instance in a state.
   void Announce(std::size_t aHost, instance_state aState);
 
@@ -68,6 +72,9 @@
   /// Runs the loop for a while.
   void RunFor(duration aTime);
 
+  /// Runs the loop until every node knows the instances of all hosts.
+  void RunUntilKnown();
+
   /// Offers a configuration with one route to a service.
   void SetRoute(std::uint64_t aVersion,
                 const std::string& aPrefix,
@@ -97,6 +104,7 @@
   };
 
   void ServeInstance(world_host& aHost);
+  bool KnowsAll(const mesh_node& aNode) const;
 
   loop mLoop;
   socket_host mSockets;
@@ -104,6 +112,7 @@
   memory_control_store mStore;
   request_names mNames;
   std::vector<std::unique_ptr<world_host>> mHosts;
+  bool mFirstStart = true;
 };
 
 } // namespace eelgrasstrack::test
--- a/test/unit/mesh-node-test.cc
+++ b/test/unit/mesh-node-test.cc
@@ -18,7 +18,7 @@
     first = world.AddHost("orders", "v1");
     second = world.AddHost("orders", "v1");
     world.SetRoute(1, "/orders/", "orders", true);
-    world.RunFor(milliseconds(100));
+    world.RunUntilKnown();
   }
 
   int StatusOf(const std::string& aMethod = "GET")
@@ -115,7 +115,7 @@
 {
   std::size_t third = world.AddHost("orders", "v1");
   std::size_t fourth = world.AddHost("orders", "v1");
-  world.RunFor(milliseconds(100));
+  world.RunUntilKnown();
   for (std::size_t host : { first, second, third, fourth }) {
     world.Behaviour(host).status = 500;
   }
@@ -196,16 +196,38 @@
   "[mesh-node]")
 {
   // The store never hands the configuration to this node.
+  world.EndFirstStart();
   world.Store().SetOut(true);
   std::size_t late = world.AddHost("orders", "v1");
   CHECK_FALSE(world.Node(late).Ready());
   world.RunFor(milliseconds(50));
   world.Store().SetOut(false);
-  world.RunFor(milliseconds(1500));
+  world.Announce(late, instance_state::ready);
+  world.RunUntilKnown();
+  world.RunFor(milliseconds(200));
   CHECK(world.Node(late).Ready());
   CHECK(world.Node(late).ConfigVersion() == 1);
 }
 
+TEST_CASE_METHOD(mesh_fixture,
+                 "mesh node, two hosts join at once, all know each other",
+                 "[mesh-node]")
+{
+  world.EndFirstStart();
+  std::size_t third = world.AddHost("other", "v1");
+  std::size_t fourth = world.AddHost("other", "v1");
+  world.Announce(third, instance_state::ready);
+  world.Announce(fourth, instance_state::ready);
+  world.SetRoute(2, "/other/", "other", true);
+  world.RunUntilKnown();
+  for (std::size_t host : { front, first, third }) {
+    result<whole_response> answer = world.Ask(host, "GET", "/other/1");
+    REQUIRE(answer);
+    CHECK(answer->status == 200);
+  }
+  CHECK(world.Runs(third) + world.Runs(fourth) == 3);
+}
+
 TEST_CASE_METHOD(mesh_fixture,
                  "mesh node, callers keep sending during its stop, are refused",
                  "[mesh-node]")
