Make one memory of request keys and one writer of request bodies

claim_memory and duplicate_filter were one expiring memory written twice; instance_run and hop_run framed bodies alike.

--- a/src/call/last-hop.cc
+++ b/src/call/last-hop.cc
@@ -30,13 +30,16 @@
   return request;
 }
 
+/// A key counts here whoever sent it.
+constexpr std::uint64_t kAnySession = 0;
+
 } // namespace
 
 last_hop::last_hop(const clock_source& aClock, std::uint64_t aIncarnation)
   : mClock(aClock)
   , mIncarnation(aIncarnation)
   , mQueue(admission_limits{})
-  , mDuplicates(duplicate_filter_options{})
+  , mDispatched(key_memory_options{})
 {
 }
 
@@ -128,12 +131,12 @@
   time_point now = mClock.Now();
   const call_message& head = pending->call.head;
   if (!head.repeatable) {
-    duplicate_filter::verdict verdict =
-      mDuplicates.Admit(head.request_key, now);
-    if (verdict != duplicate_filter::verdict::first) {
+    key_memory::verdict verdict =
+      mDispatched.Take(head.request_key, kAnySession, now);
+    if (verdict != key_memory::verdict::first) {
       ++mCounters.duplicates;
       mQueue.Finish(head.caller, duration(0));
-      bool full = verdict == duplicate_filter::verdict::full;
+      bool full = verdict == key_memory::verdict::full;
       AnswerFailure(
         aId,
         full ? MakeError(error_kind::overloaded,
@@ -169,7 +172,7 @@
   bool ran = aResult || aResult.error().ran == execution::unknown;
   mQueue.Finish(head.caller, ran ? took : duration(0));
   if (!ran && !head.repeatable) {
-    mDuplicates.Release(head.request_key);
+    mDispatched.Release(head.request_key, kAnySession);
   }
   hop_answer answer;
   if (aResult) {
--- a/src/call/last-hop.h
+++ b/src/call/last-hop.h
@@ -7,7 +7,7 @@
 #include "call/call-types.h"
 #include "http/client.h"
 #include "routing/admission-queue.h"
-#include "routing/duplicate-filter.h"
+#include "routing/key-memory.h"
 
 namespace eelgrasstrack {
 
@@ -94,7 +94,8 @@
   local_upstream mUpstream;
   std::shared_ptr<upstream_connection> mConnection;
   admission_queue mQueue;
-  duplicate_filter mDuplicates;
+  /// Keys of calls that were dispatched and must not run twice.
+  key_memory mDispatched;
   std::map<admission_id, std::shared_ptr<pending_call>> mCalls;
   admission_id mNextId = 1;
   last_hop_counters mCounters;
--- a/src/daemon/claim-exchange.cc
+++ b/src/daemon/claim-exchange.cc
@@ -17,10 +17,18 @@
 claim_exchange::claim_exchange(loop& aLoop, node_id aSelf)
   : mLoop(aLoop)
   , mSelf(std::move(aSelf))
-  , mMemory(kWindow, kMaxKeys)
+  , mMemory({ kWindow, kMaxKeys })
 {
 }
 
+bool
+claim_exchange::Grants(const std::string& aKey, std::uint64_t aSession)
+{
+  key_memory::verdict verdict = mMemory.Take(aKey, aSession, mLoop.Now());
+  return verdict == key_memory::verdict::first ||
+         verdict == key_memory::verdict::repeated;
+}
+
 void
 claim_exchange::Connect(peer_switch& aSwitch, const member_table& aMembers)
 {
@@ -64,7 +72,7 @@
     mSwitch->Send(aWitness, aClaim);
     return;
   }
-  bool granted = mMemory.Claim(aClaim.request_key, aClaim.session, mLoop.Now());
+  bool granted = Grants(aClaim.request_key, aClaim.session);
   std::uint64_t id = aClaim.id;
   mLoop.After(duration(0), [this, id, granted] { OnAnswer(id, granted); });
 }
@@ -96,7 +104,7 @@
     mMemory.Release(claim->request_key, claim->session);
     return;
   }
-  bool granted = mMemory.Claim(claim->request_key, claim->session, mLoop.Now());
+  bool granted = Grants(claim->request_key, claim->session);
   mSwitch->SendOn(aLink, claim_answer_message{ claim->id, granted });
 }
 
--- a/src/daemon/claim-exchange.h
+++ b/src/daemon/claim-exchange.h
@@ -3,6 +3,7 @@
 
 #include "call/claims.h"
 #include "daemon/peer-switch.h"
+#include "routing/key-memory.h"
 
 namespace eelgrasstrack {
 
@@ -26,6 +27,8 @@
   void OnMessage(const link_ptr& aLink, const peer_message& aMessage);
 
 private:
+  /// Whether the session may use the key; a full memory grants nothing.
+  bool Grants(const std::string& aKey, std::uint64_t aSession);
   struct pending_claim
   {
     std::function<void(claim_verdict)> done;
@@ -43,7 +46,7 @@
   node_id mSelf;
   peer_switch* mSwitch = nullptr;
   const member_table* mMembers = nullptr;
-  claim_memory mMemory;
+  key_memory mMemory;
   std::uint64_t mNextId = 1;
   std::map<std::uint64_t, pending_claim> mPending;
 };
--- a/src/proxy/forwarded-request.cc
+++ b/src/proxy/forwarded-request.cc
@@ -62,23 +62,39 @@
   }
 }
 
-body_framing
-AppendRequestFraming(std::string& aText, const forwarded_request& aRequest)
+void
+request_body_writer::Begin(std::string& aText,
+                           const forwarded_request& aRequest)
 {
-  body_framing framing = body_framing::length;
   if (!aRequest.body_whole && !aRequest.body_length) {
     AppendField(aText, "Transfer-Encoding", "chunked");
-    framing = body_framing::chunked;
+    mFraming = body_framing::chunked;
   } else if (aRequest.body_length || !aRequest.body.empty()) {
     AppendField(aText,
                 "Content-Length",
                 std::to_string(aRequest.body_length.value_or(
                   static_cast<std::uint64_t>(aRequest.body.size()))));
+    mFraming = body_framing::length;
   } else {
-    framing = body_framing::none;
+    mFraming = body_framing::none;
   }
   aText += "\r\n";
-  return framing;
+  Append(aText, aRequest.body, aRequest.body_whole);
+}
+
+void
+request_body_writer::Append(std::string& aText,
+                            std::string_view aBytes,
+                            bool aLast) const
+{
+  if (mFraming != body_framing::chunked) {
+    aText += aBytes;
+    return;
+  }
+  AppendChunk(aText, aBytes);
+  if (aLast) {
+    aText += kLastChunk;
+  }
 }
 
 void
--- a/src/proxy/forwarded-request.h
+++ b/src/proxy/forwarded-request.h
@@ -125,9 +125,20 @@
 void
 AppendForwardedFields(std::string& aText, const message_head& aHead);
 
-/// Appends the field that frames the body, and the empty line.
-body_framing
-AppendRequestFraming(std::string& aText, const forwarded_request& aRequest);
+/// Writes the end of a request's head and its body, in parts if need be.
+class request_body_writer
+{
+public:
+  /// Appends the field that frames the body, the empty line and the first part
+  /// of the body.
+  void Begin(std::string& aText, const forwarded_request& aRequest);
+
+  /// Appends a further part.
+  void Append(std::string& aText, std::string_view aBytes, bool aLast) const;
+
+private:
+  body_framing mFraming = body_framing::none;
+};
 
 /// Removes the fields that must not be passed on.
 void
--- a/src/proxy/hop-client.cc
+++ b/src/proxy/hop-client.cc
@@ -49,8 +49,7 @@
     AppendRequestLine(text, mRequest.head);
     AppendForwardedFields(text, mRequest.head);
     AppendField(text, kCallField, EncodeCall(mRequest, mBegan));
-    mFraming = AppendRequestFraming(text, mRequest);
-    AppendBody(text, mRequest.body, mRequest.body_whole);
+    mBody.Begin(text, mRequest);
     mChannel->Begin(text,
                     shared_from_this(),
                     { mClient.mNames.request_id, mRequest.request_id },
@@ -93,7 +92,7 @@
   {
     if (mChannel) {
       std::string text;
-      AppendBody(text, aBytes, aLast);
+      mBody.Append(text, aBytes, aLast);
       mChannel->SendMore(text);
     }
   }
@@ -183,18 +182,6 @@
     mClient.mHosts[mHostName].last_heard = mClient.mHost.Loop().Now();
   }
 
-  void AppendBody(std::string& aText, std::string_view aBytes, bool aLast)
-  {
-    if (mFraming != body_framing::chunked) {
-      aText += aBytes;
-      return;
-    }
-    AppendChunk(aText, aBytes);
-    if (aLast) {
-      aText += kLastChunk;
-    }
-  }
-
   void FailWith(const run_failure& aFailure)
   {
     std::shared_ptr<hop_run> self = shared_from_this();
@@ -214,7 +201,7 @@
   std::shared_ptr<answer_sink> mSink;
   std::shared_ptr<client_channel> mChannel;
   std::optional<run_failure> mFailure;
-  body_framing mFraming = body_framing::none;
+  request_body_writer mBody;
   time_point mBegan{};
   bool mAnswered = false;
 };
--- a/src/proxy/instance-port.cc
+++ b/src/proxy/instance-port.cc
@@ -76,7 +76,7 @@
       return;
     }
     std::string text;
-    AppendBody(text, aBytes, aLast);
+    mBody.Append(text, aBytes, aLast);
     mChannel->SendMore(text);
   }
 
@@ -207,23 +207,10 @@
     AppendField(text, names.timeout_ms, std::to_string(left > 1 ? left : 1));
     AppendField(text, names.target_instance, mRequest.instance);
     AppendField(text, names.caller_service, mRequest.caller_service);
-    mFraming = AppendRequestFraming(text, mRequest);
-    AppendBody(text, mRequest.body, mRequest.body_whole);
+    mBody.Begin(text, mRequest);
     return text;
   }
 
-  void AppendBody(std::string& aText, std::string_view aBytes, bool aLast)
-  {
-    if (mFraming != body_framing::chunked) {
-      aText += aBytes;
-      return;
-    }
-    AppendChunk(aText, aBytes);
-    if (aLast) {
-      aText += kLastChunk;
-    }
-  }
-
   duration Took() const { return mPort.mHost.Loop().Now() - mDispatched; }
 
   void Judge(bool aFailed)
@@ -277,7 +264,7 @@
   std::shared_ptr<answer_sink> mSink;
   std::string mVersion;
   std::shared_ptr<client_channel> mChannel;
-  body_framing mFraming = body_framing::none;
+  request_body_writer mBody;
   time_point mDispatched{};
   int mStatus = 0;
   int mRefusedStatus = 0;
--- a/test/unit/routing-test.cc
+++ b/test/unit/routing-test.cc
@@ -1,7 +1,7 @@
 #include <catch2/catch.hpp>
 
 #include "routing/admission-queue.h"
-#include "routing/duplicate-filter.h"
+#include "routing/key-memory.h"
 #include "routing/retry-policy.h"
 #include "routing/route-table.h"
 #include "routing/upstream-picker.h"
@@ -156,20 +156,32 @@
   REQUIRE(queue.Next(kStart).run.has_value());
 }
 
-TEST_CASE("DuplicateFilter_SameKeyWithinWindow_IsDuplicateUntilReleased",
+TEST_CASE("KeyMemory_SameKeyWithinWindow_IsRepeatedUntilReleased",
           "[duplicates]")
 {
-  using verdict = duplicate_filter::verdict;
-  duplicate_filter filter({ seconds(60), 3 });
-  REQUIRE(filter.Admit("a", kStart) == verdict::first);
-  REQUIRE(filter.Admit("a", kStart + seconds(59)) == verdict::duplicate);
-  filter.Release("a");
-  REQUIRE(filter.Admit("a", kStart + seconds(59)) == verdict::first);
-  REQUIRE(filter.Admit("a", kStart + seconds(100)) == verdict::duplicate);
-  REQUIRE(filter.Admit("a", kStart + seconds(120)) == verdict::first);
-  filter.Admit("b", kStart + seconds(120));
-  filter.Admit("c", kStart + seconds(120));
-  REQUIRE(filter.Admit("d", kStart + seconds(120)) == verdict::full);
+  using verdict = key_memory::verdict;
+  key_memory memory({ seconds(60), 3 });
+  REQUIRE(memory.Take("a", 0, kStart) == verdict::first);
+  REQUIRE(memory.Take("a", 0, kStart + seconds(59)) == verdict::repeated);
+  memory.Release("a", 0);
+  REQUIRE(memory.Take("a", 0, kStart + seconds(59)) == verdict::first);
+  REQUIRE(memory.Take("a", 0, kStart + seconds(100)) == verdict::repeated);
+  REQUIRE(memory.Take("a", 0, kStart + seconds(120)) == verdict::first);
+  memory.Take("b", 0, kStart + seconds(120));
+  memory.Take("c", 0, kStart + seconds(120));
+  REQUIRE(memory.Take("d", 0, kStart + seconds(120)) == verdict::full);
+}
+
+TEST_CASE("KeyMemory_KeyOfAnotherSession_IsTakenAndNotReleased", "[duplicates]")
+{
+  using verdict = key_memory::verdict;
+  key_memory memory({ seconds(60), 3 });
+  REQUIRE(memory.Take("a", 1, kStart) == verdict::first);
+  REQUIRE(memory.Take("a", 2, kStart) == verdict::taken);
+  memory.Release("a", 2);
+  REQUIRE(memory.Take("a", 2, kStart) == verdict::taken);
+  memory.Release("a", 1);
+  REQUIRE(memory.Take("a", 2, kStart) == verdict::first);
 }
 
 TEST_CASE("RetryPolicy_UnknownExecutionOfUnrepeatable_IsNeverTriedAgain",
