Never resend from the last hop, and ask a host that is not as believed

Now only the first hop repeats. A refused node now asks that host, and a host that comes back is asked what it missed.

--- a/src/mesh/gossip.cc
+++ b/src/mesh/gossip.cc
@@ -15,6 +15,8 @@
 constexpr duration kProbeTimeout = std::chrono::milliseconds(350);
 constexpr duration kProbePeriod = std::chrono::milliseconds(500);
 constexpr duration kComparePeriod = std::chrono::milliseconds(2500);
+/// A host whose record seems out of date is asked again after this.
+constexpr duration kAskPause = std::chrono::milliseconds(300);
 /// News goes to all nodes of the failure domain directly while there are at
 /// most this many.
 constexpr std::size_t kDirectLimit = 32;
@@ -228,6 +230,18 @@
   Send(aName, MessageText(true));
 }
 
+void
+gossip::Ask(const std::string& aName)
+{
+  time_point now = mLoop.Now();
+  time_point& asked = mAsked[aName];
+  if (now - asked < kAskPause) {
+    return;
+  }
+  asked = now;
+  CompareWith(aName);
+}
+
 void
 gossip::CompareWithSome()
 {
@@ -390,6 +404,9 @@
   bool changed = mDirectory.MarkReachable(from);
   std::vector<host_record> hosts = TakeHosts(message, from);
   std::vector<version_move> moves = TakeMoves(message);
+  if (changed) {
+    Ask(from); // it was away, and may have missed news
+  }
   if (changed || !hosts.empty()) {
     mOwner.OnHostsChanged();
   }
--- a/src/mesh/gossip.h
+++ b/src/mesh/gossip.h
@@ -2,6 +2,7 @@
 #define EELGRASSTRACK_MESH_GOSSIP_H_
 
 #include <nlohmann/json.hpp>
+#include <map>
 #include <random>
 #include <set>
 
@@ -55,6 +56,9 @@
   /// Compares all with a host, as after the node's start.
   void CompareWith(const std::string& aName);
 
+  /// Compares all with a host unless that was done a moment ago.
+  void Ask(const std::string& aName);
+
   /// Probes a host that may be lost; `aLost` is called if it does not answer.
   void Probe(const std::string& aName);
   void OnLost(std::function<void(const std::string&)> aHandler);
@@ -94,6 +98,7 @@
   gossip_owner& mOwner;
   std::function<void(const std::string&)> mOnLost;
   std::set<std::string> mProbing;
+  std::map<std::string, time_point> mAsked;
   time_point mWatcherHeard{};
   std::mt19937_64 mRandom{ std::random_device{}() };
 };
--- a/src/mesh/mesh-node.cc
+++ b/src/mesh/mesh-node.cc
@@ -149,6 +149,7 @@
     mMoves.OnResult(mLocal.Instance().service, aResult);
   });
   mHops.OnDoubt([this](const std::string& aName) { mGossip.Probe(aName); });
+  mHops.OnOutdated([this](const std::string& aName) { mGossip.Ask(aName); });
   mGossip.OnLost([this](const std::string& aName) { mHops.HostLost(aName); });
   mGossip.Start();
   mMoves.Start();
--- a/src/proxy/hop-client.cc
+++ b/src/proxy/hop-client.cc
@@ -149,6 +149,7 @@
     mClient.KeepChannel(mClient.mHosts[mHostName], std::move(mChannel));
     mChannel.reset();
     if (mFailure) {
+      mClient.NoteFailure(mHostName, *mFailure);
       FailWith(*mFailure);
       return;
     }
@@ -218,6 +219,23 @@
   mOnDoubt = std::move(aHandler);
 }
 
+void
+hop_client::OnOutdated(std::function<void(const std::string&)> aHandler)
+{
+  mOnOutdated = std::move(aHandler);
+}
+
+void
+hop_client::NoteFailure(const std::string& aHostName,
+                        const run_failure& aFailure)
+{
+  bool outdated = aFailure.reason == run_failure_reason::wrong_instance ||
+                  aFailure.reason == run_failure_reason::leaving;
+  if (outdated && mOnOutdated) {
+    mOnOutdated(aHostName);
+  }
+}
+
 void
 hop_client::Doubt(const std::string& aHostName)
 {
--- a/src/proxy/hop-client.h
+++ b/src/proxy/hop-client.h
@@ -21,6 +21,10 @@
   /// an answer is overdue and nothing was heard from it for a while.
   void OnDoubt(std::function<void(const std::string&)> aHandler);
 
+  /// Called with the name of a host that is not as this node believes: it does
+  /// not run the instance that was asked for, or is leaving.
+  void OnOutdated(std::function<void(const std::string&)> aHandler);
+
   run_start Run(const std::string& aHostName,
                 const endpoint& aAddress,
                 forwarded_request aRequest,
@@ -49,11 +53,13 @@
   void KeepChannel(host_state& aState,
                    std::shared_ptr<client_channel> aChannel);
   void Doubt(const std::string& aHostName);
+  void NoteFailure(const std::string& aHostName, const run_failure& aFailure);
 
   socket_host& mHost;
   const request_names& mNames;
   std::map<std::string, host_state> mHosts;
   std::function<void(const std::string&)> mOnDoubt;
+  std::function<void(const std::string&)> mOnOutdated;
 };
 
 } // namespace eelgrasstrack
--- a/src/proxy/instance-port.cc
+++ b/src/proxy/instance-port.cc
@@ -41,7 +41,7 @@
   void Start()
   {
     mStarted = true;
-    Dispatch(false);
+    Dispatch();
   }
 
   void Refuse(run_failure_reason aReason, duration aRoomIn)
@@ -160,24 +160,16 @@
       Refuse(run_failure_reason::unreachable, duration(0));
       return;
     }
-    if (mOnUsedChannel && !mRetried && !aFailure.answered &&
-        mRequest.idempotent && mRequest.body_whole) {
-      // The instance closed the idle connection as the request left.
-      mRetried = true;
-      Dispatch(true);
-      return;
-    }
     FailBroken(aFailure.reason);
   }
 
 private:
-  void Dispatch(bool aFreshOnly)
+  void Dispatch()
   {
     time_point now = mPort.mHost.Loop().Now();
     mDispatched = now;
-    std::shared_ptr<client_channel> channel = mPort.TakeChannel(aFreshOnly);
-    if (!aFreshOnly && channel && !mRequest.idempotent &&
-        channel->UsedBefore() &&
+    std::shared_ptr<client_channel> channel = mPort.TakeChannel(false);
+    if (channel && !mRequest.idempotent && channel->UsedBefore() &&
         now - channel->IdleSince() > kIdleLimitForUnsafe) {
       channel->Abort();
       channel = mPort.TakeChannel(true);
@@ -189,7 +181,6 @@
       });
       return;
     }
-    mOnUsedChannel = channel->UsedBefore();
     mChannel = channel;
     channel->Begin(RequestText(now),
                    shared_from_this(),
@@ -271,8 +262,6 @@
   bool mBad = false;
   bool mStarted = false;
   bool mEnded = false;
-  bool mRetried = false;
-  bool mOnUsedChannel = false;
 };
 
 instance_port::instance_port(socket_host& aHost, const request_names& aNames)
--- /dev/null
+++ b/test/harness/free-address.h
@@ -0,0 +1,14 @@
+#ifndef EELGRASSTRACK_TEST_HARNESS_FREE_ADDRESS_H_
+#define EELGRASSTRACK_TEST_HARNESS_FREE_ADDRESS_H_
+
+#include "http/message.h"
+
+namespace eelgrasstrack::test {
+
+/// A loopback address that nobody listens at.
+endpoint
+FreeAddress();
+
+} // namespace eelgrasstrack::test
+
+#endif // EELGRASSTRACK_TEST_HARNESS_FREE_ADDRESS_H_
