--- a/src/mesh/gossip.h
+++ b/src/mesh/gossip.h
@@ -1,8 +1,8 @@
 #ifndef EELGRASSTRACK_MESH_GOSSIP_H_
 #define EELGRASSTRACK_MESH_GOSSIP_H_
 
-#include <nlohmann/json.hpp>
 #include <map>
+#include <nlohmann/json.hpp>
 #include <random>
 #include <set>
 
