Test the store's client against a stand-in that speaks its protocol

Nine cases on loopback: changes, malformed configurations, history gone, 503, 429, lost answers, paged lists, replaced entries, progress refused after the order has changed.

--- /dev/null
+++ b/test/harness/platform-store.cc
@@ -0,0 +1,224 @@
+#include "harness/platform-store.h"
+
+#include <sstream>
+#include <utility>
+
+namespace eelgrasstrack::test {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr int kOk = 200;
+constexpr int kCreated = 201;
+constexpr int kNotFound = 404;
+constexpr int kConflict = 409;
+constexpr int kGone = 410;
+constexpr int kTooMany = 429;
+constexpr int kUnavailable = 503;
+
+whole_response
+Response(int aStatus, const json& aBody = json())
+{
+  whole_response response;
+  response.status = aStatus;
+  response.body = aBody.is_null() ? "" : aBody.dump();
+  return response;
+}
+
+/// The parts of a path after `/objects/`, without the query.
+std::vector<std::string>
+PartsOf(const std::string& aTarget)
+{
+  std::string path = aTarget.substr(0, aTarget.find('?'));
+  std::vector<std::string> parts;
+  std::stringstream stream(path.substr(std::string("/objects/").size()));
+  for (std::string part; std::getline(stream, part, '/');) {
+    parts.push_back(part);
+  }
+  return parts;
+}
+
+std::string
+QueryOf(const std::string& aTarget, const std::string& aName)
+{
+  std::size_t query = aTarget.find('?');
+  return query == std::string::npos
+           ? std::string()
+           : QueryValue(std::string_view(aTarget).substr(query + 1), aName);
+}
+
+} // namespace
+
+platform_store::platform_store(loop& aLoop,
+                               socket_host& aSockets,
+                               const endpoint& aAddress)
+  : mLoop(aLoop)
+{
+  result<void> opened = ServeAt(
+    aSockets, aAddress, [this](whole_request aRequest, respond aRespond) {
+      Handle(std::move(aRequest), std::move(aRespond));
+    });
+  if (!opened) {
+    throw std::runtime_error(opened.error().message);
+  }
+}
+
+void
+platform_store::Handle(whole_request aRequest, respond aRespond)
+{
+  ++mCalls;
+  if (mMood == mood::busy || mMood == mood::over_rate) {
+    aRespond(Response(mMood == mood::busy ? kUnavailable : kTooMany));
+    return;
+  }
+  if (mMood == mood::loses_answers) {
+    aRespond = [](const whole_response&) {};
+  }
+  whole_response response =
+    aRequest.method == "GET" ? Read(aRequest, aRespond) : Write(aRequest);
+  if (aRespond) {
+    aRespond(response);
+  }
+}
+
+whole_response
+platform_store::Read(const whole_request& aRequest, respond& aRespond)
+{
+  std::vector<std::string> parts = PartsOf(aRequest.target);
+  if (parts.size() == 2) {
+    json object = Find(parts[0], parts[1]);
+    return object.is_null() ? Response(kNotFound) : Response(kOk, object);
+  }
+  std::string watch = QueryOf(aRequest.target, "watch");
+  if (watch.empty()) {
+    return List(parts[0], QueryOf(aRequest.target, "after"));
+  }
+  std::uint64_t from = std::stoull(watch);
+  if (from < mHistoryFrom) {
+    return Response(kGone);
+  }
+  auto answered = std::make_shared<bool>(false);
+  auto once = [answered, answer = aRespond](const whole_response& aResponse) {
+    if (!std::exchange(*answered, true)) {
+      answer(aResponse);
+    }
+  };
+  waiting_watch waiting{ parts[0], from, once };
+  aRespond = nullptr;
+  if (AnswerWatch(waiting)) {
+    return {};
+  }
+  mWatches.push_back(waiting);
+  auto wait = std::stoll(QueryOf(aRequest.target, "wait_ms"));
+  mLoop.After(std::chrono::milliseconds(wait), [this, answer = waiting.answer] {
+    answer(Response(kOk, { { "events", json::array() }, { "at", mRevision } }));
+  });
+  return {};
+}
+
+whole_response
+platform_store::List(const std::string& aKind, const std::string& aAfter)
+{
+  json items = json::array();
+  bool more = false;
+  for (const auto& [name, object] : mKinds[aKind]) {
+    if (!aAfter.empty() && name <= aAfter) {
+      continue;
+    }
+    if (items.size() == mPageSize) {
+      more = true;
+      break;
+    }
+    items.push_back(object);
+  }
+  return Response(
+    kOk, { { "items", items }, { "has_more", more }, { "at", mRevision } });
+}
+
+whole_response
+platform_store::Write(const whole_request& aRequest)
+{
+  std::vector<std::string> parts = PartsOf(aRequest.target);
+  json body = json::parse(aRequest.body, nullptr, false);
+  std::string name = aRequest.method == "POST"
+                       ? body.at("metadata").at("name").get<std::string>()
+                       : parts.at(1);
+  json object = Find(parts[0], name);
+  if (aRequest.method == "POST") {
+    if (!object.is_null()) {
+      return Response(kConflict, object);
+    }
+    Put(parts[0], name, body.at("spec"));
+    return Response(kCreated, Find(parts[0], name));
+  }
+  if (object.is_null()) {
+    return Response(kNotFound);
+  }
+  bool conditional = body.is_object() && body.at("metadata").contains("rev");
+  if (conditional &&
+      body.at("metadata").at("rev") != object.at("metadata").at("rev")) {
+    return Response(kConflict, object);
+  }
+  bool status = parts.size() == 3;
+  json& stored = mKinds[parts[0]][name];
+  stored[status ? "status" : "spec"] = body.at(status ? "status" : "spec");
+  Changed(parts[0], name);
+  return Response(kOk, Find(parts[0], name));
+}
+
+void
+platform_store::Put(const std::string& aKind,
+                    const std::string& aName,
+                    const json& aSpec)
+{
+  json& object = mKinds[aKind][aName];
+  if (object.is_null()) {
+    object = { { "metadata", { { "name", aName } } }, { "status", nullptr } };
+  }
+  object["spec"] = aSpec;
+  Changed(aKind, aName);
+}
+
+json
+platform_store::Find(const std::string& aKind, const std::string& aName) const
+{
+  auto kind = mKinds.find(aKind);
+  if (kind == mKinds.end() || kind->second.count(aName) == 0) {
+    return json();
+  }
+  return kind->second.at(aName);
+}
+
+void
+platform_store::Changed(const std::string& aKind, const std::string& aName)
+{
+  mKinds[aKind][aName]["metadata"]["rev"] = ++mRevision;
+  AnswerWatches();
+}
+
+void
+platform_store::AnswerWatches()
+{
+  std::erase_if(mWatches, [this](const waiting_watch& aWatch) {
+    return AnswerWatch(aWatch);
+  });
+}
+
+bool
+platform_store::AnswerWatch(const waiting_watch& aWatch)
+{
+  json events = json::array();
+  for (const auto& [name, object] : mKinds[aWatch.kind]) {
+    if (object.at("metadata").at("rev") > aWatch.revision) {
+      events.push_back({ { "object", object }, { "deleted", false } });
+    }
+  }
+  if (events.empty()) {
+    return false;
+  }
+  aWatch.answer(Response(kOk, { { "events", events }, { "at", mRevision } }));
+  return true;
+}
+
+} // namespace eelgrasstrack::test
--- /dev/null
+++ b/test/unit/store-client-test.cc
@@ -0,0 +1,236 @@
+#include <catch2/catch.hpp>
+
+#include "harness/free-address.h"
+#include "harness/platform-store.h"
+#include "platform/store-client.h"
+
+using namespace eelgrasstrack;
+using namespace eelgrasstrack::platform;
+using namespace eelgrasstrack::test;
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+namespace {
+
+json
+TableOf(int aVersion)
+{
+  return { { "version", "r" + std::to_string(aVersion) },
+           { "listeners", json::array() },
+           { "clusters", json::array() } };
+}
+
+/// Remembers what the store handed out.
+class remembering_observer final : public control_store_observer
+{
+public:
+  void OnTable(accepted_table aTable) override
+  {
+    versions.push_back(aTable.table->Version());
+  }
+  void OnOrder(const move_order& aOrder) override { orders.push_back(aOrder); }
+  void OnOrderRemoved(const std::string&) override {}
+
+  std::vector<std::uint64_t> versions;
+  std::vector<move_order> orders;
+};
+
+/// A node's client and the store it calls, over loopback.
+class store_client_fixture
+{
+public:
+  store_client_fixture()
+    : sockets(events)
+    , calls(sockets)
+    , address(FreeAddress())
+    , store(events, sockets, address)
+    , client(calls, events, counters)
+  {
+    client.SetAddress(address);
+    client.Follow(observer);
+    store.Put("config", "main", TableOf(3));
+  }
+
+  void RunFor(duration aTime)
+  {
+    events.After(aTime, [this] { events.Stop(); });
+    events.Run();
+  }
+
+  bool SawVersion(std::uint64_t aVersion)
+  {
+    constexpr int kMostSteps = 100;
+    for (int i = 0; i < kMostSteps; ++i) {
+      if (!observer.versions.empty() && observer.versions.back() == aVersion) {
+        return true;
+      }
+      RunFor(milliseconds(50));
+    }
+    return false;
+  }
+
+  host_record Host(const std::string& aName) const
+  {
+    host_record record;
+    record.name = aName;
+    record.hop = { "10.0.0.1", 1 };
+    record.control = { "10.0.0.1", 2 };
+    return record;
+  }
+
+  void Publish(const host_record& aRecord)
+  {
+    bool done = false;
+    client.PublishHost(aRecord, [&](const result<void>& aDone) {
+      CHECK(aDone);
+      done = true;
+      events.Stop();
+    });
+    while (!done) {
+      events.Run();
+    }
+  }
+
+  loop events{ 256 };
+  socket_host sockets;
+  caller calls;
+  endpoint address;
+  platform_store store;
+  proxy_counters counters;
+  remembering_observer observer;
+  store_client client;
+};
+
+} // namespace
+
+TEST_CASE_METHOD(store_client_fixture,
+                 "store client, configuration changes, hands on each",
+                 "[store-client]")
+{
+  client.SetWatching(true);
+  REQUIRE(SawVersion(3));
+  store.Put("config", "main", TableOf(8));
+  CHECK(SawVersion(8));
+}
+
+TEST_CASE_METHOD(store_client_fixture,
+                 "store client, not a watcher, calls nothing",
+                 "[store-client]")
+{
+  RunFor(milliseconds(200));
+  CHECK(store.Calls() == 0);
+}
+
+TEST_CASE_METHOD(store_client_fixture,
+                 "store client, malformed configuration, keeps the last one",
+                 "[store-client]")
+{
+  client.SetWatching(true);
+  REQUIRE(SawVersion(3));
+  store.Put("config", "main", { { "version", 7 } });
+  RunFor(milliseconds(600));
+  CHECK(observer.versions == std::vector<std::uint64_t>{ 3 });
+  store.Put("config", "main", TableOf(9));
+  CHECK(SawVersion(9));
+}
+
+TEST_CASE_METHOD(store_client_fixture,
+                 "store client, history is gone, lists again",
+                 "[store-client]")
+{
+  client.SetWatching(true);
+  REQUIRE(SawVersion(3));
+  store.SetMood(platform_store::mood::busy);
+  store.Put("config", "main", TableOf(8));
+  RunFor(milliseconds(500));
+  store.Put("config", "main", TableOf(12));
+  store.Compact();
+  store.SetMood(platform_store::mood::well);
+  CHECK(SawVersion(12));
+}
+
+TEST_CASE_METHOD(store_client_fixture,
+                 "store client, store refuses for a while, comes back to it",
+                 "[store-client]")
+{
+  auto mood =
+    GENERATE(platform_store::mood::busy, platform_store::mood::over_rate);
+  store.SetMood(mood);
+  client.SetWatching(true);
+  RunFor(milliseconds(600));
+  CHECK(observer.versions.empty());
+  CHECK(store.Calls() < 20); // it backs off
+  store.SetMood(platform_store::mood::well);
+  CHECK(SawVersion(3));
+}
+
+TEST_CASE_METHOD(store_client_fixture,
+                 "store client, answer of a watch is lost, asks again in time",
+                 "[store-client]")
+{
+  client.SetWatching(true);
+  REQUIRE(SawVersion(3));
+  RunFor(milliseconds(400));
+  store.SetMood(platform_store::mood::loses_answers);
+  RunFor(milliseconds(3000)); // the waiting watch ends, the next one is lost
+  store.Put("config", "main", TableOf(8));
+  store.SetMood(platform_store::mood::well);
+  CHECK(SawVersion(8));
+}
+
+TEST_CASE_METHOD(store_client_fixture,
+                 "store client, hosts on several pages, are all listed",
+                 "[store-client]")
+{
+  store.SetPageSize(2);
+  for (const char* name : { "a", "b", "c", "d", "e" }) {
+    Publish(Host(name));
+  }
+  store.Put("eelgrasstrack-hosts", "bad", { { "name", 7 } });
+  std::vector<host_record> hosts;
+  client.ListHosts([&](result<std::vector<host_record>> aHosts) {
+    REQUIRE(aHosts);
+    hosts = *aHosts;
+    events.Stop();
+  });
+  events.Run();
+  CHECK(hosts.size() == 5);
+}
+
+TEST_CASE_METHOD(store_client_fixture,
+                 "store client, entry is there already, is replaced",
+                 "[store-client]")
+{
+  Publish(Host("a"));
+  host_record again = Host("a");
+  again.incarnation = 9;
+  Publish(again);
+  CHECK(store.Find("eelgrasstrack-hosts", "a").at("spec").at("incarnation") ==
+        9);
+}
+
+TEST_CASE_METHOD(store_client_fixture,
+                 "store client, order has changed since, progress is refused",
+                 "[store-client]")
+{
+  store.Put(
+    "rollouts", "s", { { "svc", "s" }, { "to", "v2" }, { "over_s", 9 } });
+  client.SetWatching(true);
+  RunFor(milliseconds(300));
+  REQUIRE(observer.orders.size() == 1);
+  move_order order = observer.orders[0];
+  store.Put(
+    "rollouts", "s", { { "svc", "s" }, { "to", "v3" }, { "over_s", 9 } });
+  order.phase = move_phase::complete;
+  std::optional<result<void>> done;
+  client.RecordMove(order, [&](result<void> aDone) {
+    done = std::move(aDone);
+    events.Stop();
+  });
+  while (!done) {
+    events.Run();
+  }
+  REQUIRE_FALSE(*done);
+  CHECK(done->error().kind == error_kind::conflict);
+  CHECK(store.Find("rollouts", "s").at("status").is_null());
+}
