Pass a configuration on that came from another failure domain; give back what waits at a leaving instance

A node that fetched the configuration from another domain told none of its neighbours, so each of them had to wait until a watcher of another domain happened to choose it. A node that was told of a later version while a fetch was in progress forgot it. Ruled out: the store's own delay (the other domains held the version within 1.3 s), the fetch itself (under 0.2 s once begun). Second fault, found by reading: a request that waited at an instance when it began to drain could still be started later than the drain time allows; nothing limited the wait. It is now given back as not run.

--- a/src/mesh/gossip.cc
+++ b/src/mesh/gossip.cc
@@ -186,6 +186,12 @@
   }
 }
 
+void
+gossip::PassOnConfigVersion(const std::string& aFrom)
+{
+  PassOn(Greeting(), aFrom);
+}
+
 void
 gossip::SpreadHost(const host_record& aRecord)
 {
--- a/src/mesh/gossip.h
+++ b/src/mesh/gossip.h
@@ -47,6 +47,9 @@
   /// Tells the failure domain, and a few others, which configuration is held
   /// here. A watcher does so even without news.
   void SpreadConfigVersion(bool aWatcher);
+  /// Tells the failure domain of a configuration that came from a host, unless
+  /// that host has told it.
+  void PassOnConfigVersion(const std::string& aFrom);
   /// When a watcher that reaches the store was last heard.
   time_point WatcherHeard() const { return mWatcherHeard; }
 
--- a/src/mesh/mesh-node.cc
+++ b/src/mesh/mesh-node.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
+#include <utility>
 
 #include "base/invariant.h"
 #include "base/log.h"
@@ -117,6 +118,7 @@
   retries.window = mSettings.bounds.retry_window;
   mRetries.SetOptions(retries);
   mMoves.SetBounds(mSettings.bounds);
+  mLocal.SetDrainTime(mSettings.bounds.drain);
 }
 
 result<void>
@@ -509,47 +511,62 @@
 mesh_node::WantConfig(const host_record& aFrom, std::uint64_t aVersion)
 {
   if (aFrom.domain == mSelf.domain || ConfigVersion() == 0) {
-    FetchConfig(aFrom.control, aVersion);
+    FetchConfig(aFrom, aVersion);
     return;
   }
-  mLoop.After(kFarConfigDelay, [this, from = aFrom.control, aVersion] {
-    FetchConfig(from, aVersion);
-  });
+  mLoop.After(kFarConfigDelay,
+              [this, from = aFrom, aVersion] { FetchConfig(from, aVersion); });
 }
 
 void
-mesh_node::FetchConfig(const endpoint& aFrom, std::uint64_t aVersion)
+mesh_node::FetchConfig(const host_record& aFrom, std::uint64_t aVersion)
 {
-  if (mFetchingConfig || ConfigVersion() >= aVersion) {
+  if (ConfigVersion() >= aVersion) {
+    return;
+  }
+  if (mFetchingConfig) {
+    mNextFetch = config_source{ aFrom, aVersion };
     return;
   }
   mFetchingConfig = true;
   whole_request request;
   request.target = "/v1/config";
   mCounters.Add(proxy_event::peer_message);
-  mCaller.Call(
-    aFrom,
-    std::move(request),
-    kConfigFetchTimeout,
-    [this, aVersion](result<whole_response> aResponse) {
-      mFetchingConfig = false;
-      if (!aResponse || aResponse->status != kOk) {
-        mCounters.Add(proxy_event::peer_failed);
-        return;
-      }
-      result<std::string> text = Unpack(aResponse->body, kMaxConfigBytes);
-      result<accepted_table> table =
-        text ? mStore.ReadTable(std::move(*text))
-             : result<accepted_table>(tl::unexpected<error>(text.error()));
-      if (!table) {
-        LogEvent(log_level::warning,
-                 "configuration_refused",
-                 { { "version", std::to_string(aVersion) },
-                   { "reason", table.error().message } });
-        return;
-      }
-      TakeTable(std::move(*table));
-    });
+  mCaller.Call(aFrom.control,
+               std::move(request),
+               kConfigFetchTimeout,
+               [this, from = aFrom.name](result<whole_response> aResponse) {
+                 mFetchingConfig = false;
+                 TakeFetchedConfig(from, std::move(aResponse));
+                 // What was told of meanwhile.
+                 if (std::optional<config_source> next =
+                       std::exchange(mNextFetch, std::nullopt)) {
+                   FetchConfig(next->host, next->version);
+                 }
+               });
+}
+
+void
+mesh_node::TakeFetchedConfig(const std::string& aFrom,
+                             result<whole_response> aResponse)
+{
+  if (!aResponse || aResponse->status != kOk) {
+    mCounters.Add(proxy_event::peer_failed);
+    return;
+  }
+  result<std::string> text = Unpack(aResponse->body, kMaxConfigBytes);
+  result<accepted_table> table =
+    text ? mStore.ReadTable(std::move(*text))
+         : result<accepted_table>(tl::unexpected<error>(text.error()));
+  if (!table) {
+    LogEvent(log_level::warning,
+             "configuration_refused",
+             { { "from", aFrom }, { "reason", table.error().message } });
+    return;
+  }
+  if (TakeTable(std::move(*table))) {
+    mGossip.PassOnConfigVersion(aFrom);
+  }
 }
 
 void
--- a/src/mesh/mesh-node.h
+++ b/src/mesh/mesh-node.h
@@ -75,9 +75,18 @@
   void OnMove(const version_move& aMove) override;
 
 private:
+  /// A host that holds a configuration.
+  struct config_source
+  {
+    host_record host;
+    std::uint64_t version = 0;
+  };
+
   /// Takes a configuration if it is later than the one held.
   bool TakeTable(accepted_table aTable);
-  void FetchConfig(const endpoint& aFrom, std::uint64_t aVersion);
+  void FetchConfig(const host_record& aFrom, std::uint64_t aVersion);
+  void TakeFetchedConfig(const std::string& aFrom,
+                         result<whole_response> aResponse);
   /// Lists the others; on a first start this node's own entry comes before.
   void Join();
   void ListOthers();
@@ -124,6 +133,8 @@
   bool mListed = false;
   bool mDraining = false;
   bool mFetchingConfig = false;
+  /// Told of while another fetch was in progress.
+  std::optional<config_source> mNextFetch;
 };
 
 } // namespace eelgrasstrack
--- a/src/proxy/instance-port.cc
+++ b/src/proxy/instance-port.cc
@@ -1,5 +1,7 @@
 #include "proxy/instance-port.h"
 
+#include <algorithm>
+
 #include "base/invariant.h"
 #include "base/log.h"
 
@@ -14,6 +16,8 @@
 constexpr duration kIdleLimitForUnsafe = std::chrono::milliseconds(1500);
 constexpr duration kIdleLimit = std::chrono::seconds(6);
 constexpr std::size_t kMaxIdle = 64;
+/// Time kept back from the drain time for the way to the instance.
+constexpr duration kDrainReserve = std::chrono::milliseconds(500);
 /// Time within which a connection to the instance beside must come to be.
 constexpr duration kUnacknowledgedLimit = std::chrono::seconds(2);
 
@@ -284,6 +288,26 @@
     mIdle.clear();
     RefuseWaiting(mQueue.TakeAll(), run_failure_reason::wrong_instance);
   }
+  LimitWaiting();
+}
+
+void
+instance_port::LimitWaiting()
+{
+  if (mInstance.state == instance_state::gone ||
+      mInstance.state == instance_state::absent) {
+    RefuseWaiting(mQueue.TakeAll(), run_failure_reason::leaving);
+    return;
+  }
+  if (mInstance.state != instance_state::draining) {
+    return;
+  }
+  duration left = std::max(mDrainTime - kDrainReserve, duration(0));
+  mHost.Loop().After(left, [this, id = mInstance.id] {
+    if (mInstance.id == id) {
+      RefuseWaiting(mQueue.TakeAll(), run_failure_reason::leaving);
+    }
+  });
 }
 
 void
--- a/src/proxy/instance-port.h
+++ b/src/proxy/instance-port.h
@@ -31,6 +31,9 @@
   void SetInstance(const instance_record& aInstance);
   const instance_record& Instance() const { return mInstance; }
 
+  /// How long work may go on to reach an instance that drains.
+  void SetDrainTime(duration aTime) { mDrainTime = aTime; }
+
   /// The node stops: nothing new is taken.
   void SetLeaving(bool aLeaving) { mLeaving = aLeaving; }
 
@@ -47,6 +50,8 @@
 private:
   friend class instance_run;
 
+  /// Gives back what waits, now or later, if the instance takes nothing new.
+  void LimitWaiting();
   std::optional<run_failure> RefusalOf(const forwarded_request& aRequest) const;
   std::shared_ptr<client_channel> TakeChannel(bool aFreshOnly);
   void KeepChannel(std::shared_ptr<client_channel> aChannel);
@@ -62,6 +67,7 @@
   instance_record mInstance;
   bool mLeaving = false;
   bool mSweepArmed = false;
+  duration mDrainTime{ 0 };
   run_queue mQueue{ 1 };
   run_id mNextId = 1;
   std::unordered_map<run_id, std::shared_ptr<class instance_run>> mRuns;
--- a/test/harness/mesh-world.cc
+++ b/test/harness/mesh-world.cc
@@ -26,67 +26,81 @@
 
 } // namespace
 
-memory_control_store::memory_control_store(loop& aLoop)
-  : mLoop(aLoop)
+void
+memory_store::SetTable(accepted_table aTable)
 {
+  table = std::move(aTable);
+  for (store_access* access : accesses) {
+    access->OfferTable();
+  }
 }
 
 void
-memory_control_store::SetTable(accepted_table aTable)
+memory_store::SetOrder(const move_order& aOrder)
 {
-  mTable = std::move(aTable);
-  for (control_store_observer* observer : mObservers) {
-    observer->OnTable(*mTable);
+  for (store_access* access : accesses) {
+    access->OfferOrder(aOrder);
   }
 }
 
+store_access::store_access(loop& aLoop, memory_store& aStore)
+  : mLoop(aLoop)
+  , mStore(aStore)
+{
+  mStore.accesses.push_back(this);
+}
+
 void
-memory_control_store::SetOrder(move_order aOrder)
+store_access::OfferTable()
 {
-  for (control_store_observer* observer : mObservers) {
-    observer->OnOrder(aOrder);
+  if (mObserver != nullptr && mStore.table && Answers()) {
+    mObserver->OnTable(*mStore.table);
   }
 }
 
 void
-memory_control_store::Follow(control_store_observer& aObserver)
+store_access::OfferOrder(const move_order& aOrder)
 {
-  mObservers.push_back(&aObserver);
-  if (mTable && !mOut) {
-    mLoop.After(duration(1),
-                [this, &aObserver] { aObserver.OnTable(*mTable); });
+  if (mObserver != nullptr && Answers()) {
+    mObserver->OnOrder(aOrder);
   }
 }
 
+void
+store_access::Follow(control_store_observer& aObserver)
+{
+  mObserver = &aObserver;
+  mLoop.After(duration(1), [this] { OfferTable(); });
+}
+
 result<accepted_table>
-memory_control_store::ReadTable(std::string aText)
+store_access::ReadTable(std::string aText)
 {
-  if (!mTable || mTable->text != aText) {
+  if (!mStore.table || mStore.table->text != aText) {
     return Fail(error_kind::invalid_argument, "not the text of this test");
   }
-  return *mTable;
+  return *mStore.table;
 }
 
 void
-memory_control_store::PublishHost(const host_record& aRecord,
-                                  done_callback aDone)
+store_access::PublishHost(const host_record& aRecord, done_callback aDone)
 {
-  if (!mOut) {
-    mHosts[aRecord.name] = aRecord;
+  bool answers = Answers();
+  if (answers) {
+    mStore.hosts[aRecord.name] = aRecord;
   }
-  bool out = mOut;
-  mLoop.After(duration(1), [out, aDone] {
-    aDone(out ? result<void>(Fail(error_kind::store_unavailable, "out"))
-              : result<void>());
+  mLoop.After(duration(1), [answers, aDone] {
+    aDone(answers ? result<void>()
+                  : result<void>(Fail(error_kind::store_unavailable, "out")));
   });
 }
 
 void
-memory_control_store::ListHosts(hosts_callback aDone)
+store_access::ListHosts(hosts_callback aDone)
 {
   mLoop.After(duration(1), [this, aDone] {
     std::vector<host_record> hosts;
-    for (const auto& [name, host] : mHosts) {
+    for (const auto& [name, host] : mStore.hosts) {
       hosts.push_back(host);
     }
     aDone(std::move(hosts));
@@ -94,7 +108,17 @@
 }
 
 void
-memory_control_store::RecordMove(const move_order&, done_callback aDone)
+store_access::RemoveHost(const std::string& aName, std::int64_t aIncarnation)
+{
+  auto found = mStore.hosts.find(aName);
+  if (Answers() && found != mStore.hosts.end() &&
+      found->second.incarnation == aIncarnation) {
+    mStore.hosts.erase(found);
+  }
+}
+
+void
+store_access::RecordMove(const move_order&, done_callback aDone)
 {
   mLoop.After(duration(1), [aDone] { aDone({}); });
 }
@@ -103,7 +127,6 @@
   : mLoop(kMaxConnections)
   , mSockets(mLoop)
   , mCaller(mSockets)
-  , mStore(mLoop)
   , mNames(TestNames())
 {
 }
@@ -113,7 +136,7 @@
 std::size_t
 mesh_world::AddHost(const std::string& aService, const std::string& aVersion)
 {
-  auto host = std::make_unique<world_host>();
+  auto host = std::make_unique<world_host>(mLoop, mStore);
   std::size_t index = mHosts.size();
   host->settings.name = "node-" + std::to_string(index);
   host->settings.domain = index % 2 == 0 ? "a" : "b";
@@ -130,8 +153,13 @@
   host->instance.slots = 4;
   host->instance.born_ms = 1000;
   ServeInstance(*host);
-  host->node = std::make_unique<mesh_node>(
-    mLoop, mSockets, mCaller, mStore, host->counters, mNames, host->settings);
+  host->node = std::make_unique<mesh_node>(mLoop,
+                                           mSockets,
+                                           mCaller,
+                                           host->store,
+                                           host->counters,
+                                           mNames,
+                                           host->settings);
   REQUIRE(host->node->Start());
   mHosts.push_back(std::move(host));
   if (mFirstStart) {
--- a/test/harness/mesh-world.h
+++ b/test/harness/mesh-world.h
@@ -5,33 +5,49 @@
 
 namespace eelgrasstrack::test {
 
-/// A store in memory that all nodes of a test share.
-class memory_control_store final : public control_store
+class store_access;
+
+/// What a store holds that all nodes of a test share.
+struct memory_store
+{
+  void SetTable(accepted_table aTable);
+  void SetOrder(const move_order& aOrder);
+
+  /// Whether no call is answered.
+  bool out = false;
+  std::optional<accepted_table> table;
+  std::map<std::string, host_record> hosts;
+  std::vector<store_access*> accesses;
+};
+
+/// One node's way to the store.
+class store_access final : public control_store
 {
 public:
-  explicit memory_control_store(loop& aLoop);
+  store_access(loop& aLoop, memory_store& aStore);
 
-  /// What an operator does.
-  void SetTable(accepted_table aTable);
-  void SetOrder(move_order aOrder);
-  /// Whether calls are answered.
-  void SetOut(bool aOut) { mOut = aOut; }
+  /// The store turns this node away, and no other.
+  void SetTurnedAway(bool aTurnedAway) { mTurnedAway = aTurnedAway; }
+
+  void OfferTable();
+  void OfferOrder(const move_order& aOrder);
 
   void Follow(control_store_observer& aObserver) override;
   void SetWatching(bool) override {}
-  bool Reached(time_point) const override { return !mOut; }
+  bool Reached(time_point) const override { return Answers(); }
   result<accepted_table> ReadTable(std::string aText) override;
   void PublishHost(const host_record& aRecord, done_callback aDone) override;
   void ListHosts(hosts_callback aDone) override;
-  void RemoveHost(const std::string&, std::int64_t) override {}
+  void RemoveHost(const std::string& aName, std::int64_t aIncarnation) override;
   void RecordMove(const move_order& aOrder, done_callback aDone) override;
 
 private:
+  bool Answers() const { return !mStore.out && !mTurnedAway; }
+
   loop& mLoop;
-  bool mOut = false;
-  std::optional<accepted_table> mTable;
-  std::vector<control_store_observer*> mObservers;
-  std::map<std::string, host_record> mHosts;
+  memory_store& mStore;
+  control_store_observer* mObserver = nullptr;
+  bool mTurnedAway = false;
 };
 
 /// How an instance of a test answers.
@@ -82,7 +98,12 @@
                 bool aIdempotent);
 
   loop& Loop() { return mLoop; }
-  memory_control_store& Store() { return mStore; }
+  memory_store& Store() { return mStore; }
+  /// Whether the store turns a node away.
+  void TurnAway(std::size_t aHost, bool aTurnedAway)
+  {
+    mHosts[aHost]->store.SetTurnedAway(aTurnedAway);
+  }
   mesh_node& Node(std::size_t aHost) { return *mHosts[aHost]->node; }
   instance_behaviour& Behaviour(std::size_t aHost)
   {
@@ -94,6 +115,12 @@
 private:
   struct world_host
   {
+    world_host(loop& aLoop, memory_store& aStore)
+      : store(aLoop, aStore)
+    {
+    }
+
+    store_access store;
     mesh_settings settings;
     instance_record instance;
     instance_behaviour behaviour;
@@ -109,7 +136,7 @@
   loop mLoop;
   socket_host mSockets;
   caller mCaller;
-  memory_control_store mStore;
+  memory_store mStore;
   request_names mNames;
   std::vector<std::unique_ptr<world_host>> mHosts;
   bool mFirstStart = true;
--- a/test/unit/hop-test.cc
+++ b/test/unit/hop-test.cc
@@ -68,6 +68,22 @@
   bool mAnswered = false;
 };
 
+/// An instance with one slot that takes requests and answers none.
+class silent_instance final : public connection::observer
+{
+public:
+  explicit silent_instance(unsigned& aArrivals)
+    : mArrivals(aArrivals)
+  {
+  }
+
+  void OnReceived(std::string_view) override { ++mArrivals; }
+  void OnEnded(connection_end) override {}
+
+private:
+  unsigned& mArrivals;
+};
+
 /// A node beside an instance, and another node that sends to it.
 class hop_fixture
 {
@@ -91,6 +107,11 @@
   }
 
   run_start Send(const endpoint& aTo, const std::string& aInstance)
+  {
+    return client.Run("host", aTo, Request(aInstance), sink);
+  }
+
+  forwarded_request Request(const std::string& aInstance)
   {
     forwarded_request request;
     request.head.method = "GET";
@@ -100,7 +121,32 @@
     request.idempotent = true;
     request.goal = events.Now() + std::chrono::seconds(1);
     request.deadline = events.Now() + std::chrono::seconds(2);
-    return client.Run("host", aTo, request, sink);
+    request.body_whole = true;
+    return request;
+  }
+
+  /// Fills the one slot of an instance, and has one request wait there.
+  void FillSilentInstance()
+  {
+    REQUIRE(sockets.Listen(
+      mSilentAddress, [this](std::shared_ptr<connection> aConnection) {
+        aConnection->SetObserver(std::make_shared<silent_instance>(arrivals));
+      }));
+    silent.id = "i-silent";
+    silent.address = mSilentAddress;
+    silent.slots = 1;
+    silent.state = instance_state::ready;
+    port.SetInstance(silent);
+    running = port.Run(Request("i-silent"), running_sink);
+    REQUIRE(running);
+    REQUIRE(port.Run(Request("i-silent"), sink));
+    REQUIRE(port.Load().waiting == 1);
+  }
+
+  void RunFor(duration aTime)
+  {
+    events.After(aTime, [this] { events.Stop(); });
+    events.Run();
   }
 
   request_names names{ "X-Id",     "X-Timeout", "X-Target",
@@ -113,6 +159,14 @@
   endpoint address;
   std::shared_ptr<remembering_sink> sink;
   std::vector<std::string> outdated;
+  instance_record silent;
+  unsigned arrivals = 0;
+  run_start running;
+  std::shared_ptr<remembering_sink> running_sink =
+    std::make_shared<remembering_sink>(events);
+
+private:
+  endpoint mSilentAddress = FreeAddress();
 };
 
 } // namespace
@@ -194,3 +248,35 @@
   CHECK(sink->failure->reason == run_failure_reason::silent_host);
   CHECK_FALSE(sink->failure->not_run);
 }
+
+TEST_CASE_METHOD(
+  hop_fixture,
+  "instance port, instance is gone, what waits is given back as not run",
+  "[hop]")
+{
+  FillSilentInstance();
+  silent.state = instance_state::gone;
+  port.SetInstance(silent);
+  REQUIRE(sink->failure);
+  CHECK(sink->failure->reason == run_failure_reason::leaving);
+  CHECK(sink->failure->not_run);
+  CHECK_FALSE(running_sink->failure);
+}
+
+TEST_CASE_METHOD(
+  hop_fixture,
+  "instance port, instance drains, nothing starts after the time for it",
+  "[hop]")
+{
+  port.SetDrainTime(std::chrono::milliseconds(600));
+  FillSilentInstance();
+  RunFor(std::chrono::milliseconds(20));
+  silent.state = instance_state::draining;
+  port.SetInstance(silent);
+  CHECK_FALSE(sink->failure);
+  events.Run();
+  REQUIRE(sink->failure);
+  CHECK(sink->failure->reason == run_failure_reason::leaving);
+  CHECK(sink->failure->not_run);
+  CHECK(arrivals == 1);
+}
--- a/test/unit/mesh-node-test.cc
+++ b/test/unit/mesh-node-test.cc
@@ -8,6 +8,9 @@
 
 namespace {
 
+/// Time within which a change has to be in force everywhere.
+constexpr duration kPropagationBound = milliseconds(2500);
+
 /// A caller's node without an instance of the service, and two that have one.
 class mesh_fixture
 {
@@ -197,11 +200,11 @@
 {
   // The store never hands the configuration to this node.
   world.EndFirstStart();
-  world.Store().SetOut(true);
+  world.Store().out = true;
   std::size_t late = world.AddHost("orders", "v1");
   CHECK_FALSE(world.Node(late).Ready());
   world.RunFor(milliseconds(50));
-  world.Store().SetOut(false);
+  world.Store().out = false;
   world.Announce(late, instance_state::ready);
   world.RunUntilKnown();
   world.RunFor(milliseconds(200));
@@ -246,3 +249,24 @@
   CHECK(StatusOf() == 503);
   CHECK(Runs() <= before + 1);
 }
+
+TEST_CASE("mesh node, store turns a failure domain away, configuration arrives",
+          "[mesh-node]")
+{
+  mesh_world world;
+  constexpr std::size_t kHosts = 20;
+  for (std::size_t host = 0; host < kHosts; ++host) {
+    world.AddHost("orders", "v1");
+  }
+  world.SetRoute(1, "/orders/", "orders", true);
+  world.RunUntilKnown();
+  // Every second host is in the failure domain that the store turns away.
+  for (std::size_t host = 1; host < kHosts; host += 2) {
+    world.TurnAway(host, true);
+  }
+  world.SetRoute(2, "/orders/", "orders", true);
+  world.RunFor(kPropagationBound);
+  for (std::size_t host = 0; host < kHosts; ++host) {
+    CHECK(world.Node(host).ConfigVersion() == 2);
+  }
+}
