--- a/src/rollout/version-judge.cc
+++ b/src/rollout/version-judge.cc
@@ -17,10 +17,19 @@
 constexpr std::uint32_t kFewestBadAnswers = 3;
 /// Requests of the old version that are needed to tell what is slow.
 constexpr std::uint32_t kFewestOldRequests = 30;
-/// A request is slow above this quantile of the old version, and two more
-/// buckets: twice the time.
-constexpr double kSlowQuantile = 0.95;
-constexpr std::size_t kSlowBuckets = 2;
+/// What counts as slow: longer than a quantile of the old version's times by
+/// some buckets.
+struct slowness_test
+{
+  double quantile = 0;
+  std::size_t buckets_above = 0;
+};
+
+/// The first finds a part of the requests slow. The second finds all of them
+/// slow while some hosts of the old version are slow as well, which hides the
+/// first; its margin is wider than good instances differ in speed.
+constexpr std::array<slowness_test, 2> kSlownessTests{ { { 0.95, 2 },
+                                                         { 0.5, 4 } } };
 
 std::size_t
 BucketOf(duration aTook)
@@ -65,14 +74,14 @@
 }
 
 std::size_t
-SlowFrom(const version_sample& aOld)
+SlowFrom(const version_sample& aOld, const slowness_test& aTest)
 {
-  double wanted = kSlowQuantile * aOld.requests;
+  double wanted = aTest.quantile * aOld.requests;
   double seen = 0;
   for (std::size_t i = 0; i < aOld.took.size(); ++i) {
     seen += aOld.took[i];
     if (seen >= wanted) {
-      return i + 1 + kSlowBuckets;
+      return i + 1 + aTest.buckets_above;
     }
   }
   return aOld.took.size();
@@ -119,16 +128,19 @@
   if (aOld.requests < kFewestOldRequests) {
     return opinion;
   }
-  std::size_t slow = SlowFrom(aOld);
-  std::uint32_t oldSlow = CountFrom(aOld, slow);
-  std::uint32_t newSlow = CountFrom(aNew, slow);
-  if (TooMany(aNew.requests,
-              newSlow,
-              RateOf(oldSlow, aOld.requests),
-              kTolerableSlowness)) {
-    opinion.verdict = version_verdict::bad;
-    opinion.reason =
-      Counts("slow", aRoute, newSlow, aNew.requests, oldSlow, aOld.requests);
+  for (const slowness_test& test : kSlownessTests) {
+    std::size_t slow = SlowFrom(aOld, test);
+    std::uint32_t oldSlow = CountFrom(aOld, slow);
+    std::uint32_t newSlow = CountFrom(aNew, slow);
+    if (TooMany(aNew.requests,
+                newSlow,
+                RateOf(oldSlow, aOld.requests),
+                kTolerableSlowness)) {
+      opinion.verdict = version_verdict::bad;
+      opinion.reason =
+        Counts("slow", aRoute, newSlow, aNew.requests, oldSlow, aOld.requests);
+      return opinion;
+    }
   }
   return opinion;
 }
--- a/test/unit/mesh-test.cc
+++ b/test/unit/mesh-test.cc
@@ -219,6 +219,28 @@
   CHECK(Verdict() == version_verdict::undecided);
 }
 
+TEST_CASE_METHOD(
+  judge_fixture,
+  "version judge, all slow while some old hosts are slow too, says bad",
+  "[mesh]")
+{
+  Serve("v1", 540, 1, milliseconds(80));
+  Serve("v1", 180, 1, milliseconds(640));
+  Serve("v2", 52, 0, milliseconds(480));
+  CHECK(Verdict() == version_verdict::bad);
+}
+
+TEST_CASE_METHOD(
+  judge_fixture,
+  "version judge, new instances of a third of the speed, is undecided",
+  "[mesh]")
+{
+  Serve("v1", 380, 1, milliseconds(60));
+  Serve("v1", 320, 1, milliseconds(180));
+  Serve("v2", 100, 0, milliseconds(180));
+  CHECK(Verdict() == version_verdict::undecided);
+}
+
 TEST_CASE_METHOD(judge_fixture,
                  "version judge, both versions fail alike, is undecided",
                  "[mesh]")
