Split a request's course out of the ingress

proxied_request holds one request of a caller from its route to its answer; ingress keeps the listening side and what requests share, without a friend. No change of behaviour.

--- a/src/proxy/ingress.h
+++ b/src/proxy/ingress.h
@@ -59,14 +59,20 @@
     const std::shared_ptr<server_session>& aSession) override;
   bool Closing() const override { return mClosing; }
 
-private:
-  friend class request_course;
+  // For the requests in progress.
+
+  ingress_parts& Parts() { return mParts; }
+  const std::string& CallerService() const { return mCallerService; }
+  caller_patience& Patience() { return mPatience; }
+  bool Refusing() const { return mRefusing; }
 
   /// The service that takes the next request of a route, by weight.
   const std::string& NextTarget(const traffic_route& aRoute);
+  /// Instances of a service that a request may go to.
   std::vector<instance_candidate> Candidates(const std::string& aService,
                                              const trial_draw& aTrial) const;
 
+private:
   ingress_parts mParts;
   std::string mCallerService;
   traffic_table_ptr mTable;
