Choose by usual load, plan with likely times, tell spread faults early; clear entries of hosts gone

Four changes, each with its tests. 1. Choice of instance. Cause: in a grown mesh a node sees an instance once in some seconds; the load it was told had faded to none by then while the speed it was told had not, so all nodes of a failure domain chose the same fastest instances. Now the load fades to its own moving average. Queue at the last hop. Cause: waiting requests were planned with average times, so half of those that started last ended just after their goal. Now with 1.4 times the average. Judge of versions. Failures beside two hosts or more are now tested against 0.4 %. Hosts gone for good. By reading: entries in the store were never removed, and after a partition of over a minute both sides dropped each other and would never have met again. A node that reaches half of the hosts or fewer drops none; one decider removes the entry; a dropped host that speaks again is told so and writes its entry anew. Tests: host directory, cut off / dropped host.

--- a/src/mesh/gossip.cc
+++ b/src/mesh/gossip.cc
@@ -408,6 +408,7 @@
   json message = json::parse(aBody);
   auto from = message.at("from").get<std::string>();
   bool changed = mDirectory.MarkReachable(from);
+  bool wasDropped = mDirectory.WasDropped(from);
   std::vector<host_record> hosts = TakeHosts(message, from);
   std::vector<version_move> moves = TakeMoves(message);
   if (changed) {
@@ -434,13 +435,20 @@
   if (config > mOwner.ConfigVersion() && sender != nullptr) {
     mOwner.WantConfig(sender->record, config);
   }
-  return message.contains("known") ? AnswerTo(message.at("known")) : "";
+  if (message.value("dropped", false)) {
+    mOwner.OnDropped();
+  }
+  return message.contains("known") ? AnswerTo(message.at("known"), wasDropped)
+                                   : "";
 }
 
 std::string
-gossip::AnswerTo(const json& aKnown) const
+gossip::AnswerTo(const json& aKnown, bool aWasDropped) const
 {
   json answer = Greeting();
+  if (aWasDropped) {
+    answer["dropped"] = true;
+  }
   for (const auto& [name, host] : mDirectory.All()) {
     if (host.unreachable) {
       continue; // may be out of date
--- a/src/mesh/gossip.h
+++ b/src/mesh/gossip.h
@@ -22,6 +22,8 @@
   /// A host holds a later configuration than this node.
   virtual void WantConfig(const host_record& aFrom, std::uint64_t aVersion) = 0;
   virtual void OnHostsChanged() = 0;
+  /// Others had dropped this node, and its entry may have been removed.
+  virtual void OnDropped() = 0;
   virtual void OnMoves(const std::vector<version_move>& aMoves) = 0;
 };
 
@@ -83,7 +85,7 @@
                                      const std::string& aFrom);
   std::vector<version_move> TakeMoves(const nlohmann::json& aMessage);
   nlohmann::json Greeting() const;
-  std::string AnswerTo(const nlohmann::json& aKnown) const;
+  std::string AnswerTo(const nlohmann::json& aKnown, bool aWasDropped) const;
   std::string MessageText(bool aCompare) const;
   /// Returns records that the other side lacks.
   std::string TakeText(const std::string& aBody);
--- a/src/mesh/host-directory.cc
+++ b/src/mesh/host-directory.cc
@@ -1,5 +1,7 @@
 #include "mesh/host-directory.h"
 
+#include <algorithm>
+
 namespace eelgrasstrack {
 
 bool
@@ -8,6 +10,7 @@
   auto known = mHosts.find(aRecord.name);
   if (known == mHosts.end()) {
     mHosts.emplace(aRecord.name, known_host{ aRecord, aNow, false, {} });
+    mDropped.erase(aRecord.name);
     return true;
   }
   if (!IsNewer(aRecord, known->second.record)) {
@@ -41,14 +44,28 @@
   return true;
 }
 
-std::vector<std::string>
+bool
+host_directory::ReachesMost() const
+{
+  auto reached =
+    std::count_if(mHosts.begin(), mHosts.end(), [](const auto& aEntry) {
+      return !aEntry.second.unreachable;
+    });
+  return static_cast<std::size_t>(reached) * 2 > mHosts.size();
+}
+
+std::vector<host_record>
 host_directory::DropLost(duration aAfter, time_point aNow)
 {
-  std::vector<std::string> dropped;
+  std::vector<host_record> dropped;
+  if (!ReachesMost()) {
+    return dropped;
+  }
   for (auto entry = mHosts.begin(); entry != mHosts.end();) {
     const known_host& host = entry->second;
     if (host.unreachable && aNow - host.unreachable_since > aAfter) {
-      dropped.push_back(entry->first);
+      mDropped.insert(entry->first);
+      dropped.push_back(host.record);
       entry = mHosts.erase(entry);
     } else {
       ++entry;
--- a/src/mesh/host-directory.h
+++ b/src/mesh/host-directory.h
@@ -2,6 +2,7 @@
 #define EELGRASSTRACK_MESH_HOST_DIRECTORY_H_
 
 #include <map>
+#include <set>
 #include <vector>
 
 #include "mesh/host-record.h"
@@ -35,9 +36,15 @@
   /// Returns whether the host counted as unreachable until now.
   bool MarkReachable(const std::string& aName);
 
-  /// Drops hosts that were unreachable for longer than `aAfter`. Returns their
-  /// names.
-  std::vector<std::string> DropLost(duration aAfter, time_point aNow);
+  /// Drops hosts that were unreachable for longer than `aAfter`. A node that
+  /// reaches half of the hosts or fewer drops none: it may be the one that is
+  /// cut off, and has to find the others again.
+  std::vector<host_record> DropLost(duration aAfter, time_point aNow);
+  /// Whether the host was dropped and has not spoken since.
+  bool WasDropped(const std::string& aName) const
+  {
+    return mDropped.count(aName) > 0;
+  }
 
   const known_host* Find(const std::string& aName) const;
   const std::map<std::string, known_host>& All() const { return mHosts; }
@@ -47,8 +54,11 @@
   std::vector<const known_host*> Serving(const std::string& aService) const;
 
 private:
+  bool ReachesMost() const;
+
   std::string mSelf;
   std::map<std::string, known_host> mHosts;
+  std::set<std::string> mDropped;
 };
 
 } // namespace eelgrasstrack
--- a/src/mesh/mesh-node.cc
+++ b/src/mesh/mesh-node.cc
@@ -400,8 +400,19 @@
   mCaller.CloseIdle(kIdleCalls);
   mChooser.Forget(now);
   WatchInstance();
-  for (const std::string& name : mDirectory.DropLost(kLostAfter, now)) {
-    LogEvent(log_level::info, "host_dropped", { { "host", name } });
+  DropLostHosts();
+}
+
+void
+mesh_node::DropLostHosts()
+{
+  time_point now = mLoop.Now();
+  for (const host_record& lost : mDirectory.DropLost(kLostAfter, now)) {
+    LogEvent(log_level::info, "host_dropped", { { "host", lost.name } });
+    bool removes = RankIn(DecidersOf(mDirectory, lost.name), mSelf.name) == 0;
+    if (removes && mStore.Reached(now - kStoreHeard)) {
+      mStore.RemoveHost(lost.name, lost.incarnation);
+    }
   }
 }
 
@@ -578,6 +589,14 @@
   RefreshVersions();
 }
 
+void
+mesh_node::OnDropped()
+{
+  LogEvent(log_level::info, "dropped_by_others");
+  mPublished.reset();
+  PublishSoon();
+}
+
 void
 mesh_node::OnMoves(const std::vector<version_move>& aMoves)
 {
--- a/src/mesh/mesh-node.h
+++ b/src/mesh/mesh-node.h
@@ -69,6 +69,7 @@
   std::uint64_t ConfigVersion() const override;
   void WantConfig(const host_record& aFrom, std::uint64_t aVersion) override;
   void OnHostsChanged() override;
+  void OnDropped() override;
   void OnMoves(const std::vector<version_move>& aMoves) override;
 
   // move_driver_owner
@@ -98,6 +99,7 @@
   void WatchInstance();
   void RefreshVersions();
   void Maintain();
+  void DropLostHosts();
   void ReviewDuty();
   void FinishDraining();
   void ServeControl(whole_request aRequest, respond aRespond);
--- a/src/mesh/move-driver.cc
+++ b/src/mesh/move-driver.cc
@@ -279,6 +279,22 @@
   return sum;
 }
 
+std::size_t
+move_driver::FailingHosts(const open_order& aOpen)
+{
+  std::size_t hosts = 0;
+  for (const auto& [host, samples] : aOpen.reports) {
+    auto fresh = samples.find(aOpen.order.to);
+    bool failed =
+      fresh != samples.end() &&
+      std::any_of(fresh->second.begin(),
+                  fresh->second.end(),
+                  [](const auto& aRoute) { return aRoute.second.failed > 0; });
+    hosts += failed ? 1 : 0;
+  }
+  return hosts;
+}
+
 bool
 move_driver::Runs(const std::string& aService,
                   const std::string& aVersion) const
@@ -301,7 +317,8 @@
     return;
   }
   if (move->phase != move_phase::reverted) {
-    version_opinion opinion = JudgeVersion(Sum(aOpen), aOpen.order.to);
+    version_opinion opinion =
+      JudgeVersion(Sum(aOpen), aOpen.order.to, FailingHosts(aOpen));
     if (opinion.verdict == version_verdict::bad) {
       Step(aOpen, move_phase::reverted, opinion.reason);
     }
--- a/src/mesh/move-driver.h
+++ b/src/mesh/move-driver.h
@@ -83,6 +83,8 @@
   void Open(const move_order& aOrder, time_point aBegan);
   void SendReport(const std::string& aHost, const std::string& aBody);
   version_samples Sum(const open_order& aOpen) const;
+  /// Number of hosts beside which the new version failed.
+  static std::size_t FailingHosts(const open_order& aOpen);
   bool Runs(const std::string& aService, const std::string& aVersion) const;
   time_point BeganAt(const move_order& aOrder) const;
 
--- a/src/proxy/instance-chooser.cc
+++ b/src/proxy/instance-chooser.cc
@@ -26,7 +26,10 @@
 constexpr double kUnreachablePenalty = 1e9;
 /// Random part of an expected time, so that nodes do not choose alike.
 constexpr double kJitter = 0.08;
-/// Reported load of other nodes is taken to fade over this time.
+/// Weight of the newest report in the usual load.
+constexpr double kUsualWeight = 0.3;
+/// Reported load of other nodes is taken to become the usual one over this
+/// time.
 constexpr double kReportFadeSeconds = 0.5;
 constexpr duration kShortestFull = std::chrono::milliseconds(10);
 constexpr duration kLongestFull = std::chrono::milliseconds(150);
@@ -71,7 +74,8 @@
   const instance_load& load = mLoads[aCandidate.instance];
   double typical = load.typical > 0 ? load.typical : aUsualTypical;
   double fade = std::exp(-Seconds(aNow - load.reported) / kReportFadeSeconds);
-  double ahead = load.outstanding + load.others * fade;
+  double others = load.usual_others + (load.others - load.usual_others) * fade;
+  double ahead = load.outstanding + others;
   double slots = aCandidate.slots;
   double crowding = std::min(1.0, ahead / slots);
   double expected = typical * (1 + kCrowdingPenalty * crowding * crowding);
@@ -169,6 +173,7 @@
   if (aLoad && aLoad->slots > 0) {
     double all = aLoad->busy + aLoad->waiting;
     load.others = std::max(0.0, all - load.outstanding);
+    load.usual_others += kUsualWeight * (load.others - load.usual_others);
     load.reported = aNow;
     if (aLoad->typical > duration(0)) {
       load.typical = static_cast<double>(aLoad->typical.count());
--- a/src/proxy/instance-chooser.h
+++ b/src/proxy/instance-chooser.h
@@ -75,6 +75,8 @@
     unsigned outstanding = 0;
     /// Requests of other nodes at the instance, as last reported.
     double others = 0;
+    /// Moving average of those reports.
+    double usual_others = 0;
     time_point reported{};
     /// Moving average of the time a request takes, in microseconds.
     double typical = 0;
--- a/src/proxy/run-queue.cc
+++ b/src/proxy/run-queue.cc
@@ -10,6 +10,8 @@
 constexpr double kNewestWeight = 0.1;
 /// Time that a request is taken to need before any was seen, in microseconds.
 constexpr double kUnknownMicroseconds = 50000;
+/// Most requests end within this many times their average time.
+constexpr double kLikelyFactor = 1.4;
 /// Part of the time to the deadline that a late answer may plan with.
 constexpr double kLateShare = 0.8;
 /// A request that misses its goal waits only if fewer than one in so many
@@ -54,13 +56,20 @@
   return Microseconds(mTypicalOfAll > 0 ? mTypicalOfAll : kUnknownMicroseconds);
 }
 
+duration
+run_queue::LikelyOf(const std::string& aKey) const
+{
+  double typical = static_cast<double>(TypicalOf(aKey).count());
+  return Microseconds(typical * kLikelyFactor);
+}
+
 bool
 run_queue::Before(const run_entry& aLeft,
                   const run_entry& aRight,
                   time_point aNow) const
 {
-  bool leftLate = aNow + TypicalOf(aLeft.key) > aLeft.goal;
-  bool rightLate = aNow + TypicalOf(aRight.key) > aRight.goal;
+  bool leftLate = aNow + LikelyOf(aLeft.key) > aLeft.goal;
+  bool rightLate = aNow + LikelyOf(aRight.key) > aRight.goal;
   if (leftLate != rightLate) {
     return rightLate;
   }
@@ -89,10 +98,11 @@
                   double aBacklog,
                   time_point aNow) const
 {
-  time_point ends = aNow + Microseconds(aBacklog) + TypicalOf(aEntry.key);
-  if (ends <= aEntry.goal) {
+  time_point starts = aNow + Microseconds(aBacklog);
+  if (starts + LikelyOf(aEntry.key) <= aEntry.goal) {
     return true;
   }
+  time_point ends = starts + TypicalOf(aEntry.key);
   duration left = aEntry.deadline - aNow;
   return ends <=
          aNow + Microseconds(static_cast<double>(left.count()) * kLateShare);
@@ -101,7 +111,7 @@
 bool
 run_queue::TooLateToWait(const run_entry& aEntry, time_point aNow) const
 {
-  bool late = aNow + TypicalOf(aEntry.key) > aEntry.goal;
+  bool late = aNow + LikelyOf(aEntry.key) > aEntry.goal;
   return late && mWaiting.size() * kLateQueuePart >= mSlots;
 }
 
--- a/src/proxy/run-queue.h
+++ b/src/proxy/run-queue.h
@@ -89,6 +89,8 @@
   duration TypicalOf(const std::string& aKey) const;
 
 private:
+  /// Time within which most requests of a key end.
+  duration LikelyOf(const std::string& aKey) const;
   bool Before(const run_entry& aLeft,
               const run_entry& aRight,
               time_point aNow) const;
--- a/src/rollout/version-judge.cc
+++ b/src/rollout/version-judge.cc
@@ -10,6 +10,9 @@
 /// Rates below which a version is never called bad: faults of single
 /// instances and of links look alike.
 constexpr double kTolerableFailures = 0.06;
+/// The same where several hosts see failures of the version.
+constexpr double kTolerableSpreadFailures = 0.004;
+constexpr std::size_t kSeveralHosts = 2;
 constexpr double kTolerableSlowness = 0.08;
 /// A version may fail or be slow this many times as often as the old one.
 constexpr double kTolerableRatio = 2.5;
@@ -113,13 +116,14 @@
 version_opinion
 JudgeRoute(const std::string& aRoute,
            const version_sample& aOld,
-           const version_sample& aNew)
+           const version_sample& aNew,
+           double aTolerableFailures)
 {
   version_opinion opinion;
   if (TooMany(aNew.requests,
               aNew.failed,
               RateOf(aOld.failed, aOld.requests),
-              kTolerableFailures)) {
+              aTolerableFailures)) {
     opinion.verdict = version_verdict::bad;
     opinion.reason = Counts(
       "failed", aRoute, aNew.failed, aNew.requests, aOld.failed, aOld.requests);
@@ -184,8 +188,12 @@
 }
 
 version_opinion
-JudgeVersion(const version_samples& aSamples, const std::string& aNewVersion)
+JudgeVersion(const version_samples& aSamples,
+             const std::string& aNewVersion,
+             std::size_t aFailingHosts)
 {
+  double tolerable = aFailingHosts >= kSeveralHosts ? kTolerableSpreadFailures
+                                                    : kTolerableFailures;
   auto fresh = aSamples.find(aNewVersion);
   if (fresh == aSamples.end()) {
     return {};
@@ -202,14 +210,15 @@
   version_sample allOld;
   version_sample allNew;
   for (const auto& [route, sample] : fresh->second) {
-    version_opinion opinion = JudgeRoute(route, before[route], sample);
+    version_opinion opinion =
+      JudgeRoute(route, before[route], sample, tolerable);
     if (opinion.verdict == version_verdict::bad) {
       return opinion;
     }
     allNew.Add(sample);
     allOld.Add(before[route]);
   }
-  return JudgeRoute("all routes", allOld, allNew);
+  return JudgeRoute("all routes", allOld, allNew, tolerable);
 }
 
 } // namespace eelgrasstrack
--- a/src/rollout/version-judge.h
+++ b/src/rollout/version-judge.h
@@ -48,8 +48,12 @@
 /// Compares a new version with the old one by what instances answered. It says
 /// bad if a version that is no worse would show such counts once in a thousand
 /// looks or less (one-sided binomial test), on any route or on all together.
+/// `aFailingHosts` is the number of hosts beside which the new version failed:
+/// a fault of one host says little about the version.
 version_opinion
-JudgeVersion(const version_samples& aSamples, const std::string& aNewVersion);
+JudgeVersion(const version_samples& aSamples,
+             const std::string& aNewVersion,
+             std::size_t aFailingHosts);
 
 } // namespace eelgrasstrack
 
--- a/test/unit/mesh-test.cc
+++ b/test/unit/mesh-test.cc
@@ -62,8 +62,10 @@
 
   version_verdict Verdict() const
   {
-    return JudgeVersion(samples, "v2").verdict;
+    return JudgeVersion(samples, "v2", failing_hosts).verdict;
   }
+
+  std::size_t failing_hosts = 1;
 };
 
 std::vector<traffic_route>
@@ -146,8 +148,32 @@
 {
   directory.MarkUnreachable("b-1", kStart);
   CHECK(directory.DropLost(seconds(60), kStart + seconds(59)).empty());
-  CHECK(directory.DropLost(seconds(60), kStart + seconds(61)) ==
-        std::vector<std::string>{ "b-1" });
+  std::vector<host_record> dropped =
+    directory.DropLost(seconds(60), kStart + seconds(61));
+  REQUIRE(dropped.size() == 1);
+  CHECK(dropped.front().name == "b-1");
+}
+
+TEST_CASE_METHOD(directory_fixture,
+                 "host directory, cut off from most hosts, drops none",
+                 "[mesh]")
+{
+  // Both sides of a long partition would forget each other for good.
+  for (const char* name : { "a-2", "a-3", "b-1", "b-2", "b-3" }) {
+    directory.MarkUnreachable(name, kStart);
+  }
+  CHECK(directory.DropLost(seconds(60), kStart + seconds(61)).empty());
+}
+
+TEST_CASE_METHOD(directory_fixture,
+                 "host directory, dropped host speaks again, is known as such",
+                 "[mesh]")
+{
+  directory.MarkUnreachable("b-1", kStart);
+  REQUIRE(directory.DropLost(seconds(60), kStart + seconds(61)).size() == 1);
+  CHECK(directory.WasDropped("b-1"));
+  directory.Merge(Host("b-1", "b"), kStart + seconds(70));
+  CHECK_FALSE(directory.WasDropped("b-1"));
 }
 
 TEST_CASE_METHOD(directory_fixture,
@@ -219,6 +245,27 @@
   CHECK(Verdict() == version_verdict::undecided);
 }
 
+TEST_CASE_METHOD(
+  judge_fixture,
+  "version judge, few failures on two hosts and none before, says bad",
+  "[mesh]")
+{
+  Serve("v1", 1078, 0, milliseconds(80));
+  Serve("v2", 41, 3, milliseconds(80));
+  failing_hosts = 2;
+  CHECK(Verdict() == version_verdict::bad);
+}
+
+TEST_CASE_METHOD(
+  judge_fixture,
+  "version judge, few failures on one host and none before, is undecided",
+  "[mesh]")
+{
+  Serve("v1", 1078, 0, milliseconds(80));
+  Serve("v2", 41, 3, milliseconds(80));
+  CHECK(Verdict() == version_verdict::undecided);
+}
+
 TEST_CASE_METHOD(
   judge_fixture,
   "version judge, all slow while some old hosts are slow too, says bad",
