--- a/src/proxy/instance-chooser.cc
+++ b/src/proxy/instance-chooser.cc
@@ -20,7 +20,7 @@
 constexpr double kCrowdingPenalty = 0.4;
 /// Part of the goal that crossing failure domains counts as: bytes between
 /// them are paid for.
-constexpr double kCrossingShare = 0.12;
+constexpr double kCrossingShare = 0.35;
 constexpr double kColdPenalty = 2;
 /// Microseconds, more than any request may take.
 constexpr double kUnreachablePenalty = 1e9;
--- a/test/unit/store-client-test.cc
+++ b/test/unit/store-client-test.cc
@@ -209,6 +209,32 @@
         9);
 }
 
+TEST_CASE_METHOD(store_client_fixture,
+                 "store client, own entry changes, takes one call",
+                 "[store-client]")
+{
+  Publish(Host("a"));
+  REQUIRE(store.Calls() == 1);
+  host_record again = Host("a");
+  again.incarnation = 9;
+  Publish(again);
+  CHECK(store.Calls() == 2);
+  CHECK(store.Find("eelgrasstrack-hosts", "a").at("spec").at("incarnation") ==
+        9);
+}
+
+TEST_CASE_METHOD(store_client_fixture,
+                 "store client, own entry was removed, is written anew",
+                 "[store-client]")
+{
+  Publish(Host("a"));
+  client.RemoveHost("a", Host("a").incarnation);
+  RunFor(milliseconds(100));
+  REQUIRE(store.Find("eelgrasstrack-hosts", "a").is_null());
+  Publish(Host("a"));
+  CHECK_FALSE(store.Find("eelgrasstrack-hosts", "a").is_null());
+}
+
 TEST_CASE_METHOD(store_client_fixture,
                  "store client, order has changed since, progress is refused",
                  "[store-client]")
