--- a/src/mesh/gossip.cc
+++ b/src/mesh/gossip.cc
@@ -145,14 +145,19 @@
            { "age_ms", Milliseconds(mLoop.Now() - aMove.began) } };
 }
 
-version_move
+result<version_move>
 gossip::DecodeMove(const json& aJson) const
 {
+  std::optional<move_phase> phase =
+    MovePhaseFromName(aJson.at("phase").get<std::string>());
+  if (!phase) {
+    return Fail(error_kind::invalid_argument, "no phase of a move");
+  }
   version_move move;
   move.service = aJson.at("service").get<std::string>();
   move.to = aJson.at("to").get<std::string>();
   move.order = aJson.at("order").get<std::uint64_t>();
-  move.phase = MovePhaseFromName(aJson.at("phase").get<std::string>());
+  move.phase = *phase;
   move.share = aJson.at("share").get<double>();
   move.over =
     std::chrono::milliseconds(aJson.at("over_ms").get<std::int64_t>());
@@ -196,7 +201,7 @@
 gossip::SpreadHost(const host_record& aRecord)
 {
   json message = Greeting();
-  message["hosts"] = json::array({ json::parse(EncodeHostRecord(aRecord)) });
+  message["hosts"] = json::array({ EncodeHostRecord(aRecord) });
   Spread(message);
 }
 
@@ -214,8 +219,7 @@
   json message = Greeting();
   const known_host* self = mDirectory.Find(mDirectory.Self());
   if (self != nullptr) {
-    message["hosts"] =
-      json::array({ json::parse(EncodeHostRecord(self->record)) });
+    message["hosts"] = json::array({ EncodeHostRecord(self->record) });
   }
   for (const auto& [service, move] : mVersions.Moves()) {
     message["moves"].push_back(EncodeMove(move));
@@ -362,7 +366,7 @@
 {
   std::vector<host_record> news;
   for (const json& entry : aMessage.value("hosts", json::array())) {
-    result<host_record> record = DecodeHostRecord(entry.dump());
+    result<host_record> record = DecodeHostRecord(entry);
     if (!record) {
       LogEvent(log_level::warning,
                "peer_record_skipped",
@@ -391,9 +395,15 @@
 {
   std::vector<version_move> news;
   for (const json& entry : aMessage.value("moves", json::array())) {
-    version_move move = DecodeMove(entry);
-    if (IsNews(move)) {
-      news.push_back(std::move(move));
+    result<version_move> move = DecodeMove(entry);
+    if (!move) {
+      LogEvent(log_level::warning,
+               "peer_move_skipped",
+               { { "reason", move.error().message } });
+      continue;
+    }
+    if (IsNews(*move)) {
+      news.push_back(std::move(*move));
     }
   }
   if (!news.empty()) {
@@ -420,7 +430,7 @@
   if (!hosts.empty() || !moves.empty()) {
     json news = Greeting();
     for (const host_record& record : hosts) {
-      news["hosts"].push_back(json::parse(EncodeHostRecord(record)));
+      news["hosts"].push_back(EncodeHostRecord(record));
     }
     for (const version_move& move : moves) {
       news["moves"].push_back(EncodeMove(move));
@@ -461,7 +471,7 @@
         continue;
       }
     }
-    answer["hosts"].push_back(json::parse(EncodeHostRecord(host.record)));
+    answer["hosts"].push_back(EncodeHostRecord(host.record));
   }
   for (const auto& [service, move] : mVersions.Moves()) {
     answer["moves"].push_back(EncodeMove(move));
--- a/src/mesh/gossip.h
+++ b/src/mesh/gossip.h
@@ -91,7 +91,7 @@
   std::string TakeText(const std::string& aBody);
   void CompareWithSome();
   nlohmann::json EncodeMove(const version_move& aMove) const;
-  version_move DecodeMove(const nlohmann::json& aJson) const;
+  result<version_move> DecodeMove(const nlohmann::json& aJson) const;
   void ProbeUnreachable();
   std::vector<std::string> Reachable() const;
 
--- a/src/mesh/host-record.cc
+++ b/src/mesh/host-record.cc
@@ -1,37 +1,21 @@
 #include "mesh/host-record.h"
 
-#include <array>
 #include <nlohmann/json.hpp>
 #include <tuple>
 
+#include "base/name-table.h"
+
 namespace eelgrasstrack {
 
 namespace {
 
-struct state_name
-{
-  instance_state state;
-  std::string_view name;
-};
-
-constexpr std::array<state_name, 4> kStateNames{ {
+constexpr name_table<instance_state, 4> kStateNames{ {
   { instance_state::absent, "absent" },
   { instance_state::ready, "ready" },
   { instance_state::draining, "draining" },
   { instance_state::gone, "gone" },
 } };
 
-result<instance_state>
-StateFromName(std::string_view aName)
-{
-  for (const state_name& row : kStateNames) {
-    if (row.name == aName) {
-      return row.state;
-    }
-  }
-  return Fail(error_kind::invalid_argument, "no state of an instance");
-}
-
 nlohmann::json
 EncodeInstance(const instance_record& aInstance)
 {
@@ -57,10 +41,10 @@
   instance.born_ms = aJson.at("born").get<std::int64_t>();
   instance.cold_left =
     std::chrono::milliseconds(aJson.at("cold_ms").get<std::int64_t>());
-  result<instance_state> state =
-    StateFromName(aJson.at("state").get<std::string>());
+  std::optional<instance_state> state =
+    ValueIn(kStateNames, aJson.at("state").get<std::string>());
   if (!state) {
-    return tl::unexpected<error>(state.error());
+    return Fail(error_kind::invalid_argument, "no state of an instance");
   }
   instance.state = *state;
   return instance;
@@ -71,12 +55,7 @@
 std::string_view
 NameOf(instance_state aState)
 {
-  for (const state_name& row : kStateNames) {
-    if (row.state == aState) {
-      return row.name;
-    }
-  }
-  return "unknown";
+  return NameIn(kStateNames, aState);
 }
 
 bool
@@ -86,7 +65,7 @@
          std::tie(aRight.incarnation, aRight.sequence);
 }
 
-std::string
+nlohmann::json
 EncodeHostRecord(const host_record& aRecord)
 {
   nlohmann::json json = { { "name", aRecord.name },
@@ -99,27 +78,26 @@
   if (aRecord.instance.state != instance_state::absent) {
     json["instance"] = EncodeInstance(aRecord.instance);
   }
-  return json.dump();
+  return json;
 }
 
 result<host_record>
-DecodeHostRecord(std::string_view aText)
+DecodeHostRecord(const nlohmann::json& aJson)
 {
   try {
-    nlohmann::json json = nlohmann::json::parse(aText);
     host_record record;
-    record.name = json.at("name").get<std::string>();
-    record.domain = json.at("domain").get<std::string>();
-    record.hop = EndpointFromText(json.at("hop").get<std::string>());
-    record.control = EndpointFromText(json.at("control").get<std::string>());
-    record.incarnation = json.at("incarnation").get<std::int64_t>();
-    record.sequence = json.at("sequence").get<std::uint64_t>();
-    record.leaving = json.at("leaving").get<bool>();
+    record.name = aJson.at("name").get<std::string>();
+    record.domain = aJson.at("domain").get<std::string>();
+    record.hop = EndpointFromText(aJson.at("hop").get<std::string>());
+    record.control = EndpointFromText(aJson.at("control").get<std::string>());
+    record.incarnation = aJson.at("incarnation").get<std::int64_t>();
+    record.sequence = aJson.at("sequence").get<std::uint64_t>();
+    record.leaving = aJson.at("leaving").get<bool>();
     if (record.hop.port == 0 || record.control.port == 0) {
       return Fail(error_kind::invalid_argument, "a host without an address");
     }
-    if (json.contains("instance")) {
-      result<instance_record> instance = DecodeInstance(json.at("instance"));
+    if (aJson.contains("instance")) {
+      result<instance_record> instance = DecodeInstance(aJson.at("instance"));
       if (!instance) {
         return tl::unexpected<error>(instance.error());
       }
--- a/src/mesh/host-record.h
+++ b/src/mesh/host-record.h
@@ -1,6 +1,7 @@
 #ifndef EELGRASSTRACK_MESH_HOST_RECORD_H_
 #define EELGRASSTRACK_MESH_HOST_RECORD_H_
 
+#include <nlohmann/json_fwd.hpp>
 #include <string>
 
 #include "base/clock.h"
@@ -66,12 +67,12 @@
 IsNewer(const host_record& aLeft, const host_record& aRight);
 
 /// One JSON object, as nodes send it to each other and keep it in the store.
-std::string
+nlohmann::json
 EncodeHostRecord(const host_record& aRecord);
 
 /// Fails with `invalid_argument`.
 result<host_record>
-DecodeHostRecord(std::string_view aText);
+DecodeHostRecord(const nlohmann::json& aJson);
 
 } // namespace eelgrasstrack
 
--- a/src/mesh/mesh-node.cc
+++ b/src/mesh/mesh-node.cc
@@ -676,7 +676,7 @@
 {
   json hosts = json::array();
   for (const auto& [name, host] : mDirectory.All()) {
-    json entry = json::parse(EncodeHostRecord(host.record));
+    json entry = EncodeHostRecord(host.record);
     entry["unreachable"] = host.unreachable;
     hosts.push_back(std::move(entry));
   }
--- a/src/mesh/mesh-settings.h
+++ b/src/mesh/mesh-settings.h
@@ -17,9 +17,8 @@
   double retry_ratio = 0.2;
   double retry_allowance = 10;
   duration retry_window = std::chrono::seconds(10);
-  /// Part of the requests that an undecided version may get, and some more.
+  /// Part of the requests that an undecided version may get.
   double trial_share = 0.1;
-  double trial_allowance = 50;
 };
 
 /// What a node of the mesh is told at its start.
--- a/src/net/socket.h
+++ b/src/net/socket.h
@@ -68,7 +68,6 @@
 
   void PauseReading(bool aPaused);
 
-  bool Connected() const { return mConnected; }
   bool Closed() const { return mDescriptor < 0; }
   std::size_t Unsent() const { return mOutgoing.size() - mSentPart; }
   /// Whether any byte was handed to the kernel.
--- a/src/proxy/forwarded-request.cc
+++ b/src/proxy/forwarded-request.cc
@@ -1,19 +1,14 @@
 #include "proxy/forwarded-request.h"
 
 #include <algorithm>
-#include <array>
+
+#include "base/name-table.h"
 
 namespace eelgrasstrack {
 
 namespace {
 
-struct reason_name
-{
-  run_failure_reason reason;
-  std::string_view name;
-};
-
-constexpr std::array<reason_name, 7> kReasonNames{ {
+constexpr name_table<run_failure_reason, 7> kReasonNames{ {
   { run_failure_reason::full, "full" },
   { run_failure_reason::leaving, "leaving" },
   { run_failure_reason::wrong_instance, "wrong_instance" },
@@ -35,23 +30,13 @@
 std::string_view
 NameOf(run_failure_reason aReason)
 {
-  for (const reason_name& row : kReasonNames) {
-    if (row.reason == aReason) {
-      return row.name;
-    }
-  }
-  return "unknown";
+  return NameIn(kReasonNames, aReason);
 }
 
 std::optional<run_failure_reason>
 RunFailureReasonFromName(std::string_view aName)
 {
-  for (const reason_name& row : kReasonNames) {
-    if (row.name == aName) {
-      return row.reason;
-    }
-  }
-  return std::nullopt;
+  return ValueIn(kReasonNames, aName);
 }
 
 void
--- a/src/proxy/version-gate.cc
+++ b/src/proxy/version-gate.cc
@@ -1,18 +1,12 @@
 #include "proxy/version-gate.h"
 
-#include <array>
+#include "base/name-table.h"
 
 namespace eelgrasstrack {
 
 namespace {
 
-struct phase_name
-{
-  move_phase phase;
-  std::string_view name;
-};
-
-constexpr std::array<phase_name, 4> kPhaseNames{ {
+constexpr name_table<move_phase, 4> kPhaseNames{ {
   { move_phase::trial, "trial" },
   { move_phase::widened, "widened" },
   { move_phase::complete, "complete" },
@@ -29,23 +23,13 @@
 std::string_view
 NameOf(move_phase aPhase)
 {
-  for (const phase_name& row : kPhaseNames) {
-    if (row.phase == aPhase) {
-      return row.name;
-    }
-  }
-  return "unknown";
+  return NameIn(kPhaseNames, aPhase);
 }
 
-move_phase
+std::optional<move_phase>
 MovePhaseFromName(std::string_view aName)
 {
-  for (const phase_name& row : kPhaseNames) {
-    if (row.name == aName) {
-      return row.phase;
-    }
-  }
-  return move_phase::trial;
+  return ValueIn(kPhaseNames, aName);
 }
 
 bool
@@ -135,11 +119,4 @@
   return moved == (aVersion == move->to);
 }
 
-std::string
-version_gate::EstablishedVersion(const std::string& aService) const
-{
-  auto known = mEstablished.find(aService);
-  return known == mEstablished.end() ? std::string() : known->second.version;
-}
-
 } // namespace eelgrasstrack
--- a/src/proxy/version-gate.h
+++ b/src/proxy/version-gate.h
@@ -27,7 +27,7 @@
 NameOf(move_phase aPhase);
 
 /// Returns `trial` for an unknown name.
-move_phase
+std::optional<move_phase>
 MovePhaseFromName(std::string_view aName);
 
 /// The move of one service, as all nodes agree on it.
@@ -87,8 +87,6 @@
   /// Whether instances of the version take ordinary requests of the service.
   bool Ordinary(const std::string& aService, const std::string& aVersion) const;
 
-  std::string EstablishedVersion(const std::string& aService) const;
-
 private:
   struct established
   {
--- a/src/traffic/traffic-table.cc
+++ b/src/traffic/traffic-table.cc
@@ -17,8 +17,7 @@
 }
 
 result<void>
-CheckRoute(const traffic_route& aRoute,
-           const std::map<std::string, service_settings>& aServices)
+CheckRoute(const traffic_route& aRoute, const std::set<std::string>& aServices)
 {
   auto refuse = [&aRoute](const char* aReason) {
     return Fail(error_kind::invalid_argument,
@@ -51,7 +50,7 @@
 traffic_table::Build(std::uint64_t aVersion,
                      traffic_limits aLimits,
                      std::vector<traffic_route> aRoutes,
-                     std::map<std::string, service_settings> aServices)
+                     const std::set<std::string>& aServices)
 {
   for (const traffic_route& route : aRoutes) {
     result<void> checked = CheckRoute(route, aServices);
@@ -63,7 +62,6 @@
   table->mVersion = aVersion;
   table->mLimits = aLimits;
   table->mRoutes = std::move(aRoutes);
-  table->mServices = std::move(aServices);
   for (const traffic_route& route : table->mRoutes) {
     table->mByHost[HostKey(route.host)].push_back(&route);
   }
--- a/src/traffic/traffic-table.h
+++ b/src/traffic/traffic-table.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -47,12 +48,6 @@
   std::vector<weighted_service> targets;
 };
 
-struct service_settings
-{
-  std::string health_path;
-  unsigned max_connections = 0;
-};
-
 /// One accepted configuration, whole and never changed once built.
 class traffic_table
 {
@@ -63,14 +58,10 @@
     std::uint64_t aVersion,
     traffic_limits aLimits,
     std::vector<traffic_route> aRoutes,
-    std::map<std::string, service_settings> aServices);
+    const std::set<std::string>& aServices);
 
   std::uint64_t Version() const { return mVersion; }
   const traffic_limits& Limits() const { return mLimits; }
-  const std::map<std::string, service_settings>& Services() const
-  {
-    return mServices;
-  }
 
   /// The route with the longest prefix of `aTarget` at the host, or null.
   const traffic_route* Match(std::string_view aHost,
@@ -82,7 +73,6 @@
   std::uint64_t mVersion = 0;
   traffic_limits mLimits;
   std::vector<traffic_route> mRoutes;
-  std::map<std::string, service_settings> mServices;
   /// Routes of a host in lower case, those with the longest prefix first.
   std::unordered_map<std::string, std::vector<const traffic_route*>> mByHost;
 };
--- a/test/harness/mesh-world.cc
+++ b/test/harness/mesh-world.cc
@@ -296,7 +296,7 @@
   route.timeout = std::chrono::seconds(2);
   route.targets = { { aService, 1 } };
   result<std::shared_ptr<const traffic_table>> table =
-    traffic_table::Build(aVersion, {}, { route }, { { aService, {} } });
+    traffic_table::Build(aVersion, {}, { route }, { aService });
   REQUIRE(table);
   mStore.SetTable({ *table, "table " + std::to_string(aVersion) });
 }
--- a/test/harness/platform-store.cc
+++ b/test/harness/platform-store.cc
@@ -155,6 +155,10 @@
   if (object.is_null()) {
     return Response(kNotFound);
   }
+  if (aRequest.method == "DELETE") {
+    mKinds[parts[0]].erase(name);
+    return Response(kOk, object);
+  }
   bool conditional = body.is_object() && body.at("metadata").contains("rev");
   if (conditional &&
       body.at("metadata").at("rev") != object.at("metadata").at("rev")) {
--- a/test/unit/mesh-test.cc
+++ b/test/unit/mesh-test.cc
@@ -1,4 +1,5 @@
 #include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
 
 #include "mesh/duty-roster.h"
 #include "mesh/host-directory.h"
@@ -86,7 +87,7 @@
 
 TEST_CASE("traffic table, several prefixes match, the longest wins", "[mesh]")
 {
-  auto table = traffic_table::Build(1, {}, Routes(), { { "orders", {} } });
+  auto table = traffic_table::Build(1, {}, Routes(), { "orders" });
   REQUIRE(table);
   CHECK((*table)->Match("H.example:80", "/a/b/c?x=/")->name == "deep");
   CHECK((*table)->Match("h.example", "/a/b")->name == "root");
@@ -104,7 +105,7 @@
 {
   std::vector<traffic_route> routes = Routes();
   routes[1].prefix = "/a/b";
-  CHECK_FALSE(traffic_table::Build(1, {}, routes, { { "orders", {} } }));
+  CHECK_FALSE(traffic_table::Build(1, {}, routes, { "orders" }));
 }
 
 TEST_CASE_METHOD(directory_fixture,
@@ -212,9 +213,9 @@
 
 TEST_CASE("host record, malformed, is refused", "[mesh]")
 {
-  CHECK_FALSE(DecodeHostRecord(""));
-  CHECK_FALSE(DecodeHostRecord("[]"));
-  CHECK_FALSE(DecodeHostRecord(R"({"name":"a","domain":7})"));
+  CHECK_FALSE(DecodeHostRecord(nlohmann::json()));
+  CHECK_FALSE(DecodeHostRecord(nlohmann::json::array()));
+  CHECK_FALSE(DecodeHostRecord({ { "name", "a" }, { "domain", 7 } }));
 }
 
 TEST_CASE_METHOD(judge_fixture,
