--- a/src/base/log.cc
+++ b/src/base/log.cc
@@ -1,5 +1,8 @@
 #include "base/log.h"
 
+#include <array>
+#include <chrono>
+
 #include <easylogging++.h>
 #include <nlohmann/json.hpp>
 
@@ -11,6 +14,21 @@
 
 log_level sLowest = log_level::info;
 log_format sFormat = log_format::text;
+std::string sNode;
+
+/// Names of the levels, in their order.
+constexpr std::array<std::string_view, 4> kLevelNames{ "debug",
+                                                       "info",
+                                                       "warning",
+                                                       "error" };
+
+std::int64_t
+UnixMilliseconds()
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+           std::chrono::system_clock::now().time_since_epoch())
+    .count();
+}
 
 std::string
 TextLine(std::string_view aEvent, std::initializer_list<log_field> aFields)
@@ -30,9 +48,17 @@
 }
 
 std::string
-JsonLine(std::string_view aEvent, std::initializer_list<log_field> aFields)
+JsonLine(log_level aLevel,
+         std::string_view aEvent,
+         std::initializer_list<log_field> aFields)
 {
-  nlohmann::json line = { { "event", aEvent } };
+  nlohmann::json line = { { "event", aEvent },
+                          { "time_ms", UnixMilliseconds() },
+                          { "level",
+                            kLevelNames[static_cast<std::size_t>(aLevel)] } };
+  if (!sNode.empty()) {
+    line["node"] = sNode;
+  }
   for (const log_field& field : aFields) {
     line[std::string(field.name)] = field.value;
   }
@@ -44,17 +70,10 @@
 std::optional<log_level>
 LogLevelFromName(std::string_view aName)
 {
-  if (aName == "debug") {
-    return log_level::debug;
-  }
-  if (aName == "info") {
-    return log_level::info;
-  }
-  if (aName == "warning") {
-    return log_level::warning;
-  }
-  if (aName == "error") {
-    return log_level::error;
+  for (std::size_t i = 0; i < kLevelNames.size(); ++i) {
+    if (kLevelNames[i] == aName) {
+      return static_cast<log_level>(i);
+    }
   }
   return std::nullopt;
 }
@@ -75,6 +94,12 @@
   el::Loggers::reconfigureLogger("default", settings);
 }
 
+void
+SetLogNode(std::string aName)
+{
+  sNode = std::move(aName);
+}
+
 void
 LogEvent(log_level aLevel,
          std::string_view aEvent,
@@ -83,8 +108,9 @@
   if (aLevel < sLowest) {
     return;
   }
-  std::string line = sFormat == log_format::text ? TextLine(aEvent, aFields)
-                                                 : JsonLine(aEvent, aFields);
+  std::string line = sFormat == log_format::text
+                       ? TextLine(aEvent, aFields)
+                       : JsonLine(aLevel, aEvent, aFields);
   switch (aLevel) {
     case log_level::debug:
     case log_level::info:
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -36,6 +36,10 @@
 void
 ConfigureLog(log_level aLowest, log_format aFormat);
 
+/// Names the node in each line of the JSON format.
+void
+SetLogNode(std::string aName);
+
 /// Writes one event as one line to standard output.
 void
 LogEvent(log_level aLevel,
--- a/src/ctl/main.cc
+++ b/src/ctl/main.cc
@@ -10,6 +10,7 @@
 #include "base/hash.h"
 #include "base/json-reader.h"
 #include "ctl/options.h"
+#include "diagnosis/request-story.h"
 #include "http/client.h"
 
 namespace {
@@ -275,6 +276,32 @@
   return response->status < 400 ? 0 : 1;
 }
 
+int
+Explain(const ctl_options& aOptions)
+{
+  if (aOptions.words.size() < 3) {
+    return Report(
+      MakeError(error_kind::invalid_argument, "explain REQUEST-ID FILE..."));
+  }
+  std::vector<log_record> records;
+  for (std::size_t i = 2; i < aOptions.words.size(); ++i) {
+    std::ifstream file(aOptions.words[i]);
+    if (!file) {
+      return Report(MakeError(error_kind::not_found,
+                              "can't read '" + aOptions.words[i] + "'"));
+    }
+    log_content content = ReadLog(file);
+    if (content.skipped > 0) {
+      std::cerr << aOptions.words[i] << ": " << content.skipped
+                << " lines are no log records\n";
+    }
+    records.insert(
+      records.end(), content.records.begin(), content.records.end());
+  }
+  std::cout << TextOf(ExplainRequest(records, aOptions.words[1]));
+  return 0;
+}
+
 int
 Run(const ctl_options& aOptions)
 {
@@ -286,6 +313,9 @@
   if (command == "apply") {
     return Apply(aOptions);
   }
+  if (command == "explain") {
+    return Explain(aOptions);
+  }
   if (command == "rollout") {
     return Rollout(aOptions);
   }
--- a/src/ctl/options.cc
+++ b/src/ctl/options.cc
@@ -18,6 +18,7 @@
   "  rollout watch ID                    the same, until it ends\n"
   "  rollout pause|resume|take-back ID   change a rollout\n"
   "  rollout history                     all rollouts\n"
+  "  explain REQUEST-ID FILE...          what logs of nodes say of a request\n"
   "  health | dump | metrics | schema    ask one node\n"
   "\n"
   "TIME is +90s, +10m, +2h, 2026-12-04T10:00:00Z or Unix milliseconds.\n"
--- /dev/null
+++ b/src/diagnosis/request-story.cc
@@ -0,0 +1,188 @@
+#include "diagnosis/request-story.h"
+
+#include <algorithm>
+#include <array>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <set>
+
+namespace eelgrasstrack {
+
+namespace {
+
+using nlohmann::json;
+
+/// How long before a request's first line an event may matter to it.
+constexpr std::int64_t kContextMs = 3000;
+
+struct ending
+{
+  std::string_view event;
+  std::string_view meaning;
+};
+
+/// Events that end a request, and what they mean.
+constexpr std::array<ending, 9> kEndings{ {
+  { "refused_full",
+    "refused as not run: no instance had room in time; the caller was told "
+    "when to come back" },
+  { "no_instance", "refused as not run: no instance of the service is known" },
+  { "refused_by_instance",
+    "refused as not run: the instances asked would not take it" },
+  { "node_stopping", "refused as not run: the node was about to end" },
+  { "no_configuration",
+    "refused as not run: the node held no configuration yet" },
+  { "no_route",
+    "answered 404: the configuration named below has no route for it" },
+  { "answer_broken",
+    "answered 502: the answer of the instance was lost or broken, and the "
+    "request could not be sent again" },
+  { "timed_out", "answered 504: no answer came by the route's timeout" },
+  { "failed_by_instance", "the instance itself answered with a failure" },
+} };
+
+/// Events that change what a node believes.
+constexpr std::array<std::string_view, 15> kContextEvents{
+  "host_lost",        "host_regained",  "host_dropped",
+  "store_lost",       "store_regained", "configuration_taken",
+  "instance_changed", "instance_left",  "instance_silent",
+  "move_begins",      "move_step",      "move_step_learned",
+  "node_started",     "node_stopping",  "configuration_refused",
+};
+
+std::string
+TextField(const json& aLine, const char* aName)
+{
+  auto found = aLine.find(aName);
+  return found != aLine.end() && found->is_string() ? found->get<std::string>()
+                                                    : std::string();
+}
+
+std::optional<log_record>
+RecordOf(const std::string& aLine)
+{
+  json line = json::parse(aLine, nullptr, false);
+  if (!line.is_object() || !line.contains("event")) {
+    return std::nullopt;
+  }
+  log_record record;
+  record.event = TextField(line, "event");
+  record.node = TextField(line, "node");
+  record.request = TextField(line, "request");
+  record.line = aLine;
+  auto time = line.find("time_ms");
+  if (time != line.end() && time->is_number_integer()) {
+    record.time_ms = time->get<std::int64_t>();
+  }
+  return record;
+}
+
+bool
+IsContext(std::string_view aEvent)
+{
+  return std::find(kContextEvents.begin(), kContextEvents.end(), aEvent) !=
+         kContextEvents.end();
+}
+
+void
+SortByTime(std::vector<log_record>& aRecords)
+{
+  std::stable_sort(aRecords.begin(),
+                   aRecords.end(),
+                   [](const log_record& aLeft, const log_record& aRight) {
+                     return aLeft.time_ms < aRight.time_ms;
+                   });
+}
+
+std::vector<log_record>
+ContextOf(const std::vector<log_record>& aRecords,
+          const std::vector<log_record>& aLines)
+{
+  std::set<std::string> nodes;
+  for (const log_record& line : aLines) {
+    nodes.insert(line.node);
+  }
+  std::int64_t from = aLines.front().time_ms - kContextMs;
+  std::int64_t until = aLines.back().time_ms;
+  std::vector<log_record> around;
+  for (const log_record& record : aRecords) {
+    bool inTime = record.time_ms >= from && record.time_ms <= until;
+    if (inTime && IsContext(record.event) && nodes.count(record.node) > 0) {
+      around.push_back(record);
+    }
+  }
+  SortByTime(around);
+  return around;
+}
+
+std::string
+CauseOf(const std::vector<log_record>& aLines)
+{
+  for (auto line = aLines.rbegin(); line != aLines.rend(); ++line) {
+    for (const ending& row : kEndings) {
+      if (line->event == row.event) {
+        return std::string(row.meaning);
+      }
+    }
+  }
+  return "its end is not in these logs: served, still in progress, or the "
+         "caller left";
+}
+
+} // namespace
+
+log_content
+ReadLog(std::istream& aLines)
+{
+  log_content content;
+  std::string text;
+  while (std::getline(aLines, text)) {
+    std::optional<log_record> record = RecordOf(text);
+    if (record) {
+      content.records.push_back(std::move(*record));
+    } else {
+      ++content.skipped;
+    }
+  }
+  return content;
+}
+
+request_story
+ExplainRequest(const std::vector<log_record>& aRecords,
+               const std::string& aRequest)
+{
+  request_story story;
+  std::copy_if(aRecords.begin(),
+               aRecords.end(),
+               std::back_inserter(story.lines),
+               [&aRequest](const log_record& aRecord) {
+                 return aRecord.request == aRequest;
+               });
+  if (story.lines.empty()) {
+    story.cause = "no line names this request: it was served at the first "
+                  "try, or its log is not among these";
+    return story;
+  }
+  SortByTime(story.lines);
+  story.around = ContextOf(aRecords, story.lines);
+  story.cause = CauseOf(story.lines);
+  return story;
+}
+
+std::string
+TextOf(const request_story& aStory)
+{
+  std::string text;
+  for (const log_record& record : aStory.lines) {
+    text += record.line + "\n";
+  }
+  if (!aStory.around.empty()) {
+    text += "around it, on the same nodes:\n";
+  }
+  for (const log_record& record : aStory.around) {
+    text += "  " + record.line + "\n";
+  }
+  return text + "cause: " + aStory.cause + "\n";
+}
+
+} // namespace eelgrasstrack
--- /dev/null
+++ b/test/unit/request-story-test.cc
@@ -0,0 +1,88 @@
+#include <catch2/catch.hpp>
+#include <sstream>
+
+#include "diagnosis/request-story.h"
+
+using namespace eelgrasstrack;
+
+namespace {
+
+/// Logs of two nodes as they come out of two files.
+class request_story_fixture
+{
+public:
+  request_story_fixture()
+  {
+    Add(
+      R"({"event":"answer_broken","node":"a","request":"q1","time_ms":5200})");
+    Add(R"({"event":"host_lost","node":"a","time_ms":4900})");
+    Add(R"({"event":"host_lost","node":"c","time_ms":4900})");
+    Add(R"({"event":"host_lost","node":"a","time_ms":900})");
+    Add(
+      R"({"event":"attempt_failed","node":"a","request":"q1","time_ms":5100})");
+    Add("  text of another program");
+    Add(
+      R"({"event":"instance_answer_broken","node":"b","request":"q1","time_ms":5000})");
+    Add(R"({"event":"refused_full","node":"b","request":"q2","time_ms":5000})");
+    Add(R"({"event":"attempt_failed","node":"b","request":"q3","time_ms":1})");
+  }
+
+  void Add(const std::string& aLine) { text += aLine + "\n"; }
+
+  request_story Explain(const std::string& aRequest) const
+  {
+    std::istringstream lines(text);
+    return ExplainRequest(ReadLog(lines).records, aRequest);
+  }
+
+  std::string text;
+};
+
+} // namespace
+
+TEST_CASE_METHOD(request_story_fixture,
+                 "request story, lines of two nodes, come in order of time",
+                 "[diagnosis]")
+{
+  request_story story = Explain("q1");
+  REQUIRE(story.lines.size() == 3);
+  CHECK(story.lines[0].node == "b");
+  CHECK(story.lines[1].event == "attempt_failed");
+  CHECK(story.lines[2].event == "answer_broken");
+  CHECK(story.cause.find("502") != std::string::npos);
+}
+
+TEST_CASE_METHOD(request_story_fixture,
+                 "request story, host lost just before, is shown beside it",
+                 "[diagnosis]")
+{
+  request_story story = Explain("q1");
+  REQUIRE(story.around.size() == 1);
+  CHECK(story.around[0].node == "a");
+  CHECK(story.around[0].time_ms == 4900);
+}
+
+TEST_CASE_METHOD(request_story_fixture,
+                 "request story, request refused, names the reason",
+                 "[diagnosis]")
+{
+  CHECK(Explain("q2").cause.find("no instance had room") != std::string::npos);
+}
+
+TEST_CASE_METHOD(request_story_fixture,
+                 "request story, end or request not in the logs, says so",
+                 "[diagnosis]")
+{
+  CHECK(Explain("q3").cause.find("not in these logs") != std::string::npos);
+  CHECK(Explain("q9").cause.find("no line names") != std::string::npos);
+}
+
+TEST_CASE_METHOD(request_story_fixture,
+                 "request story, other lines in a log, are counted",
+                 "[diagnosis]")
+{
+  std::istringstream lines(text);
+  log_content content = ReadLog(lines);
+  CHECK(content.records.size() == 8);
+  CHECK(content.skipped == 1);
+}
