--- a/src/proxy/hop-client.cc
+++ b/src/proxy/hop-client.cc
@@ -13,7 +13,6 @@
 /// Time after which unacknowledged bytes break a connection to a node.
 constexpr duration kUnacknowledgedLimit = std::chrono::milliseconds(1500);
 constexpr duration kIdleLimit = std::chrono::seconds(15);
-constexpr std::size_t kMaxIdlePerHost = 32;
 
 } // namespace
 
@@ -146,7 +145,8 @@
   void OnAnswerEnd() override
   {
     std::shared_ptr<hop_run> self = shared_from_this();
-    mClient.KeepChannel(mClient.mHosts[mHostName], std::move(mChannel));
+    mClient.mHosts[mHostName].idle.Keep(std::move(mChannel),
+                                        mClient.mHost.Loop().Now());
     mChannel.reset();
     if (mFailure) {
       mClient.NoteFailure(mHostName, *mFailure);
@@ -252,10 +252,7 @@
 {
   host_state& state = mHosts[aHostName];
   if (!(state.address == aAddress)) {
-    for (const auto& channel : state.idle) {
-      channel->Abort();
-    }
-    state.idle.clear();
+    state.idle.Clear();
     state.address = aAddress;
   }
   auto run = std::make_shared<hop_run>(
@@ -272,35 +269,15 @@
 std::shared_ptr<client_channel>
 hop_client::TakeChannel(host_state& aState)
 {
-  time_point now = mHost.Loop().Now();
-  while (!aState.idle.empty()) {
-    std::shared_ptr<client_channel> channel = aState.idle.back();
-    aState.idle.pop_back();
-    if (channel->Reusable(now)) {
-      return channel;
-    }
-    channel->Abort();
+  if (std::shared_ptr<client_channel> channel =
+        aState.idle.Take(mHost.Loop().Now())) {
+    return channel;
   }
   connect_options options;
   options.unacknowledged_limit = kUnacknowledgedLimit;
   return client_channel::Open(mHost, aState.address, options);
 }
 
-void
-hop_client::KeepChannel(host_state& aState,
-                        std::shared_ptr<client_channel> aChannel)
-{
-  if (!aChannel) {
-    return;
-  }
-  if (aState.idle.size() < kMaxIdlePerHost &&
-      aChannel->Reusable(mHost.Loop().Now())) {
-    aState.idle.push_back(std::move(aChannel));
-    return;
-  }
-  aChannel->Abort();
-}
-
 void
 hop_client::HostLost(const std::string& aHostName)
 {
@@ -308,10 +285,7 @@
   if (found == mHosts.end()) {
     return;
   }
-  for (const auto& channel : found->second.idle) {
-    channel->Abort();
-  }
-  found->second.idle.clear();
+  found->second.idle.Clear();
   std::vector<std::shared_ptr<hop_run>> runs;
   for (hop_run* run : found->second.runs) {
     runs.push_back(run->shared_from_this());
@@ -327,14 +301,7 @@
   std::vector<std::string> doubtful;
   std::vector<std::shared_ptr<hop_run>> overdue;
   for (auto& [name, state] : mHosts) {
-    std::erase_if(state.idle, [&](const auto& aChannel) {
-      bool old =
-        !aChannel->Reusable(aNow) || aNow - aChannel->IdleSince() > kIdleLimit;
-      if (old) {
-        aChannel->Abort();
-      }
-      return old;
-    });
+    state.idle.CloseIdle(kIdleLimit, aNow);
     bool silent = false;
     for (hop_run* run : state.runs) {
       if (aNow - run->Began() > kConnectLimit) {
--- a/src/proxy/hop-client.h
+++ b/src/proxy/hop-client.h
@@ -6,7 +6,7 @@
 #include <set>
 
 #include "proxy/forwarded-request.h"
-#include "wire/client-channel.h"
+#include "wire/channel-pool.h"
 
 namespace eelgrasstrack {
 
@@ -40,9 +40,12 @@
 private:
   friend class hop_run;
 
+  /// Idle connections kept to one host.
+  static constexpr std::size_t kMaxIdle = 32;
+
   struct host_state
   {
-    std::vector<std::shared_ptr<client_channel>> idle;
+    channel_pool idle{ kMaxIdle };
     std::set<class hop_run*> runs;
     time_point last_heard{};
     /// The host's address, as the idle connections go to it.
@@ -50,8 +53,6 @@
   };
 
   std::shared_ptr<client_channel> TakeChannel(host_state& aState);
-  void KeepChannel(host_state& aState,
-                   std::shared_ptr<client_channel> aChannel);
   void Doubt(const std::string& aHostName);
   void NoteFailure(const std::string& aHostName, const run_failure& aFailure);
 
--- a/src/proxy/instance-port.cc
+++ b/src/proxy/instance-port.cc
@@ -15,7 +15,6 @@
 /// for a request that must not run twice: the instance may be closing it.
 constexpr duration kIdleLimitForUnsafe = std::chrono::milliseconds(1500);
 constexpr duration kIdleLimit = std::chrono::seconds(6);
-constexpr std::size_t kMaxIdle = 64;
 /// Time kept back from the drain time for the way to the instance.
 constexpr duration kDrainReserve = std::chrono::milliseconds(500);
 /// Time within which a connection to the instance beside must come to be.
@@ -133,7 +132,7 @@
 
   void OnAnswerEnd() override
   {
-    mPort.KeepChannel(std::move(mChannel));
+    mPort.mIdle.Keep(std::move(mChannel), mPort.mHost.Loop().Now());
     mChannel.reset();
     if (mRefusedStatus != 0) {
       run_failure failure;
@@ -282,10 +281,7 @@
   mInstance = aInstance;
   mQueue.SetSlots(aInstance.slots);
   if (other) {
-    for (const auto& channel : mIdle) {
-      channel->Abort();
-    }
-    mIdle.clear();
+    mIdle.Clear();
     RefuseWaiting(mQueue.TakeAll(), run_failure_reason::wrong_instance);
   }
   LimitWaiting();
@@ -438,44 +434,21 @@
 std::shared_ptr<client_channel>
 instance_port::TakeChannel(bool aFreshOnly)
 {
-  time_point now = mHost.Loop().Now();
-  while (!aFreshOnly && !mIdle.empty()) {
-    std::shared_ptr<client_channel> channel = mIdle.back();
-    mIdle.pop_back();
-    if (channel->Reusable(now)) {
+  if (!aFreshOnly) {
+    if (std::shared_ptr<client_channel> channel =
+          mIdle.Take(mHost.Loop().Now())) {
       return channel;
     }
-    channel->Abort();
   }
   connect_options options;
   options.unacknowledged_limit = kUnacknowledgedLimit;
   return client_channel::Open(mHost, mInstance.address, options);
 }
 
-void
-instance_port::KeepChannel(std::shared_ptr<client_channel> aChannel)
-{
-  if (!aChannel) {
-    return;
-  }
-  if (mIdle.size() < kMaxIdle && aChannel->Reusable(mHost.Loop().Now())) {
-    mIdle.push_back(std::move(aChannel));
-    return;
-  }
-  aChannel->Abort();
-}
-
 void
 instance_port::CloseIdle(time_point aNow)
 {
-  std::erase_if(mIdle, [&](const std::shared_ptr<client_channel>& aChannel) {
-    bool old =
-      !aChannel->Reusable(aNow) || aNow - aChannel->IdleSince() > kIdleLimit;
-    if (old) {
-      aChannel->Abort();
-    }
-    return old;
-  });
+  mIdle.CloseIdle(kIdleLimit, aNow);
 }
 
 } // namespace eelgrasstrack
--- a/src/proxy/instance-port.h
+++ b/src/proxy/instance-port.h
@@ -6,7 +6,7 @@
 
 #include "mesh/host-record.h"
 #include "proxy/forwarded-request.h"
-#include "wire/client-channel.h"
+#include "wire/channel-pool.h"
 
 namespace eelgrasstrack {
 
@@ -50,11 +50,13 @@
 private:
   friend class instance_run;
 
+  /// Idle connections kept to the instance.
+  static constexpr std::size_t kMaxIdle = 64;
+
   /// Gives back what waits, now or later, if the instance takes nothing new.
   void LimitWaiting();
   std::optional<run_failure> RefusalOf(const forwarded_request& aRequest) const;
   std::shared_ptr<client_channel> TakeChannel(bool aFreshOnly);
-  void KeepChannel(std::shared_ptr<client_channel> aChannel);
   void Ended(run_id aId, const std::string& aRoute, duration aTook);
   void RunNext();
   void RefuseWaiting(const std::vector<run_id>& aIds,
@@ -71,7 +73,7 @@
   run_queue mQueue{ 1 };
   run_id mNextId = 1;
   std::unordered_map<run_id, std::shared_ptr<class instance_run>> mRuns;
-  std::vector<std::shared_ptr<client_channel>> mIdle;
+  channel_pool mIdle{ kMaxIdle };
   std::function<void(const run_result&)> mOnResult;
 };
 
--- a/src/wire/caller.cc
+++ b/src/wire/caller.cc
@@ -144,13 +144,9 @@
 {
   auto kept = mIdle.find(TextOf(aEndpoint));
   if (kept != mIdle.end()) {
-    while (!kept->second.empty()) {
-      std::shared_ptr<client_channel> channel = kept->second.back();
-      kept->second.pop_back();
-      if (channel->Reusable(mHost.Loop().Now())) {
-        return channel;
-      }
-      channel->Abort();
+    if (std::shared_ptr<client_channel> channel =
+          kept->second.Take(mHost.Loop().Now())) {
+      return channel;
     }
   }
   return client_channel::Open(mHost, aEndpoint, {});
@@ -160,31 +156,19 @@
 caller::Keep(const endpoint& aEndpoint,
              std::shared_ptr<client_channel> aChannel)
 {
-  auto& kept = mIdle[TextOf(aEndpoint)];
-  if (kept.size() >= kMaxIdlePerEndpoint ||
-      !aChannel->Reusable(mHost.Loop().Now())) {
-    aChannel->Abort();
-    return;
-  }
-  kept.push_back(std::move(aChannel));
+  mIdle.try_emplace(TextOf(aEndpoint), kMaxIdlePerEndpoint)
+    .first->second.Keep(std::move(aChannel), mHost.Loop().Now());
 }
 
 void
 caller::CloseIdle(duration aUnusedFor)
 {
   time_point now = mHost.Loop().Now();
-  for (auto entry = mIdle.begin(); entry != mIdle.end();) {
-    auto& kept = entry->second;
-    std::erase_if(kept, [&](const std::shared_ptr<client_channel>& aChannel) {
-      bool old =
-        !aChannel->Reusable(now) || now - aChannel->IdleSince() > aUnusedFor;
-      if (old) {
-        aChannel->Abort();
-      }
-      return old;
-    });
-    entry = kept.empty() ? mIdle.erase(entry) : std::next(entry);
+  for (auto& [address, pool] : mIdle) {
+    pool.CloseIdle(aUnusedFor, now);
   }
+  std::erase_if(mIdle,
+                [](const auto& aEntry) { return aEntry.second.Empty(); });
 }
 
 } // namespace eelgrasstrack
--- a/src/wire/caller.h
+++ b/src/wire/caller.h
@@ -5,7 +5,7 @@
 #include <map>
 
 #include "base/error.h"
-#include "wire/client-channel.h"
+#include "wire/channel-pool.h"
 
 namespace eelgrasstrack {
 
@@ -54,7 +54,7 @@
             std::shared_ptr<client_channel> aChannel);
 
   socket_host& mHost;
-  std::map<std::string, std::vector<std::shared_ptr<client_channel>>> mIdle;
+  std::map<std::string, channel_pool> mIdle;
 };
 
 } // namespace eelgrasstrack
