Hand bodies over by one type on each side; one list of HTTP statuses

streamed_exchange serves the ingress and the hop server, channel_run the hop client and the instance port; each pair passed and paused bodies by code of its own, with a window of its own. session_list opens the address for both servers. Removed: ways to close idle sessions that nothing called. No change of behaviour.

--- a/src/mesh/gossip.cc
+++ b/src/mesh/gossip.cc
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 
 #include "base/log.h"
+#include "wire/status.h"
 
 namespace eelgrasstrack {
 
@@ -281,8 +282,7 @@
     std::move(request),
     kMessageTimeout,
     [this, aName](result<whole_response> aResponse) {
-      constexpr int kOk = 200;
-      if (!aResponse || aResponse->status != kOk) {
+      if (!aResponse || aResponse->status != status::kOk) {
         mCounters.Add(proxy_event::peer_failed);
         Probe(aName);
         return;
--- a/src/mesh/mesh-node.cc
+++ b/src/mesh/mesh-node.cc
@@ -8,6 +8,7 @@
 #include "base/log.h"
 #include "mesh/duty-roster.h"
 #include "wire/packing.h"
+#include "wire/status.h"
 
 namespace eelgrasstrack {
 
@@ -15,11 +16,6 @@
 
 using nlohmann::json;
 
-constexpr int kOk = 200;
-constexpr int kBadRequest = 400;
-constexpr int kNotFound = 404;
-constexpr int kUnavailable = 503;
-
 constexpr duration kMaintainPeriod = std::chrono::milliseconds(1000);
 constexpr duration kHopSweepPeriod = std::chrono::milliseconds(200);
 constexpr duration kDutyPeriod = std::chrono::milliseconds(400);
@@ -138,11 +134,12 @@
                      });
   }
   if (opened) {
-    opened = ServeAt(mHost,
-                     mSettings.ready_listen,
-                     [this](const whole_request&, const respond& aRespond) {
-                       aRespond(Response(Ready() ? kOk : kUnavailable));
-                     });
+    opened = ServeAt(
+      mHost,
+      mSettings.ready_listen,
+      [this](const whole_request&, const respond& aRespond) {
+        aRespond(Response(Ready() ? status::kOk : status::kUnavailable));
+      });
   }
   if (!opened) {
     return opened;
@@ -561,7 +558,7 @@
 mesh_node::TakeFetchedConfig(const std::string& aFrom,
                              result<whole_response> aResponse)
 {
-  if (!aResponse || aResponse->status != kOk) {
+  if (!aResponse || aResponse->status != status::kOk) {
     mCounters.Add(proxy_event::peer_failed);
     return;
   }
@@ -617,7 +614,7 @@
 mesh_node::ServeControl(whole_request aRequest, respond aRespond)
 {
   if (aRequest.target == "/v1/ping") {
-    aRespond(Response(kOk));
+    aRespond(Response(status::kOk));
     return;
   }
   if (aRequest.target == "/v1/gossip") {
@@ -627,8 +624,8 @@
                "peer_message_refused",
                { { "reason", answer.error().message } });
     }
-    aRespond(answer ? Response(kOk, std::move(*answer))
-                    : Response(kBadRequest));
+    aRespond(answer ? Response(status::kOk, std::move(*answer))
+                    : Response(status::kBadRequest));
     return;
   }
   if (aRequest.target == "/v1/evidence") {
@@ -638,23 +635,23 @@
                "peer_counts_refused",
                { { "reason", taken.error().message } });
     }
-    aRespond(Response(taken ? kOk : kBadRequest));
+    aRespond(Response(taken ? status::kOk : status::kBadRequest));
     return;
   }
   if (aRequest.target == "/v1/config") {
-    aRespond(mPackedConfig.empty() ? Response(kNotFound)
-                                   : Response(kOk, mPackedConfig));
+    aRespond(mPackedConfig.empty() ? Response(status::kNotFound)
+                                   : Response(status::kOk, mPackedConfig));
     return;
   }
   if (aRequest.target == "/metrics") {
-    aRespond(Response(kOk, Metrics()));
+    aRespond(Response(status::kOk, Metrics()));
     return;
   }
   if (aRequest.target == "/state") {
-    aRespond(Response(kOk, Dump()));
+    aRespond(Response(status::kOk, Dump()));
     return;
   }
-  aRespond(Response(kNotFound));
+  aRespond(Response(status::kNotFound));
 }
 
 std::string
--- a/src/proxy/hop-client.cc
+++ b/src/proxy/hop-client.cc
@@ -1,5 +1,6 @@
 #include "proxy/hop-client.h"
 
+#include "proxy/channel-run.h"
 #include "proxy/hop-fields.h"
 
 namespace eelgrasstrack {
@@ -18,8 +19,7 @@
 
 /// One request that runs on another host.
 class hop_run final
-  : public client_channel::observer
-  , public run_handle
+  : public channel_run
   , public std::enable_shared_from_this<hop_run>
 {
 public:
@@ -27,10 +27,9 @@
           std::string aHostName,
           forwarded_request aRequest,
           std::shared_ptr<answer_sink> aSink)
-    : mClient(aClient)
+    : channel_run(std::move(aRequest), std::move(aSink))
+    , mClient(aClient)
     , mHostName(std::move(aHostName))
-    , mRequest(std::move(aRequest))
-    , mSink(std::move(aSink))
   {
   }
 
@@ -87,34 +86,6 @@
     Finish();
   }
 
-  void SendBody(std::string_view aBytes, bool aLast) override
-  {
-    if (mChannel) {
-      std::string text;
-      mBody.Append(text, aBytes, aLast);
-      mChannel->SendMore(text);
-    }
-  }
-
-  std::size_t Unsent() const override
-  {
-    return mChannel ? mChannel->Unsent() : 0;
-  }
-
-  void PauseAnswer(bool aPaused) override
-  {
-    if (mChannel) {
-      mChannel->PauseReading(aPaused);
-    }
-  }
-
-  void OnRequestSent() override
-  {
-    if (mSink && !mRequest.body_whole) {
-      mSink->OnBodyWanted();
-    }
-  }
-
   void OnAnswerHead(message_head& aHead,
                     std::optional<std::uint64_t> aLength) override
   {
@@ -198,11 +169,7 @@
 
   hop_client& mClient;
   std::string mHostName;
-  forwarded_request mRequest;
-  std::shared_ptr<answer_sink> mSink;
-  std::shared_ptr<client_channel> mChannel;
   std::optional<run_failure> mFailure;
-  request_body_writer mBody;
   time_point mBegan{};
   bool mAnswered = false;
 };
--- a/src/proxy/hop-server.cc
+++ b/src/proxy/hop-server.cc
@@ -4,29 +4,27 @@
 
 #include "base/log.h"
 #include "proxy/hop-fields.h"
+#include "proxy/streamed-exchange.h"
+#include "wire/status.h"
 
 namespace eelgrasstrack {
 
 namespace {
 
-constexpr int kBadRequest = 400;
-constexpr int kUnavailable = 503;
 constexpr std::uint32_t kHeadBytes = 256U << 10U;
 constexpr duration kHeadTimeout = std::chrono::seconds(10);
 /// Longer than the other side keeps an idle connection, so that it closes.
 constexpr duration kIdleTimeout = std::chrono::seconds(60);
-constexpr std::size_t kStreamWindowBytes = 256U << 10U;
 
 /// One request of another node.
 class hop_request final
-  : public request_owner
-  , public answer_sink
+  : public streamed_exchange
   , public std::enable_shared_from_this<hop_request>
 {
 public:
   hop_request(instance_port& aLocal, std::shared_ptr<server_session> aSession)
-    : mLocal(aLocal)
-    , mSession(std::move(aSession))
+    : streamed_exchange(std::move(aSession))
+    , mLocal(aLocal)
   {
   }
 
@@ -50,31 +48,6 @@
     }
   }
 
-  void OnMoreBody(std::string_view aBytes, bool aLast) override
-  {
-    if (!mRun) {
-      return;
-    }
-    mRun->SendBody(aBytes, aLast);
-    if (mRun->Unsent() > kStreamWindowBytes) {
-      mSession->PauseBody(true);
-    }
-  }
-
-  void OnAnswerSent() override
-  {
-    if (mRun) {
-      mRun->PauseAnswer(false);
-    }
-  }
-
-  void OnBodyWanted() override
-  {
-    if (mSession) {
-      mSession->PauseBody(false);
-    }
-  }
-
   void OnAnswer(message_head aHead,
                 std::optional<std::uint64_t> aLength,
                 const run_load& aLoad) override
@@ -86,10 +59,7 @@
 
   void OnAnswerBody(std::string_view aBytes) override
   {
-    mSession->AnswerBody(aBytes);
-    if (mRun && mSession->Unsent() > kStreamWindowBytes) {
-      mRun->PauseAnswer(true);
-    }
+    PassAnswerBody(aBytes);
   }
 
   void OnAnswerEnd() override
@@ -117,13 +87,11 @@
     if (aFailure.load) {
       fields.push_back({ std::string(kLoadField), EncodeLoad(*aFailure.load) });
     }
-    session->Answer(kUnavailable, fields);
+    session->Answer(status::kUnavailable, fields);
   }
 
 private:
   instance_port& mLocal;
-  std::shared_ptr<server_session> mSession;
-  std::shared_ptr<run_handle> mRun;
   bool mBegun = false;
 };
 
@@ -141,13 +109,7 @@
 result<void>
 hop_server::Listen(const endpoint& aAddress)
 {
-  return mHost.Listen(aAddress,
-                      [this](std::shared_ptr<connection> aConnection) {
-                        auto session = std::make_shared<server_session>(
-                          aConnection, *this, mSessions, mHost.Loop());
-                        mSessions.Add(session);
-                        aConnection->SetObserver(session);
-                      });
+  return mSessions.Listen(mHost, aAddress, *this);
 }
 
 traffic_limits
@@ -175,7 +137,7 @@
     LogEvent(log_level::warning,
              "hop_request_refused",
              { { "reason", decoded.error().message } });
-    aSession->Answer(kBadRequest, {});
+    aSession->Answer(status::kBadRequest, {});
     return owner;
   }
   if (const std::string* id =
--- a/src/proxy/hop-server.h
+++ b/src/proxy/hop-server.h
@@ -17,9 +17,7 @@
   result<void> Listen(const endpoint& aAddress);
 
   void SetClosing(bool aClosing) { mClosing = aClosing; }
-  void CloseIdle() { mSessions.CloseIdle(); }
   void Sweep(time_point aNow) { mSessions.Sweep(aNow); }
-  std::size_t Busy() const { return mSessions.Busy(); }
 
   traffic_limits Limits() const override;
   std::shared_ptr<request_owner> Begin(
--- a/src/proxy/ingress.cc
+++ b/src/proxy/ingress.cc
@@ -13,13 +13,7 @@
 result<void>
 ingress::Listen(const endpoint& aAddress)
 {
-  return mParts.host.Listen(
-    aAddress, [this](std::shared_ptr<connection> aConnection) {
-      auto session = std::make_shared<server_session>(
-        aConnection, *this, mSessions, mParts.host.Loop());
-      mSessions.Add(session);
-      aConnection->SetObserver(session);
-    });
+  return mSessions.Listen(mParts.host, aAddress, *this);
 }
 
 void
--- a/src/proxy/ingress.h
+++ b/src/proxy/ingress.h
@@ -50,7 +50,6 @@
   void SetRefusing(bool aRefusing) { mRefusing = aRefusing; }
 
   void Sweep(time_point aNow) { mSessions.Sweep(aNow); }
-  void CloseIdle() { mSessions.CloseIdle(); }
   std::size_t Busy() const { return mSessions.Busy(); }
 
   traffic_limits Limits() const override;
--- a/src/proxy/instance-port.cc
+++ b/src/proxy/instance-port.cc
@@ -4,6 +4,8 @@
 
 #include "base/invariant.h"
 #include "base/log.h"
+#include "proxy/channel-run.h"
+#include "wire/status.h"
 
 namespace eelgrasstrack {
 
@@ -24,8 +26,7 @@
 
 /// One request at the last hop, waiting or running.
 class instance_run final
-  : public client_channel::observer
-  , public run_handle
+  : public channel_run
   , public std::enable_shared_from_this<instance_run>
 {
 public:
@@ -33,10 +34,9 @@
                run_id aId,
                forwarded_request aRequest,
                std::shared_ptr<answer_sink> aSink)
-    : mPort(aPort)
+    : channel_run(std::move(aRequest), std::move(aSink))
+    , mPort(aPort)
     , mId(aId)
-    , mRequest(std::move(aRequest))
-    , mSink(std::move(aSink))
     , mVersion(aPort.mInstance.version)
   {
   }
@@ -78,41 +78,24 @@
       mRequest.body_whole = mRequest.body_whole || aLast;
       return;
     }
-    std::string text;
-    mBody.Append(text, aBytes, aLast);
-    mChannel->SendMore(text);
+    channel_run::SendBody(aBytes, aLast);
   }
 
   std::size_t Unsent() const override
   {
-    return mChannel ? mChannel->Unsent() : mRequest.body.size();
-  }
-
-  void PauseAnswer(bool aPaused) override
-  {
-    if (mChannel) {
-      mChannel->PauseReading(aPaused);
-    }
-  }
-
-  void OnRequestSent() override
-  {
-    if (mSink && !mRequest.body_whole) {
-      mSink->OnBodyWanted();
-    }
+    return mChannel ? channel_run::Unsent() : mRequest.body.size();
   }
 
   void OnAnswerHead(message_head& aHead,
                     std::optional<std::uint64_t> aLength) override
   {
     const request_names& names = mPort.mNames;
-    constexpr int kMisdirected = 421;
     if (FindField(aHead.fields, names.not_executed) != nullptr ||
-        aHead.status == kMisdirected) {
+        aHead.status == status::kMisdirected) {
       mRefusedStatus = aHead.status;
       return;
     }
-    bool success = aHead.status >= 200 && aHead.status < 300;
+    bool success = status::IsSuccess(aHead.status);
     if (success && FindField(aHead.fields, names.stamp) == nullptr) {
       mBad = true; // no instance made it
       return;
@@ -146,11 +129,10 @@
       FailBroken("a success without the instance's mark");
       return;
     }
-    constexpr int kFirstServerError = 500;
-    Judge(mStatus >= kFirstServerError);
+    Judge(status::IsServerError(mStatus));
     std::shared_ptr<answer_sink> sink = std::move(mSink);
     mSink.reset();
-    EndRun(mStatus < kFirstServerError ? Took() : duration(0));
+    EndRun(!status::IsServerError(mStatus) ? Took() : duration(0));
     if (sink) {
       sink->OnAnswerEnd();
     }
@@ -254,11 +236,7 @@
 
   instance_port& mPort;
   run_id mId;
-  forwarded_request mRequest;
-  std::shared_ptr<answer_sink> mSink;
   std::string mVersion;
-  std::shared_ptr<client_channel> mChannel;
-  request_body_writer mBody;
   time_point mDispatched{};
   int mStatus = 0;
   int mRefusedStatus = 0;
--- a/src/proxy/proxied-request.cc
+++ b/src/proxy/proxied-request.cc
@@ -4,22 +4,15 @@
 #include <utility>
 
 #include "base/invariant.h"
+#include "wire/status.h"
 
 namespace eelgrasstrack {
 
 namespace {
 
-constexpr int kNotFound = 404;
-constexpr int kBadGateway = 502;
-constexpr int kUnavailable = 503;
-constexpr int kGatewayTimeout = 504;
-constexpr int kFirstServerError = 500;
-
 /// An answer up to this size is collected before it is passed on, so that
 /// a broken one can be replaced.
 constexpr std::size_t kCollectAnswerBytes = 64U << 10U;
-/// Unsent bytes of a streamed body above which its source is paused.
-constexpr std::size_t kStreamWindowBytes = 256U << 10U;
 /// How long after its deadline a request still waits for its answer, as the
 /// instance itself stops at the deadline.
 constexpr duration kDeadlineGrace = std::chrono::milliseconds(120);
@@ -58,11 +51,11 @@
 proxied_request::proxied_request(ingress& aIngress,
                                  received_request aRequest,
                                  std::shared_ptr<server_session> aSession)
-  : mIngress(aIngress)
+  : streamed_exchange(std::move(aSession))
+  , mIngress(aIngress)
   , mParts(aIngress.Parts())
   , mTable(aIngress.Table())
   , mReceived(std::move(aRequest))
-  , mSession(std::move(aSession))
 {
 }
 
@@ -87,7 +80,7 @@
   if (mRoute == nullptr) {
     mParts.counters.Add(proxy_event::no_route);
     Log("no_route", { { "target", mReceived.head.target } });
-    AnswerOwn(kNotFound, {});
+    AnswerOwn(status::kNotFound, {});
     return;
   }
   SetTimes();
@@ -113,21 +106,7 @@
 {
   mReceived.body_whole = aLast;
   mStreamedBody = true;
-  if (!mRun) {
-    return;
-  }
-  mRun->SendBody(aBytes, aLast);
-  if (mRun->Unsent() > kStreamWindowBytes) {
-    mSession->PauseBody(true);
-  }
-}
-
-void
-proxied_request::OnAnswerSent()
-{
-  if (mRun) {
-    mRun->PauseAnswer(false);
-  }
+  streamed_exchange::OnMoreBody(aBytes, aLast);
 }
 
 bool
@@ -141,14 +120,6 @@
   return mTries.repeat_granted;
 }
 
-void
-proxied_request::OnBodyWanted()
-{
-  if (mSession) {
-    mSession->PauseBody(false);
-  }
-}
-
 void
 proxied_request::OnAnswer(message_head aHead,
                           std::optional<std::uint64_t> aLength,
@@ -168,25 +139,22 @@
     mSession->BeginAnswer(mAnswer.head, mAnswer.length);
   }
   if (mAnswerBegun) {
-    mSession->AnswerBody(mAnswer.body);
+    PassAnswerBody(mAnswer.body);
     mAnswer.body.clear();
-    if (mRun && mSession->Unsent() > kStreamWindowBytes) {
-      mRun->PauseAnswer(true);
-    }
   }
 }
 
 void
 proxied_request::OnAnswerEnd()
 {
-  bool failed = mAnswer.head.status >= kFirstServerError;
+  bool failed = status::IsServerError(mAnswer.head.status);
   EndRun(failed ? instance_chooser::outcome::failed
                 : instance_chooser::outcome::answered,
          mLoad);
   mTries.may_have_run = true; // the instance made this answer
   ++mTries.reached;
-  if (failed && !mAnswerBegun && mAnswer.head.status != kGatewayTimeout &&
-      MayRepeat()) {
+  if (failed && !mAnswerBegun &&
+      mAnswer.head.status != status::kGatewayTimeout && MayRepeat()) {
     mFailedAnswer = std::move(mAnswer);
     SendAgain();
     return;
@@ -204,7 +172,7 @@
 void
 proxied_request::PassOnAnswer()
 {
-  bool failed = mAnswer.head.status >= kFirstServerError;
+  bool failed = status::IsServerError(mAnswer.head.status);
   mParts.counters.Add(failed ? proxy_event::failed_by_instance
                              : proxy_event::answered);
   duration took = Now() - mReceived.received;
@@ -389,7 +357,7 @@
 proxied_request::NoneLeft(bool aNoInstance)
 {
   if (mTries.may_have_run) {
-    AnswerFailure(kBadGateway, proxy_event::answer_broken);
+    AnswerFailure(status::kBadGateway, proxy_event::answer_broken);
     return;
   }
   if (aNoInstance) {
@@ -415,7 +383,7 @@
            RoomIn());
     return;
   }
-  AnswerFailure(kBadGateway, proxy_event::answer_broken);
+  AnswerFailure(status::kBadGateway, proxy_event::answer_broken);
 }
 
 void
@@ -427,7 +395,7 @@
     CutAnswer();
     return;
   }
-  AnswerFailure(kGatewayTimeout, proxy_event::timed_out);
+  AnswerFailure(status::kGatewayTimeout, proxy_event::timed_out);
 }
 
 void
@@ -440,7 +408,7 @@
       { { "service", mService },
         { "asked", std::to_string(mTries.asked.size()) },
         { "retry_after_s", retryAfter } });
-  AnswerOwn(kUnavailable, { { "Retry-After", retryAfter } });
+  AnswerOwn(status::kUnavailable, { { "Retry-After", retryAfter } });
 }
 
 void
--- a/src/proxy/proxied-request.h
+++ b/src/proxy/proxied-request.h
@@ -5,13 +5,13 @@
 
 #include "base/log.h"
 #include "proxy/ingress.h"
+#include "proxy/streamed-exchange.h"
 
 namespace eelgrasstrack {
 
 /// One request of a caller, from its route to its answer.
 class proxied_request final
-  : public request_owner
-  , public answer_sink
+  : public streamed_exchange
   , public std::enable_shared_from_this<proxied_request>
 {
 public:
@@ -24,12 +24,10 @@
 
   void OnSenderLeft() override;
   void OnMoreBody(std::string_view aBytes, bool aLast) override;
-  void OnAnswerSent() override;
 
   // answer_sink
 
   bool EndForSilence() override;
-  void OnBodyWanted() override;
   void OnAnswer(message_head aHead,
                 std::optional<std::uint64_t> aLength,
                 const run_load& aLoad) override;
@@ -103,12 +101,10 @@
   /// The configuration by which the request is handled, kept whole.
   traffic_table_ptr mTable;
   received_request mReceived;
-  std::shared_ptr<server_session> mSession;
   const traffic_route* mRoute = nullptr;
   std::string mRequestId;
   std::string mService;
   std::string mInstance;
-  std::shared_ptr<run_handle> mRun;
   timer_id mTimer = 0;
   time_point mGoal{};
   time_point mDeadline{};
--- a/src/proxy/server-session.cc
+++ b/src/proxy/server-session.cc
@@ -2,6 +2,8 @@
 
 #include <vector>
 
+#include "wire/status.h"
+
 namespace eelgrasstrack {
 
 namespace {
@@ -16,6 +18,21 @@
 
 } // namespace
 
+result<void>
+session_list::Listen(socket_host& aHost,
+                     const endpoint& aAddress,
+                     request_server& aServer)
+{
+  return aHost.Listen(
+    aAddress,
+    [this, &aHost, &aServer](std::shared_ptr<connection> aConnection) {
+      auto session = std::make_shared<server_session>(
+        aConnection, aServer, *this, aHost.Loop());
+      Add(session);
+      aConnection->SetObserver(session);
+    });
+}
+
 void
 session_list::Add(const std::shared_ptr<server_session>& aSession)
 {
@@ -37,15 +54,6 @@
   }
 }
 
-void
-session_list::CloseIdle()
-{
-  std::vector<server_session*> all(mSessions.begin(), mSessions.end());
-  for (server_session* session : all) {
-    session->CloseIfIdle();
-  }
-}
-
 std::size_t
 session_list::Busy() const
 {
@@ -75,10 +83,8 @@
   std::shared_ptr<server_session> self = shared_from_this();
   result<void> fed = mParser.Feed(aBytes);
   if (!fed && !mBusy) {
-    constexpr int kFieldsTooLarge = 431;
-    constexpr int kBadRequest = 400;
-    Reject(fed.error().kind == error_kind::too_large ? kFieldsTooLarge
-                                                     : kBadRequest);
+    Reject(fed.error().kind == error_kind::too_large ? status::kFieldsTooLarge
+                                                     : status::kBadRequest);
     return;
   }
   if (!fed) {
@@ -100,9 +106,8 @@
   mBody += part;
   std::uint64_t limit = mServer.Limits().body_bytes;
   if (mBodyBytes > limit || mParser.BodyLength().value_or(0) > limit) {
-    constexpr int kTooLarge = 413;
     if (!mBusy) {
-      Reject(kTooLarge);
+      Reject(status::kContentTooLarge);
       return;
     }
   }
@@ -190,9 +195,8 @@
 server_session::BeginAnswer(const message_head& aHead,
                             std::optional<std::uint64_t> aLength)
 {
-  constexpr int kNoContent = 204;
-  constexpr int kNotModified = 304;
-  bool bodyless = aHead.status == kNoContent || aHead.status == kNotModified;
+  bool bodyless =
+    aHead.status == status::kNoContent || aHead.status == status::kNotModified;
   AppendStatusLine(mOutgoing, aHead.status, aHead.reason);
   for (const header_field& field : aHead.fields) {
     AppendField(mOutgoing, field.name, field.value);
@@ -268,8 +272,7 @@
   bool more = mParser.RestSize() > 0;
   result<void> next = mParser.Next();
   if (!next) {
-    constexpr int kBadRequest = 400;
-    Reject(kBadRequest);
+    Reject(status::kBadRequest);
     return;
   }
   if (more) {
@@ -361,8 +364,7 @@
     return;
   }
   if (!mParser.HeadReady() && aNow - mIdleSince > limits.head_timeout) {
-    constexpr int kRequestTimeout = 408;
-    Reject(kRequestTimeout);
+    Reject(status::kRequestTimeout);
   }
 }
 
--- a/src/proxy/server-session.h
+++ b/src/proxy/server-session.h
@@ -52,13 +52,15 @@
 class session_list
 {
 public:
+  /// Begins a session for each connection to the address. All arguments
+  /// outlive the list.
+  result<void> Listen(socket_host& aHost,
+                      const endpoint& aAddress,
+                      request_server& aServer);
   void Add(const std::shared_ptr<server_session>& aSession);
   void Remove(server_session* aSession);
   /// Closes sessions that are idle or late with a request's head.
   void Sweep(time_point aNow);
-  /// Closes sessions that have no request.
-  void CloseIdle();
-  std::size_t Size() const { return mSessions.size(); }
   std::size_t Busy() const;
 
 private:
--- /dev/null
+++ b/src/proxy/streamed-exchange.cc
@@ -0,0 +1,54 @@
+#include "proxy/streamed-exchange.h"
+
+namespace eelgrasstrack {
+
+namespace {
+
+/// Unsent bytes of a body above which its source is paused.
+constexpr std::size_t kStreamWindowBytes = 256U << 10U;
+
+} // namespace
+
+streamed_exchange::streamed_exchange(std::shared_ptr<server_session> aSession)
+  : mSession(std::move(aSession))
+{
+}
+
+void
+streamed_exchange::OnMoreBody(std::string_view aBytes, bool aLast)
+{
+  if (!mRun) {
+    return;
+  }
+  mRun->SendBody(aBytes, aLast);
+  if (mRun->Unsent() > kStreamWindowBytes) {
+    mSession->PauseBody(true);
+  }
+}
+
+void
+streamed_exchange::OnAnswerSent()
+{
+  if (mRun) {
+    mRun->PauseAnswer(false);
+  }
+}
+
+void
+streamed_exchange::OnBodyWanted()
+{
+  if (mSession) {
+    mSession->PauseBody(false);
+  }
+}
+
+void
+streamed_exchange::PassAnswerBody(std::string_view aBytes)
+{
+  mSession->AnswerBody(aBytes);
+  if (mRun && mSession->Unsent() > kStreamWindowBytes) {
+    mRun->PauseAnswer(true);
+  }
+}
+
+} // namespace eelgrasstrack
--- a/test/harness/platform-store.cc
+++ b/test/harness/platform-store.cc
@@ -3,20 +3,14 @@
 #include <sstream>
 #include <utility>
 
+#include "wire/status.h"
+
 namespace eelgrasstrack::test {
 
 namespace {
 
 using nlohmann::json;
 
-constexpr int kOk = 200;
-constexpr int kCreated = 201;
-constexpr int kNotFound = 404;
-constexpr int kConflict = 409;
-constexpr int kGone = 410;
-constexpr int kTooMany = 429;
-constexpr int kUnavailable = 503;
-
 whole_response
 Response(int aStatus, const json& aBody = json())
 {
@@ -69,7 +63,8 @@
 {
   ++mCalls;
   if (mMood == mood::busy || mMood == mood::over_rate) {
-    aRespond(Response(mMood == mood::busy ? kUnavailable : kTooMany));
+    aRespond(Response(mMood == mood::busy ? status::kUnavailable
+                                          : status::kTooManyRequests));
     return;
   }
   if (mMood == mood::loses_answers) {
@@ -88,7 +83,8 @@
   std::vector<std::string> parts = PartsOf(aRequest.target);
   if (parts.size() == 2) {
     json object = Find(parts[0], parts[1]);
-    return object.is_null() ? Response(kNotFound) : Response(kOk, object);
+    return object.is_null() ? Response(status::kNotFound)
+                            : Response(status::kOk, object);
   }
   std::string watch = QueryOf(aRequest.target, "watch");
   if (watch.empty()) {
@@ -96,7 +92,7 @@
   }
   std::uint64_t from = std::stoull(watch);
   if (from < mHistoryFrom) {
-    return Response(kGone);
+    return Response(status::kGone);
   }
   auto answered = std::make_shared<bool>(false);
   auto once = [answered, answer = aRespond](const whole_response& aResponse) {
@@ -112,7 +108,8 @@
   mWatches.push_back(waiting);
   auto wait = std::stoll(QueryOf(aRequest.target, "wait_ms"));
   mLoop.After(std::chrono::milliseconds(wait), [this, answer = waiting.answer] {
-    answer(Response(kOk, { { "events", json::array() }, { "at", mRevision } }));
+    answer(Response(status::kOk,
+                    { { "events", json::array() }, { "at", mRevision } }));
   });
   return {};
 }
@@ -133,7 +130,8 @@
     items.push_back(object);
   }
   return Response(
-    kOk, { { "items", items }, { "has_more", more }, { "at", mRevision } });
+    status::kOk,
+    { { "items", items }, { "has_more", more }, { "at", mRevision } });
 }
 
 whole_response
@@ -147,28 +145,28 @@
   json object = Find(parts[0], name);
   if (aRequest.method == "POST") {
     if (!object.is_null()) {
-      return Response(kConflict, object);
+      return Response(status::kConflict, object);
     }
     Put(parts[0], name, body.at("spec"));
-    return Response(kCreated, Find(parts[0], name));
+    return Response(status::kCreated, Find(parts[0], name));
   }
   if (object.is_null()) {
-    return Response(kNotFound);
+    return Response(status::kNotFound);
   }
   if (aRequest.method == "DELETE") {
     mKinds[parts[0]].erase(name);
-    return Response(kOk, object);
+    return Response(status::kOk, object);
   }
   bool conditional = body.is_object() && body.at("metadata").contains("rev");
   if (conditional &&
       body.at("metadata").at("rev") != object.at("metadata").at("rev")) {
-    return Response(kConflict, object);
+    return Response(status::kConflict, object);
   }
   bool status = parts.size() == 3;
   json& stored = mKinds[parts[0]][name];
   stored[status ? "status" : "spec"] = body.at(status ? "status" : "spec");
   Changed(parts[0], name);
-  return Response(kOk, Find(parts[0], name));
+  return Response(status::kOk, Find(parts[0], name));
 }
 
 void
@@ -221,7 +219,8 @@
   if (events.empty()) {
     return false;
   }
-  aWatch.answer(Response(kOk, { { "events", events }, { "at", mRevision } }));
+  aWatch.answer(
+    Response(status::kOk, { { "events", events }, { "at", mRevision } }));
   return true;
 }
 
