Leave the queue of an instance started again under its id alone

The timer that gives back what waits at a draining instance looked at the id only, so requests for the next life under the same id were given back as leaving (not run, so nothing was lost but time). Test: instance port, same id is started again after a drain.

--- a/src/proxy/instance-port.cc
+++ b/src/proxy/instance-port.cc
@@ -277,8 +277,8 @@
     return;
   }
   duration left = std::max(mDrainTime - kDrainReserve, duration(0));
-  mHost.Loop().After(left, [this, id = mInstance.id] {
-    if (mInstance.id == id) {
+  mHost.Loop().After(left, [this, id = mInstance.id, born = mInstance.born_ms] {
+    if (mInstance.id == id && mInstance.born_ms == born) {
       RefuseWaiting(mQueue.TakeAll(), run_failure_reason::leaving);
     }
   });
--- a/test/unit/hop-test.cc
+++ b/test/unit/hop-test.cc
@@ -280,3 +280,22 @@
   CHECK(sink->failure->not_run);
   CHECK(arrivals == 1);
 }
+
+TEST_CASE_METHOD(
+  hop_fixture,
+  "instance port, same id is started again after a drain, its queue is kept",
+  "[hop]")
+{
+  port.SetDrainTime(std::chrono::milliseconds(600));
+  FillSilentInstance();
+  silent.state = instance_state::draining;
+  port.SetInstance(silent);
+  silent.state = instance_state::ready;
+  silent.born_ms = 5000;
+  port.SetInstance(silent);
+  sink->failure.reset(); // what waited for the earlier life
+  REQUIRE(port.Run(Request("i-silent"), sink));
+  REQUIRE(port.Load().waiting == 1);
+  RunFor(std::chrono::milliseconds(200));
+  CHECK_FALSE(sink->failure);
+}
