Index serving hosts by service; pass news on only where the sender could not

Each try of a request walked all hosts of the directory to find those of its service; they are now indexed, and the index made anew after a change. Test: host directory, asked again after each change. Whether a sender had told its whole failure domain was told from the number of targets, so in domains of just seven hosts all passed all news on; it is told from the number of hosts now. What nodes know stays the same.

--- a/src/mesh/gossip.cc
+++ b/src/mesh/gossip.cc
@@ -80,11 +80,18 @@
 }
 
 std::vector<std::string>
-gossip::NearTargets()
+gossip::NearHosts() const
 {
   std::vector<std::string> names = Reachable();
   std::erase_if(names,
                 [this](const std::string& aName) { return !Near(aName); });
+  return names;
+}
+
+std::vector<std::string>
+gossip::NearTargets()
+{
+  std::vector<std::string> names = NearHosts();
   if (names.size() > kDirectLimit) {
     std::shuffle(names.begin(), names.end(), mRandom);
     names.resize(kFanout);
@@ -120,13 +127,11 @@
 void
 gossip::PassOn(const json& aMessage, const std::string& aFrom)
 {
-  std::vector<std::string> near = NearTargets();
-  bool all = near.size() != kFanout;
-  if (Near(aFrom) && all) {
+  if (Near(aFrom) && NearHosts().size() <= kDirectLimit) {
     return; // the sender has told all of this failure domain
   }
   std::string text = aMessage.dump();
-  for (const std::string& name : near) {
+  for (const std::string& name : NearTargets()) {
     if (name != aFrom) {
       Send(name, text);
     }
--- a/src/mesh/gossip.h
+++ b/src/mesh/gossip.h
@@ -77,6 +77,9 @@
   void Spread(const nlohmann::json& aMessage);
   /// Passes news on that came from another node.
   void PassOn(const nlohmann::json& aMessage, const std::string& aFrom);
+  /// Reachable hosts of the own failure domain.
+  std::vector<std::string> NearHosts() const;
+  /// Those of them that hear news from this node.
   std::vector<std::string> NearTargets();
   std::vector<std::string> FarTargets(std::size_t aPerDomain);
   bool Near(const std::string& aName) const;
--- a/src/mesh/host-directory.cc
+++ b/src/mesh/host-directory.cc
@@ -10,6 +10,7 @@
   auto known = mHosts.find(aRecord.name);
   if (known == mHosts.end()) {
     mHosts.emplace(aRecord.name, known_host{ aRecord, aNow, false, {} });
+    mIndexed = false;
     mDropped.erase(aRecord.name);
     return true;
   }
@@ -17,6 +18,7 @@
     return false;
   }
   known->second.record = aRecord;
+  mIndexed = false;
   known->second.learned = aNow;
   known->second.unreachable = false; // it has spoken since
   return true;
@@ -67,6 +69,7 @@
       mDropped.insert(entry->first);
       dropped.push_back(host.record);
       entry = mHosts.erase(entry);
+      mIndexed = false;
     } else {
       ++entry;
     }
@@ -81,18 +84,28 @@
   return known == mHosts.end() ? nullptr : &known->second;
 }
 
-std::vector<const known_host*>
-host_directory::Serving(const std::string& aService) const
+void
+host_directory::Index() const
 {
-  std::vector<const known_host*> serving;
+  mServing.clear();
   for (const auto& [name, host] : mHosts) {
     const instance_record& instance = host.record.instance;
-    if (!host.record.leaving && instance.state == instance_state::ready &&
-        instance.service == aService) {
-      serving.push_back(&host);
+    if (!host.record.leaving && instance.state == instance_state::ready) {
+      mServing[instance.service].push_back(&host);
     }
   }
-  return serving;
+  mIndexed = true;
+}
+
+const std::vector<const known_host*>&
+host_directory::Serving(const std::string& aService) const
+{
+  static const std::vector<const known_host*> kNone;
+  if (!mIndexed) {
+    Index();
+  }
+  auto found = mServing.find(aService);
+  return found == mServing.end() ? kNone : found->second;
 }
 
 } // namespace eelgrasstrack
--- a/src/mesh/host-directory.h
+++ b/src/mesh/host-directory.h
@@ -50,15 +50,22 @@
   const std::map<std::string, known_host>& All() const { return mHosts; }
   const std::string& Self() const { return mSelf; }
 
-  /// Hosts beside a ready instance of the service that take new work.
-  std::vector<const known_host*> Serving(const std::string& aService) const;
+  /// Hosts beside a ready instance of the service that take new work, in the
+  /// order of their names. Holds until the next change of the directory.
+  const std::vector<const known_host*>& Serving(
+    const std::string& aService) const;
 
 private:
   bool ReachesMost() const;
+  void Index() const;
 
   std::string mSelf;
   std::map<std::string, known_host> mHosts;
   std::set<std::string> mDropped;
+  /// Serving hosts by service: asked for with every request, while records
+  /// change seldom. Made anew when it is asked for after a change.
+  mutable std::map<std::string, std::vector<const known_host*>> mServing;
+  mutable bool mIndexed = false;
 };
 
 } // namespace eelgrasstrack
--- a/test/unit/mesh-test.cc
+++ b/test/unit/mesh-test.cc
@@ -131,6 +131,24 @@
   CHECK(directory.Serving("orders").size() == 5);
 }
 
+TEST_CASE_METHOD(directory_fixture,
+                 "host directory, asked again after each change, shows it",
+                 "[mesh]")
+{
+  REQUIRE(directory.Serving("orders").size() == 6);
+  host_record leaving = Host("a-1", "a");
+  leaving.sequence = 1;
+  leaving.leaving = true;
+  directory.Merge(leaving, kStart);
+  CHECK(directory.Serving("orders").size() == 5);
+  directory.Merge(Host("a-4", "a"), kStart);
+  CHECK(directory.Serving("orders").size() == 6);
+  directory.MarkUnreachable("b-1", kStart);
+  directory.DropLost(seconds(60), kStart + seconds(61));
+  CHECK(directory.Serving("orders").size() == 5);
+  CHECK(directory.Serving("other").empty());
+}
+
 TEST_CASE_METHOD(directory_fixture,
                  "host directory, lost host that speaks again, is reachable",
                  "[mesh]")
