Judge a new version earlier: count requests without an answer, use part of the slack

Services with little traffic also showed too few canary requests, as only the share was used and none of the slack beyond it.

- The last hop reports running and cancelled requests by the time they have run.
- Half of the slack is spread over the nodes and the time limit; credits start at a random value, as no node of a large fleet earns a whole one by itself.
- Counts are reported twice as often once all requests go to the new version.
- A decider that has known an order for less than a second does not promote.

--- a/src/mesh/canary-driver.cc
+++ b/src/mesh/canary-driver.cc
@@ -12,11 +12,17 @@
 
 using nlohmann::json;
 
-constexpr duration kTickPeriod = std::chrono::milliseconds(250);
+constexpr duration kTickPeriod = std::chrono::milliseconds(125);
+/// While all requests go to the new version, counts are reported in every tick,
+/// so that little is lost to a fault; before, in every second one.
+constexpr std::uint64_t kTicksPerCanaryReport = 2;
 constexpr duration kReportTimeout = std::chrono::milliseconds(800);
 /// Delay between one decider and the next before it changes the phase.
 constexpr duration kDeciderStagger = std::chrono::milliseconds(350);
 constexpr duration kRecordRetryDelay = std::chrono::milliseconds(400);
+/// Time for which a decider must have known an order before it promotes: every
+/// node repeats its counts several times within it.
+constexpr duration kMinKnownTime = std::chrono::milliseconds(1000);
 /// Minimum time between promotion and the deadline.
 constexpr duration kMinPromotedTime = std::chrono::milliseconds(2000);
 /// Part of the time limit between promotion and the deadline.
@@ -35,7 +41,8 @@
     for (const auto& [route, sample] : routes) {
       all[version][route] = { sample.requests,
                               sample.failed,
-                              sample.time_buckets };
+                              sample.time_buckets,
+                              sample.unanswered_buckets };
     }
   }
   return all;
@@ -51,6 +58,10 @@
       sample.requests = counts.at(0).get<std::uint32_t>();
       sample.failed = counts.at(1).get<std::uint32_t>();
       counts.at(2).get_to(sample.time_buckets);
+      constexpr std::size_t kUnansweredField = 3;
+      if (counts.size() > kUnansweredField) {
+        counts.at(kUnansweredField).get_to(sample.unanswered_buckets);
+      }
     }
   }
   return samples;
@@ -70,6 +81,14 @@
   return schedule;
 }
 
+bool
+MayPromote(const canary_schedule& aSchedule,
+           duration aElapsed,
+           duration aKnownFor)
+{
+  return aElapsed >= aSchedule.promote_at && aKnownFor >= kMinKnownTime;
+}
+
 canary_driver::canary_driver(loop& aLoop,
                              control_client& aClient,
                              control_store& aStore,
@@ -152,6 +171,7 @@
   open_order added;
   added.order = aOrder;
   added.started_at = aStartedAt;
+  added.opened_at = mLoop.Now();
   mOwnSamples[aOrder.service].clear();
   mOpenOrders.insert_or_assign(aOrder.service, std::move(added));
 }
@@ -188,22 +208,47 @@
 void
 canary_driver::OnResult(const std::string& aService, const run_result& aResult)
 {
-  if (mOpenOrders.count(aService) > 0) {
-    mOwnSamples[aService][aResult.version][aResult.route].Add(aResult.failed,
-                                                              aResult.latency);
+  if (mOpenOrders.count(aService) == 0) {
+    return;
+  }
+  version_sample& sample =
+    mOwnSamples[aService][aResult.version][aResult.route];
+  if (aResult.unanswered) {
+    sample.AddUnanswered(aResult.latency);
+  } else {
+    sample.Add(aResult.failed, aResult.latency);
   }
 }
 
+version_samples
+canary_driver::OwnSamples(const std::string& aService) const
+{
+  auto counted = mOwnSamples.find(aService);
+  version_samples samples =
+    counted == mOwnSamples.end() ? version_samples{} : counted->second;
+  if (mRunningRequests) {
+    for (const run_result& running : mRunningRequests(aService)) {
+      samples[running.version][running.route].AddUnanswered(running.latency);
+    }
+  }
+  return samples;
+}
+
 void
 canary_driver::Tick()
 {
+  bool reportsAll = mTickCount++ % kTicksPerCanaryReport == 0;
   std::vector<std::string> services;
   for (const auto& [service, open] : mOpenOrders) {
     services.push_back(service);
   }
   for (const std::string& service : services) {
     auto open = mOpenOrders.find(service);
-    ReportSamples(service, open->second);
+    const canary_rollout* canary = mVersions.CanaryOf(service);
+    if (reportsAll ||
+        (canary != nullptr && canary->phase == canary_phase::promoted)) {
+      ReportSamples(service, open->second);
+    }
     DecideNextPhase(open->second);
   }
 }
@@ -212,7 +257,7 @@
 canary_driver::ReportSamples(const std::string& aService,
                              open_order& aOpenOrder)
 {
-  const version_samples& own = mOwnSamples[aService];
+  version_samples own = OwnSamples(aService);
   if (own.empty()) {
     return;
   }
@@ -323,15 +368,7 @@
   if (canary == nullptr || deciderIndex < 0) {
     return;
   }
-  if (canary->phase != canary_phase::rolled_back) {
-    version_assessment assessment =
-      CompareVersions(TotalSamples(aOpenOrder),
-                      aOpenOrder.order.target_version,
-                      CountFailingHosts(aOpenOrder));
-    if (assessment.verdict == version_verdict::bad) {
-      EnterPhase(aOpenOrder, canary_phase::rolled_back, assessment.reason);
-    }
-  }
+  RollBackIfBad(aOpenOrder);
   if (aOpenOrder.recording || !aOpenOrder.from_store ||
       mLoop.Now() < aOpenOrder.retry_after) {
     return;
@@ -347,7 +384,8 @@
     RecordPhase(aOpenOrder, canary_phase::canary);
     return;
   }
-  if (canary->phase == canary_phase::canary && elapsed >= schedule.promote_at &&
+  if (canary->phase == canary_phase::canary &&
+      MayPromote(schedule, elapsed, mLoop.Now() - aOpenOrder.opened_at) &&
       IsVersionServing(aOpenOrder.order.service,
                        aOpenOrder.order.target_version)) {
     EnterPhase(
@@ -363,6 +401,22 @@
   }
 }
 
+void
+canary_driver::RollBackIfBad(open_order& aOpenOrder)
+{
+  const canary_rollout* canary = mVersions.CanaryOf(aOpenOrder.order.service);
+  if (canary == nullptr || canary->phase == canary_phase::rolled_back) {
+    return;
+  }
+  version_assessment assessment =
+    CompareVersions(TotalSamples(aOpenOrder),
+                    aOpenOrder.order.target_version,
+                    CountFailingHosts(aOpenOrder));
+  if (assessment.verdict == version_verdict::bad) {
+    EnterPhase(aOpenOrder, canary_phase::rolled_back, assessment.reason);
+  }
+}
+
 void
 canary_driver::EnterPhase(open_order& aOpenOrder,
                           canary_phase aPhase,
--- a/src/mesh/canary-driver.h
+++ b/src/mesh/canary-driver.h
@@ -1,6 +1,8 @@
 #ifndef EELGRASSTRACK_MESH_CANARY_DRIVER_H_
 #define EELGRASSTRACK_MESH_CANARY_DRIVER_H_
 
+#include <functional>
+
 #include "mesh/control-store.h"
 #include "mesh/host-directory.h"
 #include "mesh/mesh-settings.h"
@@ -35,6 +37,14 @@
 canary_schedule
 ScheduleFor(duration aTimeLimit);
 
+/// Returns whether a decider may promote a rollout `aElapsed` after the order.
+/// A decider that has known the order for a short time only, for example after
+/// a restart, first waits for the counts of the other nodes.
+bool
+MayPromote(const canary_schedule& aSchedule,
+           duration aElapsed,
+           duration aKnownFor);
+
 /// Carries out canary orders. Every node counts the results of its instance and
 /// sends the counts to a few nodes, the deciders. Each decider rolls a bad
 /// version back as soon as it detects the fault. The first decider promotes and
@@ -62,8 +72,15 @@
   void OnOrderRemoved(const std::string& aService);
   /// Merges a rollout state received from another node.
   void OnCanaryUpdate(const canary_rollout& aCanary);
-  /// Counts a request that the instance on this host finished.
+  /// Counts a request that the instance on this host ran.
   void OnResult(const std::string& aService, const run_result& aResult);
+  /// Returns the requests of a service that the instance on this host runs now.
+  using running_requests =
+    std::function<std::vector<run_result>(const std::string& aService)>;
+  void SetRunningRequests(running_requests aSource)
+  {
+    mRunningRequests = std::move(aSource);
+  }
 
   /// Handles the counts sent by another node. Fails with `invalid_argument`.
   result<void> HandleReport(const std::string& aBody);
@@ -73,6 +90,8 @@
   {
     canary_order order;
     time_point started_at{};
+    /// When this node learned of the order.
+    time_point opened_at{};
     /// Latest counts by node. Each report replaces the previous one.
     std::map<std::string, version_samples> reports;
     /// A write of the progress to the store has not finished yet.
@@ -86,6 +105,10 @@
 
   void Tick();
   void ReportSamples(const std::string& aService, open_order& aOpenOrder);
+  /// Counts for the instance on this host, with the requests it runs now.
+  version_samples OwnSamples(const std::string& aService) const;
+  /// Rolls the new version back if the counts show that it is bad.
+  void RollBackIfBad(open_order& aOpenOrder);
   void DecideNextPhase(open_order& aOpenOrder);
   void EnterPhase(open_order& aOpenOrder,
                   canary_phase aPhase,
@@ -111,6 +134,8 @@
   std::map<std::string, open_order> mOpenOrders;
   /// Counts for the instance on this host, by service.
   std::map<std::string, version_samples> mOwnSamples;
+  running_requests mRunningRequests;
+  std::uint64_t mTickCount = 0;
 };
 
 } // namespace eelgrasstrack
--- a/src/mesh/mesh-node.cc
+++ b/src/mesh/mesh-node.cc
@@ -55,6 +55,9 @@
 constexpr duration kExitReserve = std::chrono::milliseconds(400);
 /// A host that was unreachable for longer is removed from the directory.
 constexpr duration kRemoveHostAfter = std::chrono::seconds(60);
+/// Part of the allowed requests beyond the canary share that the canary phase
+/// uses. The rest is for the time between promotion and a rollback.
+constexpr double kExtraCanaryFraction = 0.5;
 constexpr duration kIdleConnectionTimeout = std::chrono::seconds(20);
 
 buffered_response
@@ -84,6 +87,7 @@
   , mSettings(std::move(aSettings))
   , mDirectory(mSettings.name)
   , mChooser(mSettings.domain, std::random_device{}())
+  , mVersions(std::random_device{}())
   , mDispatcher(aTransport, mNames)
   , mHopClient(aTransport, mNames)
   , mIngress({ aTransport,
@@ -159,6 +163,11 @@
   mDispatcher.OnResult([this](const run_result& aResult) {
     mCanaryDriver.OnResult(mDispatcher.Instance().service, aResult);
   });
+  mCanaryDriver.SetRunningRequests([this](const std::string& aService) {
+    return mDispatcher.Instance().service == aService
+             ? mDispatcher.RunningRequests()
+             : std::vector<run_result>{};
+  });
   mHopClient.OnHostSuspected(
     [this](const std::string& aName) { mGossip.Probe(aName); });
   mHopClient.OnHostRecordStale(
@@ -406,6 +415,9 @@
     }
   }
   mRetries.SetNodeCount(nodes);
+  mVersions.SetExtraCanaryRequests(
+    kExtraCanaryFraction * mSettings.bounds.canary_slack /
+    static_cast<double>(std::max<std::size_t>(nodes, 1)));
 }
 
 void
--- a/src/mesh/mesh-settings.h
+++ b/src/mesh/mesh-settings.h
@@ -22,6 +22,9 @@
   /// Greatest share of the requests that the new version may receive before it
   /// is promoted, 0 to 1.
   double canary_share = 0.1;
+  /// Requests that the new version may receive beyond that share, counted over
+  /// all nodes.
+  double canary_slack = 0;
 };
 
 /// Settings of one node of the mesh.
--- a/src/proxy/instance-dispatcher.cc
+++ b/src/proxy/instance-dispatcher.cc
@@ -67,6 +67,7 @@
       mChannel.reset();
     }
     if (mStarted) {
+      mDispatcher.Report(UnansweredResult());
       EndRun(duration(0));
     } else {
       mDispatcher.mQueue.Remove(mId);
@@ -89,6 +90,14 @@
     return mChannel ? channel_run::Unsent() : mRequest.body.size();
   }
 
+  bool Started() const { return mStarted; }
+
+  /// The result of a request that has no answer yet.
+  run_result UnansweredResult() const
+  {
+    return { mRequest.route, mVersion, false, true, Elapsed() };
+  }
+
   void OnAnswerHead(message_head& aHead,
                     std::optional<std::uint64_t> aLength) override
   {
@@ -202,7 +211,8 @@
   /// Reports the result as evidence for a rollout.
   void ReportResult(bool aFailed)
   {
-    mDispatcher.Report({ mRequest.route, mVersion, aFailed, Elapsed() });
+    mDispatcher.Report(
+      { mRequest.route, mVersion, aFailed, false, Elapsed() });
   }
 
   void FailWithBrokenAnswer(const std::string& aReason)
@@ -313,6 +323,18 @@
   }
 }
 
+std::vector<run_result>
+instance_dispatcher::RunningRequests() const
+{
+  std::vector<run_result> running;
+  for (const auto& [id, run] : mRuns) {
+    if (run->Started()) {
+      running.push_back(run->UnansweredResult());
+    }
+  }
+  return running;
+}
+
 std::optional<run_failure>
 instance_dispatcher::RefusalOf(const forwarded_request& aRequest) const
 {
--- a/src/proxy/instance-dispatcher.h
+++ b/src/proxy/instance-dispatcher.h
@@ -17,7 +17,10 @@
   std::string version;
   /// A server error, a broken answer or none.
   bool failed = false;
-  /// Time from sending the request to the end of the answer.
+  /// The request was cancelled or still runs, so `failed` says nothing.
+  bool unanswered = false;
+  /// Time from sending the request to the end of the answer, or the time it has
+  /// run if it is unanswered.
   duration latency{ 0 };
 };
 
@@ -47,6 +50,9 @@
   run_start Dispatch(forwarded_request aRequest,
                      std::shared_ptr<answer_sink> aSink);
 
+  /// The requests that the instance runs now, each unanswered.
+  std::vector<run_result> RunningRequests() const;
+
   run_load Load() const { return mQueue.Load(); }
   /// Requests that run or wait.
   std::size_t RequestCount() const { return mRuns.size(); }
--- a/src/proxy/version-selector.cc
+++ b/src/proxy/version-selector.cc
@@ -47,7 +47,10 @@
     return false;
   }
   if (laterOrder) {
-    mCanaryCredits[aCanary.service] = 0;
+    // A random start makes the nodes' first canary requests come at different
+    // times, and some come even if no node earns a whole credit.
+    std::uniform_real_distribution<double> start(0, 1);
+    mCanaryCredits[aCanary.service] = { start(mRandom), aCanary.started_at };
   }
   known = aCanary;
   if (known.phase == canary_phase::complete) {
@@ -98,12 +101,19 @@
   if (std::optional<unsigned> burst = CanaryBurst(aNow - canary->started_at)) {
     return { true, burst };
   }
-  double& credit = mCanaryCredits[aService];
-  credit += canary->share;
-  if (credit < 1) {
+  canary_credit& credit = mCanaryCredits[aService];
+  credit.requests += canary->share;
+  if (canary->time_limit > duration(0) && aNow > credit.updated_at) {
+    credit.requests +=
+      mExtraCanaryRequests *
+      static_cast<double>((aNow - credit.updated_at).count()) /
+      static_cast<double>(canary->time_limit.count());
+    credit.updated_at = aNow;
+  }
+  if (credit.requests < 1) {
     return {};
   }
-  credit -= 1;
+  credit.requests -= 1;
   return { true, std::nullopt };
 }
 
--- a/src/proxy/version-selector.h
+++ b/src/proxy/version-selector.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <optional>
+#include <random>
 #include <string>
 
 #include "base/clock.h"
@@ -72,6 +73,16 @@
 class version_selector
 {
 public:
+  explicit version_selector(std::uint64_t aSeed = 0)
+    : mRandom(aSeed)
+  {
+  }
+
+  /// Sets how many requests beyond the canary share this node sends to a new
+  /// version, spread over the time limit of the rollout. A service with little
+  /// traffic would otherwise show too little of a new version to judge it.
+  void SetExtraCanaryRequests(double aCount) { mExtraCanaryRequests = aCount; }
+
   /// Stores a rollout if its order is later than the known one, or if it is a
   /// later phase of the same order and the known phase is not final. Returns
   /// whether it was stored.
@@ -108,9 +119,18 @@
 
   std::map<std::string, canary_rollout> mCanaries;
   std::map<std::string, established_version> mEstablished;
-  /// By service: canary share accumulated per request; each whole 1 sends one
-  /// request to the new version.
-  std::map<std::string, double> mCanaryCredits;
+  /// Requests that may go to the new version of a service; each whole 1 sends
+  /// one.
+  struct canary_credit
+  {
+    double requests = 0;
+    /// When the extra requests were last added.
+    time_point updated_at{};
+  };
+
+  double mExtraCanaryRequests = 0;
+  std::mt19937_64 mRandom;
+  std::map<std::string, canary_credit> mCanaryCredits;
 };
 
 } // namespace eelgrasstrack
--- a/src/rollout/version-comparison.cc
+++ b/src/rollout/version-comparison.cc
@@ -77,6 +77,9 @@
   }
   double rate =
     std::min(0.9, std::max(aTolerable, kToleratedRateRatio * aOldRate));
+  if (aHits <= rate * aRequests) {
+    return false; // not even above the mean
+  }
   return BinomialTail(aRequests, aHits, rate) < kSignificance;
 }
 
@@ -101,16 +104,46 @@
   return aOld.time_buckets.size();
 }
 
+using bucket_counts = std::array<std::uint32_t, version_sample::kBuckets>;
+
 std::uint32_t
-CountFromBucket(const version_sample& aSample, std::size_t aBucket)
+CountFromBucket(const bucket_counts& aCounts, std::size_t aBucket)
 {
   std::uint32_t count = 0;
-  for (std::size_t i = aBucket; i < aSample.time_buckets.size(); ++i) {
-    count += aSample.time_buckets[i];
+  for (std::size_t i = aBucket; i < aCounts.size(); ++i) {
+    count += aCounts[i];
   }
   return count;
 }
 
+void
+AddCounts(bucket_counts& aSum, const bucket_counts& aCounts)
+{
+  for (std::size_t i = 0; i < aSum.size(); ++i) {
+    aSum[i] += aCounts[i];
+  }
+}
+
+/// Requests of one version, and how many of them are slow. An unanswered
+/// request that is not slow yet is left out, as it may still become slow.
+struct slow_count
+{
+  std::uint32_t requests = 0;
+  std::uint32_t slow = 0;
+};
+
+slow_count
+CountSlow(const version_sample& aSample, std::size_t aFirstSlowBucket)
+{
+  std::uint32_t unanswered =
+    CountFromBucket(aSample.unanswered_buckets, aFirstSlowBucket);
+  slow_count count;
+  count.requests = aSample.requests + unanswered;
+  count.slow =
+    CountFromBucket(aSample.time_buckets, aFirstSlowBucket) + unanswered;
+  return count;
+}
+
 std::string
 DescribeCounts(const char* aKind,
                const std::string& aRoute,
@@ -146,15 +179,19 @@
   }
   for (const slowness_test& test : kSlownessTests) {
     std::size_t slow = FirstSlowBucket(aOld, test);
-    std::uint32_t oldSlow = CountFromBucket(aOld, slow);
-    std::uint32_t newSlow = CountFromBucket(aNew, slow);
-    if (IsSignificantlyAbove(aNew.requests,
-                             newSlow,
-                             RateOf(oldSlow, aOld.requests),
+    slow_count oldCount = CountSlow(aOld, slow);
+    slow_count newCount = CountSlow(aNew, slow);
+    if (IsSignificantlyAbove(newCount.requests,
+                             newCount.slow,
+                             RateOf(oldCount.slow, oldCount.requests),
                              kToleratedSlowRate)) {
       assessment.verdict = version_verdict::bad;
-      assessment.reason = DescribeCounts(
-        "slow", aRoute, newSlow, aNew.requests, oldSlow, aOld.requests);
+      assessment.reason = DescribeCounts("slow",
+                                         aRoute,
+                                         newCount.slow,
+                                         newCount.requests,
+                                         oldCount.slow,
+                                         oldCount.requests);
       return assessment;
     }
   }
@@ -171,14 +208,19 @@
   ++time_buckets[BucketOf(aDuration)];
 }
 
+void
+version_sample::AddUnanswered(duration aElapsed)
+{
+  ++unanswered_buckets[BucketOf(aElapsed)];
+}
+
 void
 version_sample::Add(const version_sample& aOther)
 {
   requests += aOther.requests;
   failed += aOther.failed;
-  for (std::size_t i = 0; i < time_buckets.size(); ++i) {
-    time_buckets[i] += aOther.time_buckets[i];
-  }
+  AddCounts(time_buckets, aOther.time_buckets);
+  AddCounts(unanswered_buckets, aOther.unanswered_buckets);
 }
 
 std::string
--- a/src/rollout/version-comparison.h
+++ b/src/rollout/version-comparison.h
@@ -20,8 +20,12 @@
   std::uint32_t requests = 0;
   std::uint32_t failed = 0;
   std::array<std::uint32_t, kBuckets> time_buckets{};
+  /// Requests without an answer, by the time they have run so far or had run
+  /// when they were cancelled. Not counted in `requests`.
+  std::array<std::uint32_t, kBuckets> unanswered_buckets{};
 
   void Add(bool aFailed, duration aDuration);
+  void AddUnanswered(duration aElapsed);
   void Add(const version_sample& aOther);
 };
 
@@ -55,7 +59,9 @@
 /// counts in less than one of 1000 comparisons (one-sided binomial test), on
 /// any route or on all routes together. `aFailingHosts` is the number of hosts
 /// on which the new version failed: failures on a single host may be a fault of
-/// that host and say little about the version.
+/// that host and say little about the version. An unanswered request counts
+/// once it has run long enough to be slow, so that slow responses are noticed
+/// before they end.
 version_assessment
 CompareVersions(const version_samples& aSamples,
                 const std::string& aNewVersion,
--- a/test/harness/free-address.cc
+++ b/test/harness/free-address.cc
@@ -8,21 +8,45 @@
 
 namespace eelgrasstrack::test {
 
-endpoint
-FreeAddress()
+namespace {
+
+/// Ports below the range from which the system assigns ports to outgoing
+/// connections, so that no connection takes a port before its test listens.
+constexpr std::uint16_t kFirstPort = 12000;
+constexpr std::uint16_t kPortCount = 20000;
+/// Distance between the first ports of processes with successive ids.
+constexpr unsigned kPortsPerProcess = 61;
+
+bool
+IsFree(std::uint16_t aPort)
 {
   int descriptor = socket(AF_INET, SOCK_STREAM, 0);
+  REQUIRE(descriptor >= 0);
   sockaddr_in address{};
   address.sin_family = AF_INET;
   address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  socklen_t size = sizeof address;
-  REQUIRE(bind(descriptor,
-               reinterpret_cast<const sockaddr*>(&address),
-               sizeof address) == 0);
-  REQUIRE(
-    getsockname(descriptor, reinterpret_cast<sockaddr*>(&address), &size) == 0);
+  address.sin_port = htons(aPort);
+  bool bound = bind(descriptor,
+                    reinterpret_cast<const sockaddr*>(&address),
+                    sizeof address) == 0;
   close(descriptor);
-  return { "127.0.0.1", ntohs(address.sin_port) };
+  return bound;
+}
+
+} // namespace
+
+endpoint
+FreeAddress()
+{
+  static unsigned next = static_cast<unsigned>(getpid()) * kPortsPerProcess;
+  for (unsigned tries = 0; tries < kPortCount; ++tries) {
+    auto port = static_cast<std::uint16_t>(kFirstPort + next++ % kPortCount);
+    if (IsFree(port)) {
+      return { "127.0.0.1", port };
+    }
+  }
+  FAIL("no free port");
+  return {};
 }
 
 } // namespace eelgrasstrack::test
--- a/test/harness/free-address.h
+++ b/test/harness/free-address.h
@@ -5,7 +5,8 @@
 
 namespace eelgrasstrack::test {
 
-/// Returns a loopback address whose port no socket uses at the time.
+/// Returns a loopback address whose port no socket uses at the time. No address
+/// is returned twice before all others.
 endpoint
 FreeAddress();
 
--- a/test/unit/mesh-test.cc
+++ b/test/unit/mesh-test.cc
@@ -61,6 +61,15 @@
     }
   }
 
+  void AddRunning(const std::string& aVersion,
+                  int aRequests,
+                  milliseconds aElapsed)
+  {
+    for (int i = 0; i < aRequests; ++i) {
+      samples[aVersion]["route"].AddUnanswered(aElapsed);
+    }
+  }
+
   version_verdict Verdict() const
   {
     return CompareVersions(samples, "v2", failing_hosts).verdict;
@@ -345,3 +354,47 @@
     CHECK(schedule.promote_at >= seconds(limitSeconds) / 2);
   }
 }
+
+TEST_CASE_METHOD(comparison_fixture,
+                 "version comparison, slow requests still run, is bad",
+                 "[mesh]")
+{
+  // The first answers of a slow version end long after it was promoted.
+  AddRequests("v1", 400, 0, milliseconds(300));
+  AddRequests("v2", 8, 0, milliseconds(300));
+  CHECK(Verdict() == version_verdict::undecided);
+  AddRunning("v2", 8, milliseconds(1900));
+  CHECK(Verdict() == version_verdict::bad);
+}
+
+TEST_CASE_METHOD(comparison_fixture,
+                 "version comparison, requests just started, is undecided",
+                 "[mesh]")
+{
+  AddRequests("v1", 400, 0, milliseconds(300));
+  AddRequests("v2", 8, 0, milliseconds(300));
+  AddRunning("v2", 40, milliseconds(200));
+  CHECK(Verdict() == version_verdict::undecided);
+}
+
+TEST_CASE_METHOD(comparison_fixture,
+                 "version comparison, both versions hold requests long, is "
+                 "undecided",
+                 "[mesh]")
+{
+  AddRequests("v1", 100, 0, milliseconds(300));
+  AddRunning("v1", 60, milliseconds(1900));
+  AddRequests("v2", 10, 0, milliseconds(300));
+  AddRunning("v2", 6, milliseconds(1900));
+  CHECK(Verdict() == version_verdict::undecided);
+}
+
+TEST_CASE("canary schedule, decider learned of the order late, waits for the "
+          "counts of others",
+          "[mesh]")
+{
+  canary_schedule schedule = ScheduleFor(seconds(12));
+  CHECK_FALSE(MayPromote(schedule, seconds(11), milliseconds(200)));
+  CHECK(MayPromote(schedule, seconds(11), seconds(5)));
+  CHECK_FALSE(MayPromote(schedule, seconds(5), seconds(5)));
+}
--- a/test/unit/proxy-test.cc
+++ b/test/unit/proxy-test.cc
@@ -295,6 +295,37 @@
   CHECK(canaryRequests < 0.06 * kMilliseconds);
 }
 
+TEST_CASE("version selector, many nodes with little traffic, send the extra "
+          "canary requests",
+          "[proxy]")
+{
+  // 195 nodes, one request in two seconds each: no node earns a whole canary
+  // request from the share alone.
+  constexpr unsigned kNodes = 195;
+  constexpr double kExtraRequests = 25;
+  constexpr int kSeconds = 12;
+  unsigned canaryRequests = 0;
+  for (unsigned node = 0; node < kNodes; ++node) {
+    version_selector selector(node);
+    selector.SetExtraCanaryRequests(kExtraRequests / kNodes);
+    canary_rollout rollout;
+    rollout.service = "service";
+    rollout.target_version = "v2";
+    rollout.order_id = 5;
+    rollout.share = 0.015;
+    rollout.time_limit = seconds(kSeconds);
+    rollout.started_at = kStart;
+    selector.Merge(rollout);
+    for (int second = 0; second < kSeconds; second += 2) {
+      canary_decision decision =
+        selector.DecideCanary("service", kStart + seconds(second));
+      canaryRequests += decision.uses_canary && !decision.instance ? 1 : 0;
+    }
+  }
+  CHECK(canaryRequests >= 15);
+  CHECK(canaryRequests <= 0.1 * kNodes * kSeconds / 2);
+}
+
 TEST_CASE("version selector, rolled back, later phases are ignored", "[proxy]")
 {
   version_selector selector;
