--- a/src/proxy/hop-server.cc
+++ b/src/proxy/hop-server.cc
@@ -24,8 +24,8 @@
 {
 public:
   hop_request(instance_dispatcher& aDispatcher,
-              std::shared_ptr<server_session> aSession)
-    : streamed_exchange(std::move(aSession))
+              std::shared_ptr<server_exchange> aExchange)
+    : streamed_exchange(std::move(aExchange))
     , mDispatcher(aDispatcher)
   {
   }
@@ -43,7 +43,7 @@
 
   void OnClientDisconnected() override
   {
-    mSession.reset();
+    mExchange.reset();
     std::shared_ptr<run_handle> run = std::move(mRun);
     mRun.reset();
     if (run) {
@@ -57,7 +57,7 @@
   {
     aHead.fields.push_back({ std::string(kLoadField), EncodeLoad(aLoad) });
     mAnswerBegun = true;
-    mSession->BeginAnswer(aHead, aLength);
+    mExchange->BeginAnswer(aHead, aLength);
   }
 
   void OnAnswerBody(std::string_view aBytes) override
@@ -68,21 +68,21 @@
   void OnAnswerEnd() override
   {
     mRun.reset();
-    std::shared_ptr<server_session> session = std::move(mSession);
-    mSession.reset();
-    session->EndAnswer();
+    std::shared_ptr<server_exchange> exchange = std::move(mExchange);
+    mExchange.reset();
+    exchange->EndAnswer();
   }
 
   void OnRunFailed(const run_failure& aFailure) override
   {
     mRun.reset();
-    std::shared_ptr<server_session> session = std::move(mSession);
-    mSession.reset();
-    if (!session) {
+    std::shared_ptr<server_exchange> exchange = std::move(mExchange);
+    mExchange.reset();
+    if (!exchange) {
       return;
     }
     if (mAnswerBegun) {
-      session->AbortAnswer();
+      exchange->AbortAnswer();
       return;
     }
     header_fields fields;
@@ -90,7 +90,7 @@
     if (aFailure.load) {
       fields.push_back({ std::string(kLoadField), EncodeLoad(*aFailure.load) });
     }
-    session->Answer(status::kUnavailable, fields);
+    exchange->Answer(status::kUnavailable, fields);
   }
 
 private:
@@ -129,9 +129,9 @@
 
 std::shared_ptr<request_handler>
 hop_server::Begin(received_request aRequest,
-                  const std::shared_ptr<server_session>& aSession)
+                  const std::shared_ptr<server_exchange>& aExchange)
 {
-  auto handler = std::make_shared<hop_request>(mDispatcher, aSession);
+  auto handler = std::make_shared<hop_request>(mDispatcher, aExchange);
   forwarded_request request;
   const std::string* call = FindField(aRequest.head.fields, kCallField);
   result<void> decoded =
@@ -140,7 +140,7 @@
     LogEvent(log_level::warning,
              "hop_request_refused",
              { { "reason", decoded.error().message } });
-    aSession->Answer(status::kBadRequest, {});
+    aExchange->Answer(status::kBadRequest, {});
     return handler;
   }
   if (const std::string* id =
--- a/src/proxy/ingress.cc
+++ b/src/proxy/ingress.cc
@@ -46,10 +46,10 @@
 
 std::shared_ptr<request_handler>
 ingress::Begin(received_request aRequest,
-               const std::shared_ptr<server_session>& aSession)
+               const std::shared_ptr<server_exchange>& aExchange)
 {
   auto request =
-    std::make_shared<proxied_request>(*this, std::move(aRequest), aSession);
+    std::make_shared<proxied_request>(*this, std::move(aRequest), aExchange);
   request->Start();
   return request;
 }
--- a/src/proxy/ingress.h
+++ b/src/proxy/ingress.h
@@ -60,7 +60,7 @@
   traffic_limits Limits() const override;
   std::shared_ptr<request_handler> Begin(
     received_request aRequest,
-    const std::shared_ptr<server_session>& aSession) override;
+    const std::shared_ptr<server_exchange>& aExchange) override;
   bool IsClosing() const override { return mClosing; }
 
   // Used by the requests in progress.
--- a/src/proxy/instance-dispatcher.cc
+++ b/src/proxy/instance-dispatcher.cc
@@ -211,8 +211,7 @@
   /// Reports the result as evidence for a rollout.
   void ReportResult(bool aFailed)
   {
-    mDispatcher.Report(
-      { mRequest.route, mVersion, aFailed, false, Elapsed() });
+    mDispatcher.Report({ mRequest.route, mVersion, aFailed, false, Elapsed() });
   }
 
   void FailWithBrokenAnswer(const std::string& aReason)
--- a/src/proxy/proxied-request.cc
+++ b/src/proxy/proxied-request.cc
@@ -55,8 +55,8 @@
 
 proxied_request::proxied_request(ingress& aIngress,
                                  received_request aRequest,
-                                 std::shared_ptr<server_session> aSession)
-  : streamed_exchange(std::move(aSession))
+                                 std::shared_ptr<server_exchange> aExchange)
+  : streamed_exchange(std::move(aExchange))
   , mIngress(aIngress)
   , mDependencies(aIngress.Dependencies())
   , mTable(aIngress.Table())
@@ -143,7 +143,7 @@
   mAnswer.body.append(aBytes);
   if (!mAnswerBegun && mAnswer.body.size() > kMaxBufferedAnswerBytes) {
     mAnswerBegun = true;
-    mSession->BeginAnswer(mAnswer.head, mAnswer.length);
+    mExchange->BeginAnswer(mAnswer.head, mAnswer.length);
   }
   if (mAnswerBegun) {
     ForwardAnswerBody(mAnswer.body);
@@ -192,17 +192,17 @@
         { { "status", std::to_string(mAnswer.head.status) },
           { "instance", mInstance } });
   }
-  std::shared_ptr<server_session> session = std::move(mSession);
+  std::shared_ptr<server_exchange> exchange = std::move(mExchange);
   Finish();
   if (!mAnswerBegun) {
     bool headOnly = mReceived.head.method == "HEAD";
-    session->BeginAnswer(mAnswer.head,
-                         headOnly
-                           ? mAnswer.length
-                           : std::optional<std::uint64_t>(mAnswer.body.size()));
-    session->SendAnswerBody(mAnswer.body);
+    exchange->BeginAnswer(
+      mAnswer.head,
+      headOnly ? mAnswer.length
+               : std::optional<std::uint64_t>(mAnswer.body.size()));
+    exchange->SendAnswerBody(mAnswer.body);
   }
-  session->EndAnswer();
+  exchange->EndAnswer();
 }
 
 void
@@ -446,10 +446,10 @@
   if (!mRequestId.empty()) {
     aFields.push_back({ mDependencies.names.request_id, mRequestId });
   }
-  std::shared_ptr<server_session> session = std::move(mSession);
+  std::shared_ptr<server_exchange> exchange = std::move(mExchange);
   Finish();
-  if (session) {
-    session->Answer(aStatus, aFields);
+  if (exchange) {
+    exchange->Answer(aStatus, aFields);
   }
 }
 
@@ -457,10 +457,10 @@
 proxied_request::AbortAnswer()
 {
   mDependencies.counters.Add(proxy_event::answer_broken);
-  std::shared_ptr<server_session> session = std::move(mSession);
+  std::shared_ptr<server_exchange> exchange = std::move(mExchange);
   Finish();
-  if (session) {
-    session->AbortAnswer();
+  if (exchange) {
+    exchange->AbortAnswer();
   }
 }
 
@@ -490,7 +490,7 @@
 void
 proxied_request::Finish()
 {
-  mSession.reset();
+  mExchange.reset();
   if (mTimer != 0) {
     Loop().Cancel(mTimer);
     mTimer = 0;
--- a/src/proxy/proxied-request.h
+++ b/src/proxy/proxied-request.h
@@ -17,7 +17,7 @@
 public:
   proxied_request(ingress& aIngress,
                   received_request aRequest,
-                  std::shared_ptr<server_session> aSession);
+                  std::shared_ptr<server_exchange> aExchange);
   void Start();
 
   // request_handler
@@ -137,7 +137,7 @@
   canary_decision mCanary;
   /// The body is only partly buffered, so the request can't be sent again.
   bool mStreamedBody = false;
-  /// The head of the answer was passed to the session, so the answer can't be
+  /// The head of the answer was passed to the exchange, so the answer can't be
   /// replaced any more.
   bool mAnswerBegun = false;
 };
--- a/src/proxy/server-session.cc
+++ b/src/proxy/server-session.cc
@@ -14,9 +14,12 @@
 /// Bytes of pipelined requests that are buffered while a request is in
 /// progress; above that, reading is paused.
 constexpr std::size_t kMaxReadAheadBytes = 64U << 10U;
-/// Bytes of an answer that are collected before they are written to the
-/// connection.
-constexpr std::size_t kWriteBufferBytes = 32U << 10U;
+/// Maximum number of pipelined requests of a connection that are handled at the
+/// same time, so that one client does not take the place of many.
+constexpr std::size_t kMaxPipelinedRequests = 8;
+/// No further pipelined request starts while more bytes of answers wait for an
+/// earlier answer.
+constexpr std::size_t kMaxHeldAnswerBytes = 64U << 10U;
 
 } // namespace
 
@@ -83,15 +86,14 @@
 server_session::OnReceived(std::string_view aBytes)
 {
   std::shared_ptr<server_session> self = shared_from_this();
-  result<void> fed = mParser.Feed(aBytes);
-  if (!fed && !mBusy) {
-    Reject(fed.error().kind == error_kind::too_large ? status::kFieldsTooLarge
-                                                     : status::kBadRequest);
-    return;
+  if (mRejectStatus != 0) {
+    return; // nothing after invalid input can be understood
   }
+  result<void> fed = mParser.Feed(aBytes);
   if (!fed) {
-    OnEnded(close_reason::broken);
-    mConnection->Close();
+    HandleInvalidInput(fed.error().kind == error_kind::too_large
+                         ? status::kFieldsTooLarge
+                         : status::kBadRequest);
     return;
   }
   ProcessInput();
@@ -100,47 +102,55 @@
 void
 server_session::ProcessInput()
 {
-  if (!mParser.HeadReady()) {
-    return;
-  }
-  std::string part = mParser.TakeBody();
-  mBodyBytes += part.size();
-  mBody += part;
-  std::uint64_t limit = mServer.Limits().body_bytes;
-  if (mBodyBytes > limit || mParser.BodyLength().value_or(0) > limit) {
-    if (!mBusy) {
-      Reject(status::kContentTooLarge);
-      return;
+  while (mRejectStatus == 0 && mParser.HeadReady()) {
+    bool complete = false;
+    if (mReceiving) {
+      complete = ForwardBody();
+    } else if (MayBegin()) {
+      complete = BeginRequest();
+    }
+    if (!complete || mLastBegun || !ParseNext()) {
+      break;
     }
   }
-  if (mBusy) {
-    ForwardBody();
-    return;
-  }
-  if (mParser.Done() || mBody.size() > kMaxBufferedBodyBytes) {
-    BeginRequest();
-    return;
-  }
-  SendContinueIfExpected();
+  UpdateReading();
 }
 
-void
-server_session::SendContinueIfExpected()
+bool
+server_session::MayBegin()
 {
-  if (mContinueSent || FindField(mParser.Head().fields, "Expect") == nullptr) {
-    return;
-  }
-  mContinueSent = true;
-  mConnection->Send("HTTP/1.1 100 Continue\r\n\r\n");
+  if (mLastBegun || mConnection->Closed()) {
+    return false;
+  }
+  if (mExchanges.empty()) {
+    return true;
+  }
+  // A request that waits for earlier answers counts as not read by the client
+  // if the connection closes before its turn. Only safe methods may run anyway.
+  const message_head& head = mParser.Head();
+  bool safe = head.method == "GET" || head.method == "HEAD";
+  std::size_t held = 0;
+  for (const auto& exchange : mExchanges) {
+    held += exchange->mOutgoing.size();
+  }
+  return safe && mParser.Done() && mExchanges.size() < kMaxPipelinedRequests &&
+         held <= kMaxHeldAnswerBytes;
 }
 
-void
+bool
 server_session::BeginRequest()
 {
-  mBusy = true;
-  mAnswerDone = false;
-  mChunkedAnswer = false;
-  mHeadOnly = mParser.Head().method == "HEAD";
+  mBody += mParser.TakeBody();
+  mBodyBytes = mBody.size();
+  std::uint64_t limit = mServer.Limits().body_bytes;
+  if (mBodyBytes > limit || mParser.BodyLength().value_or(0) > limit) {
+    HandleInvalidInput(status::kContentTooLarge);
+    return false;
+  }
+  if (!mParser.Done() && mBody.size() <= kMaxBufferedBodyBytes) {
+    SendContinueIfExpected();
+    return false;
+  }
   received_request request;
   request.head = mParser.Head();
   request.body = std::move(mBody);
@@ -151,155 +161,203 @@
     request.body_length = request.body.size();
   }
   request.received = mLoop.Now();
+  server_exchange::request_properties properties;
+  properties.head_only = request.head.method == "HEAD";
+  properties.keep_alive = mParser.KeepAlive();
+  mLastBegun = !properties.keep_alive;
+  auto exchange =
+    std::make_shared<server_exchange>(shared_from_this(), properties);
+  mExchanges.push_back(exchange);
+  bool complete = request.body_complete;
+  if (!complete) {
+    mReceiving = exchange;
+  }
   std::shared_ptr<request_handler> handler =
-    mServer.Begin(std::move(request), shared_from_this());
-  if (mBusy) {
-    mHandler = std::move(handler);
+    mServer.Begin(std::move(request), exchange);
+  if (!exchange->mDone) {
+    exchange->mHandler = std::move(handler);
   }
+  return complete;
 }
 
-void
+bool
 server_session::ForwardBody()
 {
-  if (!mBody.empty() ||
-      (mParser.Done() && mHandler && mBodyBytes > kMaxBufferedBodyBytes)) {
-    std::string part = std::move(mBody);
-    mBody.clear();
-    if (mHandler && mBodyBytes > kMaxBufferedBodyBytes) {
-      mHandler->OnRequestBody(part, mParser.Done());
-    }
+  std::string part = mParser.TakeBody();
+  mBodyBytes += part.size();
+  if (mBodyBytes > mServer.Limits().body_bytes) {
+    HandleInvalidInput(status::kContentTooLarge);
+    return false;
   }
-  if (mAnswerDone && mParser.Done()) {
-    FinishRequest();
-    return;
+  std::shared_ptr<server_exchange> exchange = mReceiving;
+  bool complete = mParser.Done();
+  if (complete) {
+    mReceiving.reset();
   }
-  if (mParser.RemainingBytes() > kMaxReadAheadBytes && !mReadingPaused) {
-    mReadingPaused = true;
-    mConnection->PauseReading(true);
+  if (exchange->mHandler && (complete || !part.empty())) {
+    std::shared_ptr<request_handler> handler = exchange->mHandler;
+    handler->OnRequestBody(part, complete);
   }
+  return complete;
 }
 
 void
-server_session::Answer(int aStatus,
-                       const header_fields& aFields,
-                       std::string_view aBody)
+server_session::HandleInvalidInput(int aStatus)
 {
-  message_head head;
-  head.status = aStatus;
-  head.reason = ReasonOf(aStatus);
-  head.fields = aFields;
-  BeginAnswer(head, aBody.size());
-  SendAnswerBody(aBody);
-  EndAnswer();
+  mRejectStatus = aStatus;
+  if (mReceiving) {
+    // The request in progress can't be completed.
+    std::shared_ptr<server_exchange> receiving = std::move(mReceiving);
+    mReceiving.reset();
+    bool answering = receiving->mBegun;
+    CancelAll();
+    if (answering) {
+      RemoveFromList();
+      mConnection->Close();
+      return;
+    }
+  }
+  if (mExchanges.empty()) {
+    Reject(aStatus);
+  }
 }
 
 void
-server_session::BeginAnswer(const message_head& aHead,
-                            std::optional<std::uint64_t> aLength)
+server_session::SendContinueIfExpected()
 {
-  bool bodyless =
-    aHead.status == status::kNoContent || aHead.status == status::kNotModified;
-  AppendStatusLine(mOutgoing, aHead.status, aHead.reason);
-  for (const header_field& field : aHead.fields) {
-    AppendField(mOutgoing, field.name, field.value);
-  }
-  mChunkedAnswer = !aLength && !bodyless;
-  if (aLength && !bodyless) {
-    AppendField(mOutgoing, "Content-Length", std::to_string(*aLength));
-  } else if (mChunkedAnswer) {
-    AppendField(mOutgoing, "Transfer-Encoding", "chunked");
-  }
-  // The unread rest of the request's body would be parsed as the next request.
-  mCloseAfterAnswer =
-    mServer.IsClosing() || !mParser.KeepAlive() || !mParser.Done();
-  if (mCloseAfterAnswer) {
-    AppendField(mOutgoing, "Connection", "close");
-  }
-  mOutgoing += "\r\n";
-  if (mHeadOnly) {
-    mChunkedAnswer = false;
+  if (mContinueSent || !mExchanges.empty() ||
+      FindField(mParser.Head().fields, "Expect") == nullptr) {
+    return;
   }
+  mContinueSent = true;
+  mConnection->Send("HTTP/1.1 100 Continue\r\n\r\n");
 }
 
-void
-server_session::SendAnswerBody(std::string_view aBytes)
+bool
+server_session::ParseNext()
 {
-  if (mHeadOnly) {
-    return;
-  }
-  if (mChunkedAnswer) {
-    AppendChunk(mOutgoing, aBytes);
-  } else {
-    mOutgoing += aBytes;
+  mBody.clear();
+  mBodyBytes = 0;
+  mContinueSent = false;
+  mIdleSince = mLoop.Now();
+  mParser.SetHeadLimit(mServer.Limits().head_bytes);
+  if (!mParser.Next()) {
+    HandleInvalidInput(status::kBadRequest);
+    return false;
   }
-  if (mOutgoing.size() > kWriteBufferBytes) {
-    mConnection->Send(mOutgoing);
-    mOutgoing.clear();
+  return true;
+}
+
+void
+server_session::UpdateReading()
+{
+  std::size_t waiting = mReceiving ? 0 : mParser.BodyBytes();
+  bool pause =
+    IsBusy() && mParser.RemainingBytes() + waiting > kMaxReadAheadBytes;
+  if (pause != mReadAheadPaused && !mConnection->Closed()) {
+    mReadAheadPaused = pause;
+    mConnection->PauseReading(mReadAheadPaused || mBodyPaused);
   }
 }
 
 void
-server_session::EndAnswer()
+server_session::PauseBody(bool aPaused)
+{
+  mBodyPaused = aPaused;
+  mConnection->PauseReading(mReadAheadPaused || mBodyPaused);
+}
+
+bool
+server_session::IsFirst(const server_exchange& aExchange) const
+{
+  return !mExchanges.empty() && mExchanges.front().get() == &aExchange;
+}
+
+bool
+server_session::ClosesAfter(const server_exchange& aExchange)
+{
+  bool isLast = !mExchanges.empty() && mExchanges.back().get() == &aExchange;
+  // The unread rest of a body would be parsed as the next request.
+  bool unread = mReceiving.get() == &aExchange;
+  bool closes = isLast && (unread || mServer.IsClosing() ||
+                           !aExchange.mProperties.keep_alive);
+  mLastBegun = mLastBegun || closes;
+  return closes;
+}
+
+void
+server_session::SendFinishedAnswers()
 {
   std::shared_ptr<server_session> self = shared_from_this();
-  if (mChunkedAnswer) {
-    mOutgoing += kLastChunk;
-  }
-  mConnection->Send(mOutgoing);
-  mOutgoing.clear();
-  mAnswerDone = true;
-  mHandler.reset();
-  if (mCloseAfterAnswer) {
-    mBusy = false;
-    RemoveFromList();
-    mConnection->CloseAfterSending();
-    return;
+  while (!mExchanges.empty()) {
+    std::shared_ptr<server_exchange> first = mExchanges.front();
+    first->Flush();
+    if (!first->mDone) {
+      return;
+    }
+    mExchanges.pop_front();
+    if (first->mCloseAfter) {
+      CancelAll();
+      RemoveFromList();
+      mConnection->CloseAfterSending();
+      return;
+    }
+    ScheduleInput();
+  }
+  mIdleSince = mLoop.Now();
+  if (mRejectStatus != 0) {
+    Reject(mRejectStatus);
   }
-  FinishRequest();
 }
 
 void
-server_session::FinishRequest()
+server_session::ScheduleInput()
 {
-  mBusy = false;
-  mHandler.reset();
-  mBody.clear();
-  mBodyBytes = 0;
-  mContinueSent = false;
-  mIdleSince = mLoop.Now();
-  mParser.SetHeadLimit(mServer.Limits().head_bytes);
-  if (mReadingPaused) {
-    mReadingPaused = false;
-    mConnection->PauseReading(false);
-  }
-  bool hasMore = mParser.RemainingBytes() > 0;
-  result<void> next = mParser.Next();
-  if (!next) {
-    Reject(status::kBadRequest);
+  if (mInputScheduled || !mParser.Started()) {
     return;
   }
-  if (hasMore) {
-    // Deferred, so that the next request does not start inside the call that
-    // ended this answer.
-    mLoop.RunAfter(duration(0), [self = shared_from_this()] {
-      if (!self->mBusy && !self->mConnection->Closed()) {
-        self->ProcessInput();
-      }
-    });
-  }
+  mInputScheduled = true;
+  mLoop.RunAfter(duration(0), [self = shared_from_this()] {
+    self->mInputScheduled = false;
+    if (!self->mConnection->Closed()) {
+      self->ProcessInput();
+    }
+  });
 }
 
 void
-server_session::AbortAnswer()
+server_session::AbortFrom(server_exchange& aExchange)
 {
   std::shared_ptr<server_session> self = shared_from_this();
-  mOutgoing.clear();
-  mHandler.reset();
-  mBusy = false;
+  aExchange.mOutgoing.clear();
+  mLastBegun = true;
+  if (!IsFirst(aExchange)) {
+    // Earlier answers are sent first, then the connection is closed.
+    aExchange.mDone = true;
+    aExchange.mCloseAfter = true;
+    return;
+  }
+  CancelAll();
   RemoveFromList();
   mConnection->CloseAfterSending();
 }
 
+void
+server_session::CancelAll()
+{
+  std::deque<std::shared_ptr<server_exchange>> exchanges =
+    std::move(mExchanges);
+  mExchanges.clear();
+  mReceiving.reset();
+  for (const auto& exchange : exchanges) {
+    std::shared_ptr<request_handler> handler = std::move(exchange->mHandler);
+    exchange->mHandler.reset();
+    if (handler) {
+      handler->OnClientDisconnected();
+    }
+  }
+}
+
 void
 server_session::Reject(int aStatus)
 {
@@ -317,8 +375,11 @@
 void
 server_session::OnSent()
 {
-  if (mHandler) {
-    std::shared_ptr<request_handler> handler = mHandler;
+  if (mExchanges.empty()) {
+    return;
+  }
+  std::shared_ptr<request_handler> handler = mExchanges.front()->mHandler;
+  if (handler) {
     handler->OnAnswerSent();
   }
 }
@@ -328,12 +389,8 @@
 {
   std::shared_ptr<server_session> self = shared_from_this();
   RemoveFromList();
-  mBusy = false;
-  std::shared_ptr<request_handler> handler = std::move(mHandler);
-  mHandler.reset();
-  if (handler) {
-    handler->OnClientDisconnected();
-  }
+  mLastBegun = true;
+  CancelAll();
 }
 
 void
@@ -346,7 +403,7 @@
 server_session::CloseIfIdle()
 {
   std::shared_ptr<server_session> self = shared_from_this();
-  if (mBusy || mParser.Started()) {
+  if (IsBusy() || mParser.Started()) {
     return;
   }
   RemoveFromList();
@@ -357,7 +414,7 @@
 server_session::CheckTimeouts(time_point aNow)
 {
   std::shared_ptr<server_session> self = shared_from_this();
-  if (mBusy) {
+  if (IsBusy()) {
     return;
   }
   traffic_limits limits = mServer.Limits();
--- a/src/proxy/server-session.h
+++ b/src/proxy/server-session.h
@@ -1,17 +1,17 @@
 #ifndef EELGRASSTRACK_PROXY_SERVER_SESSION_H_
 #define EELGRASSTRACK_PROXY_SERVER_SESSION_H_
 
+#include <deque>
 #include <functional>
 #include <unordered_set>
 
 #include "net/socket.h"
+#include "proxy/server-exchange.h"
 #include "traffic/traffic-table.h"
 #include "wire/message-parser.h"
 
 namespace eelgrasstrack {
 
-class server_session;
-
 /// A received request with the part of the body that has arrived so far.
 struct received_request
 {
@@ -42,11 +42,11 @@
 public:
   virtual ~request_server() = default;
   virtual traffic_limits Limits() const = 0;
-  /// Starts handling a request. The answer is sent through the session.
+  /// Starts handling a request. The answer is sent through the exchange.
   virtual std::shared_ptr<request_handler> Begin(
     received_request aRequest,
-    const std::shared_ptr<server_session>& aSession) = 0;
-  /// Whether connections are closed after their current answer.
+    const std::shared_ptr<server_exchange>& aExchange) = 0;
+  /// Whether connections are closed after their current answers.
   virtual bool IsClosing() const = 0;
 };
 
@@ -71,8 +71,12 @@
   std::unordered_set<server_session*> mSessions;
 };
 
-/// The server side of one HTTP/1.1 connection. Handles one request at a time: a
-/// pipelined request waits until the current answer is complete.
+/// The server side of one HTTP/1.1 connection.
+///
+/// Pipelined requests that are safe to abandon (GET and HEAD without a body)
+/// are handled at the same time, up to a limit; any other request waits until
+/// the earlier ones were answered. Answers are sent in the order of the
+/// requests.
 class server_session final
   : public connection::observer
   , public std::enable_shared_from_this<server_session>
@@ -83,26 +87,7 @@
                  session_list& aList,
                  loop& aLoop);
 
-  /// Sends a complete answer.
-  void Answer(int aStatus,
-              const header_fields& aFields,
-              std::string_view aBody = {});
-
-  /// Begins an answer whose body follows. Without a length the body is sent in
-  /// chunks, so that the client detects a truncated body.
-  void BeginAnswer(const message_head& aHead,
-                   std::optional<std::uint64_t> aLength);
-  void SendAnswerBody(std::string_view aBytes);
-  void EndAnswer();
-  /// Closes the connection in the middle of an answer.
-  void AbortAnswer();
-
-  /// Number of queued bytes that have not been sent yet.
-  std::size_t Unsent() const { return mConnection->Unsent(); }
-  /// Stops or resumes reading the request's body.
-  void PauseBody(bool aPaused) { mConnection->PauseReading(aPaused); }
-
-  bool IsBusy() const { return mBusy; }
+  bool IsBusy() const { return !mExchanges.empty(); }
   /// Closes the connection if no request is being received or handled.
   void CloseIfIdle();
   /// Closes the connection if it exceeded the idle timeout, and rejects a
@@ -114,42 +99,72 @@
   void OnEnded(close_reason aReason) override;
 
 private:
-  /// Handles parsed input: starts a request or forwards a part of its body.
+  friend class server_exchange;
+
+  /// Handles parsed input: starts requests or forwards parts of a body.
   void ProcessInput();
-  void BeginRequest();
-  void ForwardBody();
+  /// Whether the request in the parser may start now.
+  bool MayBegin();
+  /// Starts the request in the parser. Returns false if its body is incomplete.
+  bool BeginRequest();
+  /// Forwards a part of the body of the last request. Returns false if more of
+  /// the body must arrive first.
+  bool ForwardBody();
+  /// Handles input that is not a valid request, or is too large.
+  void HandleInvalidInput(int aStatus);
   /// Answers an invalid request with an empty answer and closes the connection.
   void Reject(int aStatus);
-  /// Prepares the session for the next request on the connection.
-  void FinishRequest();
+  /// Parses the next request on the connection. Returns false if it is invalid.
+  bool ParseNext();
   void RemoveFromList();
   /// Sends 100 Continue once if the request has an Expect field.
   void SendContinueIfExpected();
+  /// Stops reading while too much input is buffered, or resumes it.
+  void UpdateReading();
+  /// Goes on with buffered input later, so that no request starts inside the
+  /// call that ended an answer.
+  void ScheduleInput();
+  /// Cancels all requests in progress.
+  void CancelAll();
+
+  // Used by the exchanges.
+
+  bool IsFirst(const server_exchange& aExchange) const;
+  void Send(std::string_view aBytes) { mConnection->Send(aBytes); }
+  std::size_t Unsent() const { return mConnection->Unsent(); }
+  void PauseBody(bool aPaused);
+  /// Decides whether the connection is closed after the answer of an exchange.
+  /// No request starts after such an answer.
+  bool ClosesAfter(const server_exchange& aExchange);
+  /// Sends the answers that are due, then goes on with buffered input.
+  void SendFinishedAnswers();
+  /// Closes the connection, as an answer can't be completed.
+  void AbortFrom(server_exchange& aExchange);
 
   std::shared_ptr<connection> mConnection;
   request_server& mServer;
   session_list& mList;
   loop& mLoop;
   message_parser mParser{ message_kind::request };
-  /// Handler of the current request; null if there is none.
-  std::shared_ptr<request_handler> mHandler;
+  /// Requests in progress and answers that wait for earlier ones, in order.
+  std::deque<std::shared_ptr<server_exchange>> mExchanges;
+  /// The exchange whose request body is still being received, or null.
+  std::shared_ptr<server_exchange> mReceiving;
   /// The part of the request's body that was not passed to the handler yet.
   std::string mBody;
-  /// Bytes of the answer that were not given to the connection yet.
-  std::string mOutgoing;
-  /// Number of body bytes received for the current request.
+  /// Number of body bytes received for the request in the parser.
   std::uint64_t mBodyBytes = 0;
   /// When the connection was opened or the last request ended.
   time_point mIdleSince{};
-  /// A request is in progress.
-  bool mBusy = false;
-  /// The method is HEAD, so the answer has no body.
-  bool mHeadOnly = false;
-  bool mChunkedAnswer = false;
-  bool mAnswerDone = false;
-  bool mCloseAfterAnswer = false;
+  /// Status for invalid input that is answered after the requests before it; 0
+  /// if there was none.
+  int mRejectStatus = 0;
+  /// No further request is started on this connection.
+  bool mLastBegun = false;
   bool mContinueSent = false;
-  bool mReadingPaused = false;
+  bool mBodyPaused = false;
+  bool mReadAheadPaused = false;
+  bool mInputScheduled = false;
 };
 
 } // namespace eelgrasstrack
--- a/src/proxy/streamed-exchange.cc
+++ b/src/proxy/streamed-exchange.cc
@@ -9,8 +9,8 @@
 
 } // namespace
 
-streamed_exchange::streamed_exchange(std::shared_ptr<server_session> aSession)
-  : mSession(std::move(aSession))
+streamed_exchange::streamed_exchange(std::shared_ptr<server_exchange> aExchange)
+  : mExchange(std::move(aExchange))
 {
 }
 
@@ -22,7 +22,7 @@
   }
   mRun->SendBody(aBytes, aLast);
   if (mRun->Unsent() > kMaxUnsentBytes) {
-    mSession->PauseBody(true);
+    mExchange->PauseBody(true);
   }
 }
 
@@ -37,16 +37,16 @@
 void
 streamed_exchange::OnBodyWritable()
 {
-  if (mSession) {
-    mSession->PauseBody(false);
+  if (mExchange) {
+    mExchange->PauseBody(false);
   }
 }
 
 void
 streamed_exchange::ForwardAnswerBody(std::string_view aBytes)
 {
-  mSession->SendAnswerBody(aBytes);
-  if (mRun && mSession->Unsent() > kMaxUnsentBytes) {
+  mExchange->SendAnswerBody(aBytes);
+  if (mRun && mExchange->Unsent() > kMaxUnsentBytes) {
     mRun->PauseAnswer(true);
   }
 }
--- a/src/proxy/streamed-exchange.h
+++ b/src/proxy/streamed-exchange.h
@@ -6,9 +6,9 @@
 
 namespace eelgrasstrack {
 
-/// Connects the session on which a request arrived with the run that answers
-/// it. Bodies are forwarded in parts in both directions. Backpressure: a source
-/// is paused while the receiver has too many unsent bytes.
+/// Connects the exchange with the client to the run that answers the request.
+/// Bodies are forwarded in parts in both directions. Backpressure: a source is
+/// paused while the receiver has too many unsent bytes.
 class streamed_exchange
   : public request_handler
   , public answer_sink
@@ -19,13 +19,13 @@
   void OnBodyWritable() override;
 
 protected:
-  explicit streamed_exchange(std::shared_ptr<server_session> aSession);
+  explicit streamed_exchange(std::shared_ptr<server_exchange> aExchange);
 
-  /// Forwards a part of the answer's body to the session.
+  /// Forwards a part of the answer's body to the client.
   void ForwardAnswerBody(std::string_view aBytes);
 
   /// Null once no answer can be sent any more.
-  std::shared_ptr<server_session> mSession;
+  std::shared_ptr<server_exchange> mExchange;
   /// Null while no attempt is in progress.
   std::shared_ptr<run_handle> mRun;
 };
--- a/src/proxy/version-selector.cc
+++ b/src/proxy/version-selector.cc
@@ -104,10 +104,9 @@
   canary_credit& credit = mCanaryCredits[aService];
   credit.requests += canary->share;
   if (canary->time_limit > duration(0) && aNow > credit.updated_at) {
-    credit.requests +=
-      mExtraCanaryRequests *
-      static_cast<double>((aNow - credit.updated_at).count()) /
-      static_cast<double>(canary->time_limit.count());
+    credit.requests += mExtraCanaryRequests *
+                       static_cast<double>((aNow - credit.updated_at).count()) /
+                       static_cast<double>(canary->time_limit.count());
     credit.updated_at = aNow;
   }
   if (credit.requests < 1) {
--- a/src/wire/message-parser.cc
+++ b/src/wire/message-parser.cc
@@ -192,6 +192,10 @@
     }
   }
   mBuffer.erase(0, mBuffer.size() - left.size());
+  if (!mParser->MessageRead() && mBuffer.size() > mHeadLimit) {
+    // The parser waits for the end of a line that does not come.
+    return Fail(error_kind::too_large, "line without end");
+  }
   return {};
 }
 
@@ -232,6 +236,12 @@
   return taken;
 }
 
+std::size_t
+message_parser::BodyBytes() const
+{
+  return mParser->body.size();
+}
+
 std::optional<std::uint64_t>
 message_parser::BodyLength() const
 {
--- a/src/wire/message-parser.h
+++ b/src/wire/message-parser.h
@@ -37,7 +37,8 @@
   void ExpectNoBody();
 
   /// Parses more bytes. Fails with `invalid_argument` if they are not a valid
-  /// message.
+  /// message, and with `too_large` if the size line of a chunk or the trailer
+  /// is longer than the head may be.
   result<void> Feed(std::string_view aBytes);
 
   /// Reports the orderly end of the stream. Fails with `invalid_argument` if
@@ -53,6 +54,9 @@
   /// Removes and returns the bytes of the body that were parsed so far.
   std::string TakeBody();
 
+  /// Number of bytes that `TakeBody` would return.
+  std::size_t BodyBytes() const;
+
   /// Length of the body in bytes, if the head states it.
   std::optional<std::uint64_t> BodyLength() const;
   /// Whether the body uses the chunked transfer coding.
