Bound the exposure of an undetected version; load canary instances as after the promotion

- A burst now lasts 0.7 s or longer and gives one instance the share that it will have after the promotion; in a large service it no longer gets all requests of the fleet at once.
- The promotion comes so late that the exposure keeps to its bound until the deadline even if nothing is detected.

--- a/src/mesh/canary-driver.cc
+++ b/src/mesh/canary-driver.cc
@@ -23,12 +23,24 @@
 /// Time for which a decider must have known an order before it promotes: every
 /// node repeats its counts several times within it.
 constexpr duration kMinKnownTime = std::chrono::milliseconds(1000);
-/// Minimum time between promotion and the deadline.
-constexpr duration kMinPromotedTime = std::chrono::milliseconds(2000);
+/// Time between promotion and the deadline of a rollout with a short time
+/// limit, if the allowed exposure has room for it.
+constexpr duration kPromotedTime = std::chrono::milliseconds(2000);
+/// Minimum time between promotion and the deadline: the rollout must be
+/// recorded before the deadline, and requests on the old version need time to
+/// finish.
+constexpr duration kMinPromotedTime = std::chrono::milliseconds(800);
 /// Part of the time limit between promotion and the deadline.
 constexpr double kPromotedTimeFraction = 0.12;
 /// Time before the deadline at which the rollout is recorded as complete.
 constexpr duration kRecordingTime = std::chrono::milliseconds(800);
+/// The same after a late promotion.
+constexpr duration kMinRecordingTime = std::chrono::milliseconds(300);
+/// Part of the time between promotion and the deadline that is for recording.
+constexpr double kRecordingFraction = 0.4;
+/// Part of the allowed exposure that is planned for. The rest is for requests
+/// that arrive late, and for changes of the request rate.
+constexpr double kPlannedExposure = 0.85;
 /// Part of the allowed exposure that the steady canary share uses. The rest is
 /// for canary bursts and for the time between promotion and a rollback.
 constexpr double kSteadyShareFraction = 0.15;
@@ -74,13 +86,48 @@
 {
   auto fraction = duration(static_cast<std::int64_t>(
     static_cast<double>(aTimeLimit.count()) * kPromotedTimeFraction));
-  duration promotedTime = std::max(fraction, kMinPromotedTime);
+  duration promotedTime = std::max(fraction, kPromotedTime);
   canary_schedule schedule;
   schedule.promote_at = std::max(aTimeLimit / 2, aTimeLimit - promotedTime);
-  schedule.complete_at = std::max(aTimeLimit / 2, aTimeLimit - kRecordingTime);
+  schedule.complete_at = CompletionTime(aTimeLimit, schedule.promote_at);
   return schedule;
 }
 
+canary_schedule
+ScheduleFor(duration aTimeLimit,
+            duration aElapsed,
+            const canary_exposure& aExposure)
+{
+  canary_schedule schedule = ScheduleFor(aTimeLimit);
+  if (aExposure.requests <= 0 || aElapsed <= duration(0)) {
+    return schedule;
+  }
+  double perMicrosecond =
+    aExposure.requests / static_cast<double>(aElapsed.count());
+  double expected = perMicrosecond * static_cast<double>(aTimeLimit.count());
+  double allowed = kPlannedExposure * (aExposure.allowed_share * expected +
+                                       aExposure.allowed_slack);
+  double room = std::max(0.0, allowed - aExposure.canary_requests);
+  auto promotedTime =
+    std::max(duration(static_cast<std::int64_t>(room / perMicrosecond)),
+             std::min(kMinPromotedTime, aTimeLimit / 2));
+  schedule.promote_at =
+    std::max(schedule.promote_at, aTimeLimit - promotedTime);
+  schedule.complete_at = CompletionTime(aTimeLimit, schedule.promote_at);
+  return schedule;
+}
+
+duration
+CompletionTime(duration aTimeLimit, duration aPromotedAt)
+{
+  auto left = static_cast<double>((aTimeLimit - aPromotedAt).count());
+  auto recording =
+    std::clamp(duration(static_cast<std::int64_t>(left * kRecordingFraction)),
+               kMinRecordingTime,
+               kRecordingTime);
+  return std::max(aTimeLimit / 2, aTimeLimit - recording);
+}
+
 bool
 MayPromote(const canary_schedule& aSchedule,
            duration aElapsed,
@@ -331,6 +378,23 @@
   return sum;
 }
 
+canary_exposure
+canary_driver::ExposureOf(const open_order& aOpenOrder) const
+{
+  canary_exposure exposure;
+  exposure.allowed_share = mBounds.canary_share;
+  exposure.allowed_slack = mBounds.canary_slack;
+  for (const auto& [version, routes] : TotalSamples(aOpenOrder)) {
+    for (const auto& [route, sample] : routes) {
+      exposure.requests += sample.requests;
+      if (version == aOpenOrder.order.target_version) {
+        exposure.canary_requests += sample.requests;
+      }
+    }
+  }
+  return exposure;
+}
+
 std::size_t
 canary_driver::CountFailingHosts(const open_order& aOpenOrder)
 {
@@ -377,15 +441,18 @@
     RecordPhase(aOpenOrder, canary_phase::rolled_back);
     return;
   }
-  canary_schedule schedule = ScheduleFor(aOpenOrder.order.time_limit);
+  time_point now = mLoop.Now();
   duration elapsed =
-    mLoop.Now() - aOpenOrder.started_at - deciderIndex * kDeciderStagger;
+    now - aOpenOrder.started_at - deciderIndex * kDeciderStagger;
+  canary_schedule schedule = ScheduleFor(aOpenOrder.order.time_limit,
+                                         now - aOpenOrder.opened_at,
+                                         ExposureOf(aOpenOrder));
   if (!aOpenOrder.order.recorded && elapsed >= duration(0)) {
     RecordPhase(aOpenOrder, canary_phase::canary);
     return;
   }
   if (canary->phase == canary_phase::canary &&
-      MayPromote(schedule, elapsed, mLoop.Now() - aOpenOrder.opened_at) &&
+      MayPromote(schedule, elapsed, now - aOpenOrder.opened_at) &&
       IsVersionServing(aOpenOrder.order.service,
                        aOpenOrder.order.target_version)) {
     EnterPhase(
@@ -395,8 +462,16 @@
         SummaryOf(TotalSamples(aOpenOrder), aOpenOrder.order.target_version));
     return;
   }
-  if (canary->phase == canary_phase::promoted &&
-      elapsed >= schedule.complete_at) {
+  if (canary->phase != canary_phase::promoted) {
+    return;
+  }
+  if (!aOpenOrder.promoted_at) {
+    aOpenOrder.promoted_at = now;
+  }
+  duration completeAt =
+    CompletionTime(aOpenOrder.order.time_limit,
+                   *aOpenOrder.promoted_at - aOpenOrder.started_at);
+  if (elapsed >= completeAt) {
     RecordPhase(aOpenOrder, canary_phase::complete);
   }
 }
--- a/src/mesh/canary-driver.h
+++ b/src/mesh/canary-driver.h
@@ -27,7 +27,8 @@
   /// All requests go to the new version from then on, unless it has been judged
   /// bad and rolled back.
   duration promote_at{ 0 };
-  /// The rollout is recorded as complete from then on.
+  /// The rollout is recorded as complete from then on, unless it was promoted
+  /// later.
   duration complete_at{ 0 };
 };
 
@@ -37,6 +38,32 @@
 canary_schedule
 ScheduleFor(duration aTimeLimit);
 
+/// What a new version has received since the order, and may receive until the
+/// deadline.
+struct canary_exposure
+{
+  /// Allowed share of all requests of the service, 0 to 1.
+  double allowed_share = 0;
+  /// Allowed number of requests beyond that share.
+  double allowed_slack = 0;
+  /// Requests of the service since the order, on all versions.
+  double requests = 0;
+  double canary_requests = 0;
+};
+
+/// Returns the schedule of a rollout after `aElapsed`, in which the promotion
+/// is so late that even a fault that stays undetected keeps to the allowed
+/// exposure until the deadline, if requests keep coming at the same rate.
+canary_schedule
+ScheduleFor(duration aTimeLimit,
+            duration aElapsed,
+            const canary_exposure& aExposure);
+
+/// Returns when a rollout that was promoted `aPromotedAt` after the order is
+/// recorded as complete.
+duration
+CompletionTime(duration aTimeLimit, duration aPromotedAt);
+
 /// Returns whether a decider may promote a rollout `aElapsed` after the order.
 /// A decider that has known the order for a short time only, for example after
 /// a restart, first waits for the counts of the other nodes.
@@ -94,6 +121,8 @@
     time_point opened_at{};
     /// Latest counts by node. Each report replaces the previous one.
     std::map<std::string, version_samples> reports;
+    /// When this node learned of the promotion.
+    std::optional<time_point> promoted_at;
     /// A write of the progress to the store has not finished yet.
     bool recording = false;
     /// No progress is recorded and no promotion is decided before this time.
@@ -117,6 +146,7 @@
   void OpenOrder(const canary_order& aOrder, time_point aStartedAt);
   void SendReport(const std::string& aHost, const std::string& aBody);
   version_samples TotalSamples(const open_order& aOpenOrder) const;
+  canary_exposure ExposureOf(const open_order& aOpenOrder) const;
   /// Number of hosts on which the new version failed at least one request.
   static std::size_t CountFailingHosts(const open_order& aOpenOrder);
   bool IsVersionServing(const std::string& aService,
--- a/src/mesh/mesh-node.cc
+++ b/src/mesh/mesh-node.cc
@@ -58,6 +58,8 @@
 /// Part of the allowed requests beyond the canary share that the canary phase
 /// uses. The rest is for the time between promotion and a rollback.
 constexpr double kExtraCanaryFraction = 0.5;
+/// Requests to a new version, over all nodes, that are enough to judge it.
+constexpr double kWantedCanaryRequests = 40;
 constexpr duration kIdleConnectionTimeout = std::chrono::seconds(20);
 
 buffered_response
@@ -406,18 +408,25 @@
 mesh_node::RefreshVersions()
 {
   std::size_t nodes = 0;
+  std::map<std::string, std::size_t> instances;
   for (const auto& [name, host] : mDirectory.All()) {
     nodes += host.unreachable ? 0 : 1;
     const instance_record& instance = host.record.instance;
     if (instance.state == instance_state::ready) {
       mVersions.RecordVersion(
         instance.service, instance.version, instance.started_unix_ms);
+      const canary_rollout* canary = mVersions.CanaryOf(instance.service);
+      bool isTarget =
+        canary != nullptr && canary->target_version == instance.version;
+      instances[instance.service] += isTarget ? 0 : 1;
     }
   }
   mRetries.SetNodeCount(nodes);
-  mVersions.SetExtraCanaryRequests(
-    kExtraCanaryFraction * mSettings.bounds.canary_slack /
-    static_cast<double>(std::max<std::size_t>(nodes, 1)));
+  mVersions.SetInstanceCounts(std::move(instances));
+  auto divisor = static_cast<double>(std::max<std::size_t>(nodes, 1));
+  mVersions.SetExtraCanaryRequests(kExtraCanaryFraction *
+                                     mSettings.bounds.canary_slack / divisor,
+                                   kWantedCanaryRequests / divisor);
 }
 
 void
--- a/src/proxy/version-selector.cc
+++ b/src/proxy/version-selector.cc
@@ -1,5 +1,7 @@
 #include "proxy/version-selector.h"
 
+#include <algorithm>
+
 #include "base/name-table.h"
 
 namespace eelgrasstrack {
@@ -16,9 +18,12 @@
 
 /// Time from the order to the first burst. New instances are slow for some
 /// seconds after their start.
-constexpr duration kFirstBurst = std::chrono::milliseconds(4500);
-constexpr duration kBurstPeriod = std::chrono::milliseconds(2500);
-constexpr duration kBurstLength = std::chrono::milliseconds(120);
+constexpr duration kFirstBurst = std::chrono::milliseconds(3600);
+constexpr duration kBurstPeriod = std::chrono::milliseconds(2800);
+/// Length of a burst if the service has `kFewInstances`. With more instances
+/// one burst takes a smaller share of the requests, and may last longer.
+constexpr duration kBurstLength = std::chrono::milliseconds(700);
+constexpr std::size_t kFewInstances = 4;
 
 } // namespace
 
@@ -50,7 +55,10 @@
     // A random start makes the nodes' first canary requests come at different
     // times, and some come even if no node earns a whole credit.
     std::uniform_real_distribution<double> start(0, 1);
-    mCanaryCredits[aCanary.service] = { start(mRandom), aCanary.started_at };
+    canary_credit& credit = mCanaryCredits[aCanary.service];
+    credit = {};
+    credit.requests = start(mRandom);
+    credit.updated_at = aCanary.started_at;
   }
   known = aCanary;
   if (known.phase == canary_phase::complete) {
@@ -81,14 +89,26 @@
   }
 }
 
-std::optional<unsigned>
-CanaryBurst(duration aSinceOrder)
+std::optional<canary_burst>
+CanaryBurst(duration aSinceOrder, std::size_t aInstances)
 {
-  if (aSinceOrder < kFirstBurst ||
-      (aSinceOrder - kFirstBurst) % kBurstPeriod >= kBurstLength) {
+  if (aSinceOrder < kFirstBurst) {
+    return std::nullopt;
+  }
+  std::size_t instances = aInstances == 0 ? kFewInstances : aInstances;
+  duration length =
+    std::clamp(kBurstLength * static_cast<std::int64_t>(instances) /
+                 static_cast<std::int64_t>(kFewInstances),
+               kBurstLength,
+               kBurstPeriod);
+  duration sinceFirst = aSinceOrder - kFirstBurst;
+  if (sinceFirst % kBurstPeriod >= length) {
     return std::nullopt;
   }
-  return static_cast<unsigned>((aSinceOrder - kFirstBurst) / kBurstPeriod);
+  canary_burst burst;
+  burst.number = static_cast<unsigned>(sinceFirst / kBurstPeriod);
+  burst.share = 1.0 / static_cast<double>(std::max(instances, kFewInstances));
+  return burst;
 }
 
 canary_decision
@@ -98,21 +118,29 @@
   if (canary == nullptr || canary->phase != canary_phase::canary) {
     return {};
   }
-  if (std::optional<unsigned> burst = CanaryBurst(aNow - canary->started_at)) {
-    return { true, burst };
-  }
+  auto count = mInstanceCounts.find(aService);
+  std::optional<canary_burst> burst =
+    CanaryBurst(aNow - canary->started_at,
+                count == mInstanceCounts.end() ? 0 : count->second);
   canary_credit& credit = mCanaryCredits[aService];
-  credit.requests += canary->share;
+  credit.requests += burst ? burst->share : canary->share;
   if (canary->time_limit > duration(0) && aNow > credit.updated_at) {
-    credit.requests += mExtraCanaryRequests *
-                       static_cast<double>((aNow - credit.updated_at).count()) /
-                       static_cast<double>(canary->time_limit.count());
+    double part = static_cast<double>((aNow - credit.updated_at).count()) /
+                  static_cast<double>(canary->time_limit.count());
     credit.updated_at = aNow;
+    credit.wanted += mWantedCanaryRequests * part;
+    if (credit.sent < credit.wanted) {
+      credit.requests += mExtraCanaryRequests * part;
+    }
   }
   if (credit.requests < 1) {
     return {};
   }
   credit.requests -= 1;
+  credit.sent += 1;
+  if (burst) {
+    return { true, burst->number };
+  }
   return { true, std::nullopt };
 }
 
--- a/src/proxy/version-selector.h
+++ b/src/proxy/version-selector.h
@@ -49,15 +49,25 @@
   time_point started_at{};
 };
 
-/// Returns the number of the burst in progress, counted from 0, or nothing
-/// between bursts.
+/// A time in which one instance of the new version gets the load that it would
+/// have after the promotion.
+struct canary_burst
+{
+  /// Counted from 0; selects the instance of the new version.
+  unsigned number = 0;
+  /// Share of the requests of the service that go to that instance, 0 to 1.
+  double share = 0;
+};
+
+/// Returns the burst in progress, or nothing between bursts.
 ///
 /// Some faults show only under load. A part of the canary traffic is therefore
-/// sent in short bursts, in which all requests of the service go to one
-/// instance of the new version. The number of the burst selects the instance.
-/// Nodes derive the bursts from the time since the order, so that they agree.
-std::optional<unsigned>
-CanaryBurst(duration aSinceOrder);
+/// sent to one instance at a time, long enough for its requests to overlap as
+/// they would after the promotion. Nodes derive the bursts from the time since
+/// the order, so that they agree. `aInstances` is the number of instances that
+/// the service needs; 0 if unknown.
+std::optional<canary_burst>
+CanaryBurst(duration aSinceOrder, std::size_t aInstances);
 
 /// Whether and how a request takes part in a canary rollout.
 struct canary_decision
@@ -78,16 +88,28 @@
   {
   }
 
-  /// Sets how many requests beyond the canary share this node sends to a new
-  /// version, spread over the time limit of the rollout. A service with little
-  /// traffic would otherwise show too little of a new version to judge it.
-  void SetExtraCanaryRequests(double aCount) { mExtraCanaryRequests = aCount; }
+  /// Sets how many requests beyond the canary share this node may send to a new
+  /// version, spread over the time limit of the rollout, while it has sent
+  /// fewer than `aWanted` in the same proportion. A service with little traffic
+  /// would otherwise show too little of a new version to judge it.
+  void SetExtraCanaryRequests(double aExtra, double aWanted)
+  {
+    mExtraCanaryRequests = aExtra;
+    mWantedCanaryRequests = aWanted;
+  }
 
   /// Stores a rollout if its order is later than the known one, or if it is a
   /// later phase of the same order and the known phase is not final. Returns
   /// whether it was stored.
   bool Merge(const canary_rollout& aCanary);
 
+  /// Sets the number of ready instances by service, without those of the target
+  /// version of a rollout.
+  void SetInstanceCounts(std::map<std::string, std::size_t> aCounts)
+  {
+    mInstanceCounts = std::move(aCounts);
+  }
+
   /// Rollout of a service, or null.
   const canary_rollout* CanaryOf(const std::string& aService) const;
   const std::map<std::string, canary_rollout>& Canaries() const
@@ -124,11 +146,17 @@
   struct canary_credit
   {
     double requests = 0;
+    /// Requests that this node sent to the new version, and that it should have
+    /// sent by now.
+    double sent = 0;
+    double wanted = 0;
     /// When the extra requests were last added.
     time_point updated_at{};
   };
 
+  std::map<std::string, std::size_t> mInstanceCounts;
   double mExtraCanaryRequests = 0;
+  double mWantedCanaryRequests = 0;
   std::mt19937_64 mRandom;
   std::map<std::string, canary_credit> mCanaryCredits;
 };
--- a/test/unit/mesh-test.cc
+++ b/test/unit/mesh-test.cc
@@ -398,3 +398,33 @@
   CHECK(MayPromote(schedule, seconds(11), seconds(5)));
   CHECK_FALSE(MayPromote(schedule, seconds(5), seconds(5)));
 }
+
+TEST_CASE("canary schedule, fault stays undetected, keeps to the allowed "
+          "exposure",
+          "[mesh]")
+{
+  // A version that fails only under load is not detected in a service with
+  // little load, so all requests after the promotion count.
+  constexpr duration kLimit = seconds(12);
+  for (double perSecond : { 5.0, 15.0, 78.0, 100.0, 250.0, 900.0 }) {
+    canary_exposure exposure;
+    exposure.allowed_share = 0.1;
+    exposure.allowed_slack = 50;
+    exposure.requests = perSecond * 10;
+    exposure.canary_requests = 0.03 * exposure.requests + 10;
+    canary_schedule schedule = ScheduleFor(kLimit, seconds(10), exposure);
+    CHECK(schedule.promote_at < schedule.complete_at);
+    CHECK(schedule.complete_at < kLimit);
+    double promotedSeconds =
+      std::chrono::duration<double>(kLimit - schedule.promote_at).count();
+    double exposed = exposure.canary_requests + perSecond * promotedSeconds;
+    CHECK(exposed <=
+          exposure.allowed_share * perSecond * 12 + exposure.allowed_slack);
+  }
+}
+
+TEST_CASE("canary schedule, no request counted yet, is the usual one", "[mesh]")
+{
+  CHECK(ScheduleFor(seconds(12), seconds(10), {}).promote_at ==
+        ScheduleFor(seconds(12)).promote_at);
+}
--- a/test/unit/proxy-test.cc
+++ b/test/unit/proxy-test.cc
@@ -295,6 +295,38 @@
   CHECK(canaryRequests < 0.06 * kMilliseconds);
 }
 
+TEST_CASE(
+  "version selector, burst, gives one instance the load after promotion",
+  "[proxy]")
+{
+  // A fault under load shows once requests overlap as they will after the
+  // promotion. A short burst of all requests ends before they do.
+  constexpr std::size_t kInstances = 4;
+  constexpr int kPerSecond = 70;
+  constexpr auto kWork = milliseconds(360);
+  version_selector selector;
+  selector.SetInstanceCounts({ { "service", kInstances } });
+  canary_rollout rollout;
+  rollout.service = "service";
+  rollout.target_version = "v2";
+  rollout.order_id = 5;
+  rollout.share = 0.015;
+  rollout.time_limit = seconds(12);
+  rollout.started_at = kStart;
+  selector.Merge(rollout);
+  std::vector<time_point> ends;
+  double mostRunning = 0;
+  for (int i = 0; i < 11 * kPerSecond; ++i) {
+    time_point now = kStart + milliseconds(i * 1000 / kPerSecond);
+    std::erase_if(ends, [now](time_point aEnd) { return aEnd <= now; });
+    if (selector.DecideCanary("service", now).instance) {
+      ends.push_back(now + kWork);
+    }
+    mostRunning = std::max(mostRunning, static_cast<double>(ends.size()));
+  }
+  CHECK(mostRunning >= 0.9 * kPerSecond * 0.36 / kInstances);
+}
+
 TEST_CASE("version selector, many nodes with little traffic, send the extra "
           "canary requests",
           "[proxy]")
@@ -307,7 +339,7 @@
   unsigned canaryRequests = 0;
   for (unsigned node = 0; node < kNodes; ++node) {
     version_selector selector(node);
-    selector.SetExtraCanaryRequests(kExtraRequests / kNodes);
+    selector.SetExtraCanaryRequests(kExtraRequests / kNodes, 40.0 / kNodes);
     canary_rollout rollout;
     rollout.service = "service";
     rollout.target_version = "v2";
