Pace large answers by the link of the host, small ones first; price crossing domains by size

- bandwidth_scheduler decides what goes onto the link: small messages at once, large ones in the order in which they began; a slow receiver holds back its own answer only. link_pacer applies it to the answers between nodes.
- The last hop plans with the time on the link, refuses a large answer that can't arrive in time, and reports the wait; the choice of instance adds it for large answers.
- A small answer from another failure domain costs less in the choice than a large one, so that callers of a full domain use the free slots of others.

Ruled out: slots and processors (13 to 30 ms of a core a second) as what binds.

--- a/src/mesh/mesh-node.cc
+++ b/src/mesh/mesh-node.cc
@@ -90,7 +90,8 @@
   , mDirectory(mSettings.name)
   , mChooser(mSettings.domain, std::random_device{}())
   , mVersions(std::random_device{}())
-  , mDispatcher(aTransport, mNames)
+  , mLinkPacer(aLoop)
+  , mDispatcher(aTransport, mNames, mLinkPacer.Scheduler())
   , mHopClient(aTransport, mNames)
   , mIngress({ aTransport,
                mNames,
@@ -101,7 +102,7 @@
                mRetries,
                mVersions,
                aCounters })
-  , mHopServer(aTransport, mNames, mDispatcher)
+  , mHopServer(aTransport, mNames, mDispatcher, mLinkPacer)
   , mGossip(aLoop, aClient, mDirectory, mVersions, aCounters, *this)
   , mCanaryDriver(aLoop,
                   aClient,
@@ -125,6 +126,8 @@
 {
   mSettings.bounds = aSettings.bounds;
   mSettings.heartbeat_interval = aSettings.heartbeat_interval;
+  mSettings.link_bits_per_second = aSettings.link_bits_per_second;
+  mLinkPacer.SetLinkRate(mSettings.link_bits_per_second);
   shared_retry_budget_options retryOptions;
   retryOptions.ratio = mSettings.bounds.retry_ratio;
   retryOptions.allowance = mSettings.bounds.retry_allowance;
--- a/src/mesh/mesh-node.h
+++ b/src/mesh/mesh-node.h
@@ -125,6 +125,7 @@
   instance_chooser mChooser;
   shared_retry_budget mRetries;
   version_selector mVersions;
+  link_pacer mLinkPacer;
   instance_dispatcher mDispatcher;
   hop_client mHopClient;
   ingress mIngress;
--- a/src/mesh/mesh-settings.h
+++ b/src/mesh/mesh-settings.h
@@ -50,6 +50,8 @@
   bool first_start = false;
   duration heartbeat_interval = std::chrono::milliseconds(1500);
   unsigned max_connections = 4096;
+  /// Bits per second of the host's link; 0 if unknown.
+  double link_bits_per_second = 0;
   mesh_bounds bounds;
 };
 
--- a/src/proxy/hop-fields.cc
+++ b/src/proxy/hop-fields.cc
@@ -60,6 +60,7 @@
     return std::chrono::milliseconds(ReadNumber<std::int64_t>());
   }
 
+  bool HasMore() const { return !mRemaining.empty(); }
   bool IsValid() const { return mValid; }
 
 private:
@@ -125,7 +126,8 @@
   return JoinWords({ std::to_string(aLoad.busy),
                      std::to_string(aLoad.waiting),
                      std::to_string(aLoad.slots),
-                     MillisecondsText(aLoad.average_duration) });
+                     MillisecondsText(aLoad.average_duration),
+                     MillisecondsText(aLoad.link_wait) });
 }
 
 std::optional<run_load>
@@ -137,6 +139,9 @@
   load.waiting = words.ReadNumber<unsigned>();
   load.slots = words.ReadNumber<unsigned>();
   load.average_duration = words.ReadDuration();
+  if (words.HasMore()) { // nodes of earlier versions do not send it
+    load.link_wait = words.ReadDuration();
+  }
   if (!words.IsValid() || load.slots == 0) {
     return std::nullopt;
   }
--- a/src/proxy/hop-server.cc
+++ b/src/proxy/hop-server.cc
@@ -102,17 +102,19 @@
 
 hop_server::hop_server(tcp_transport& aTransport,
                        const header_names& aNames,
-                       instance_dispatcher& aDispatcher)
+                       instance_dispatcher& aDispatcher,
+                       link_pacer& aPacer)
   : mTransport(aTransport)
   , mNames(aNames)
   , mDispatcher(aDispatcher)
+  , mPacer(aPacer)
 {
 }
 
 result<void>
 hop_server::Listen(const endpoint& aAddress)
 {
-  return mSessions.Listen(mTransport, aAddress, *this);
+  return mSessions.Listen(mTransport, aAddress, *this, &mPacer);
 }
 
 traffic_limits
--- a/src/proxy/hop-server.h
+++ b/src/proxy/hop-server.h
@@ -12,7 +12,8 @@
 public:
   hop_server(tcp_transport& aTransport,
              const header_names& aNames,
-             instance_dispatcher& aDispatcher);
+             instance_dispatcher& aDispatcher,
+             link_pacer& aPacer);
 
   result<void> Listen(const endpoint& aAddress);
 
@@ -30,6 +31,7 @@
   tcp_transport& mTransport;
   const header_names& mNames;
   instance_dispatcher& mDispatcher;
+  link_pacer& mPacer;
   session_list mSessions;
   bool mClosing = false;
 };
--- a/src/proxy/ingress.h
+++ b/src/proxy/ingress.h
@@ -68,6 +68,7 @@
   ingress_dependencies& Dependencies() { return mDependencies; }
   const std::string& CallerService() const { return mCallerService; }
   caller_wait_estimator& WaitEstimator() { return mWaitEstimator; }
+  answer_size_estimator& AnswerSizes() { return mAnswerSizes; }
   bool IsRefusing() const { return mRefusing; }
 
   /// Selects the service for the next request of a route, by weight.
@@ -83,6 +84,7 @@
   traffic_table_ptr mTable;
   session_list mSessions;
   caller_wait_estimator mWaitEstimator;
+  answer_size_estimator mAnswerSizes;
   /// Current weights of the smooth weighted round robin, by route name and
   /// service.
   std::map<std::string, std::map<std::string, double>> mCurrentWeights;
--- a/src/proxy/instance-chooser.cc
+++ b/src/proxy/instance-chooser.cc
@@ -20,8 +20,13 @@
 /// A full instance is slower than an idle one by this fraction.
 constexpr double kLoadPenalty = 0.4;
 /// Fraction of the time to the soft deadline that is added for an instance in
-/// another failure domain, because traffic between domains is paid for.
-constexpr double kCrossDomainShare = 0.35;
+/// another failure domain, because traffic between domains is paid for: for a
+/// small answer, and for one of `kLargeAnswerBytes` or more.
+constexpr double kSmallCrossDomainShare = 0.1;
+constexpr double kLargeCrossDomainShare = 0.35;
+constexpr std::size_t kLargeAnswerBytes = 64U << 10U;
+/// Answers of this size and more wait for the link behind other large ones.
+constexpr std::size_t kLinkBoundBytes = 16U << 10U;
 /// Factor for an instance that is still warming up.
 constexpr double kWarmUpPenalty = 2;
 /// Added for an unreachable host, in microseconds; exceeds any request timeout.
@@ -39,6 +44,15 @@
 constexpr duration kMaxFullTime = std::chrono::milliseconds(150);
 constexpr duration kMaxUnusedTime = std::chrono::seconds(60);
 
+double
+CrossDomainShare(std::size_t aAnswerBytes)
+{
+  double size =
+    std::min(1.0, static_cast<double>(aAnswerBytes) / kLargeAnswerBytes);
+  return kSmallCrossDomainShare +
+         size * (kLargeCrossDomainShare - kSmallCrossDomainShare);
+}
+
 double
 Seconds(duration aTime)
 {
@@ -72,7 +86,7 @@
 double
 instance_chooser::ExpectedMicroseconds(const instance_candidate& aCandidate,
                                        double aMeanMicroseconds,
-                                       duration aTimeToSoftDeadline,
+                                       const request_urgency& aRequest,
                                        time_point aNow)
 {
   const instance_load& load = mLoads[aCandidate.instance];
@@ -97,8 +111,13 @@
     std::exp2(-Seconds(aNow - load.failed_at) / kFailureHalfLifeSeconds);
   expected *= 1 + kFailurePenalty * load.failure_rate * failureDecay;
   if (aCandidate.domain != mDomain) {
-    expected +=
-      kCrossDomainShare * static_cast<double>(aTimeToSoftDeadline.count());
+    duration left = std::max(aRequest.time_to_soft_deadline, duration(0));
+    expected += CrossDomainShare(aRequest.answer_bytes) *
+                static_cast<double>(left.count());
+  }
+  if (aRequest.answer_bytes >= kLinkBoundBytes) {
+    duration wait = load.link_wait - (aNow - load.reported_at);
+    expected += static_cast<double>(std::max(wait, duration(0)).count());
   }
   std::uniform_real_distribution<double> jitter(1, 1 + kJitter);
   return expected * jitter(mRandom);
@@ -141,8 +160,6 @@
                          const request_urgency& aRequest,
                          time_point aNow)
 {
-  duration timeToSoftDeadline =
-    std::max(aRequest.time_to_soft_deadline, duration(0));
   double mean = MeanMicroseconds(aCandidates);
   std::optional<std::size_t> best;
   double bestExpected = std::numeric_limits<double>::infinity();
@@ -154,8 +171,7 @@
     if (aNow < FullUntil(mLoads[candidate.instance], aRequest)) {
       continue;
     }
-    double expected =
-      ExpectedMicroseconds(candidate, mean, timeToSoftDeadline, aNow);
+    double expected = ExpectedMicroseconds(candidate, mean, aRequest, aNow);
     if (candidate.unreachable) {
       // Chosen only if there is no reachable candidate.
       expected += kUnreachablePenalty;
@@ -194,6 +210,7 @@
     load.average_other_requests +=
       kReportWeight * (load.other_requests - load.average_other_requests);
     load.reported_at = aNow;
+    load.link_wait = aLoad->link_wait;
     if (aLoad->average_duration > duration(0)) {
       load.average_microseconds =
         static_cast<double>(aLoad->average_duration.count());
--- a/src/proxy/instance-chooser.h
+++ b/src/proxy/instance-chooser.h
@@ -31,6 +31,8 @@
   unsigned priority = 0;
   /// Negative once the soft deadline has passed.
   duration time_to_soft_deadline{ 0 };
+  /// Expected size of the answer; 0 if unknown.
+  std::size_t answer_bytes = 0;
 };
 
 /// Chooses the instance with the lowest expected response time. The estimate
@@ -85,6 +87,9 @@
     /// Moving average of `other_requests`.
     double average_other_requests = 0;
     time_point reported_at{};
+    /// Time that a large answer waits for the link of the host, as last
+    /// reported.
+    duration link_wait{ 0 };
     /// Average duration of a request, as last reported; 0 if unknown.
     double average_microseconds = 0;
     /// Moving average, 0 to 1.
@@ -100,7 +105,7 @@
   /// if that of the instance is unknown.
   double ExpectedMicroseconds(const instance_candidate& aCandidate,
                               double aMeanMicroseconds,
-                              duration aTimeToSoftDeadline,
+                              const request_urgency& aRequest,
                               time_point aNow);
   /// Time until which the instance is expected to refuse such a request.
   static time_point FullUntil(const instance_load& aLoad,
--- a/src/proxy/instance-dispatcher.cc
+++ b/src/proxy/instance-dispatcher.cc
@@ -22,6 +22,8 @@
 constexpr duration kDrainReserve = std::chrono::milliseconds(500);
 /// Limit for connecting to the instance and for its acknowledgements.
 constexpr duration kUnacknowledgedTimeout = std::chrono::seconds(2);
+/// Larger answers are counted as load of the link.
+constexpr std::size_t kMinLargeAnswerBytes = 16U << 10U;
 
 } // namespace
 
@@ -39,9 +41,16 @@
     , mDispatcher(aDispatcher)
     , mId(aId)
     , mVersion(aDispatcher.mInstance.version)
+    , mExpectedBytes(aDispatcher.mAnswerSizes.Expected(mRequest.route))
   {
+    if (mExpectedBytes < kMinLargeAnswerBytes) {
+      mExpectedBytes = 0;
+    }
   }
 
+  /// Expected size of a large answer, 0 of a small one.
+  std::size_t ExpectedBytes() const { return mExpectedBytes; }
+
   /// Sends the request to the instance.
   void Start()
   {
@@ -71,7 +80,7 @@
       EndRun(duration(0));
     } else {
       mDispatcher.mQueue.Remove(mId);
-      mDispatcher.mRuns.erase(mId);
+      mDispatcher.RemoveRun(mId);
     }
   }
 
@@ -120,6 +129,7 @@
 
   void OnAnswerBody(std::string_view aBytes) override
   {
+    mAnswerBytes += aBytes.size();
     if (mSink && mRefusedStatus == 0 && !mMissingStamp) {
       mSink->OnAnswerBody(aBytes);
     }
@@ -143,6 +153,9 @@
       return;
     }
     ReportResult(status::IsServerError(mStatus));
+    if (status::IsSuccess(mStatus)) {
+      mDispatcher.mAnswerSizes.Record(mRequest.route, mAnswerBytes);
+    }
     std::shared_ptr<answer_sink> sink = std::move(mSink);
     mSink.reset();
     EndRun(!status::IsServerError(mStatus) ? Elapsed() : duration(0));
@@ -238,7 +251,7 @@
     if (mStarted) {
       EndRun(duration(0));
     } else {
-      mDispatcher.mRuns.erase(mId);
+      mDispatcher.RemoveRun(mId);
     }
     if (sink) {
       sink->OnRunFailed(aFailure);
@@ -258,6 +271,8 @@
   instance_dispatcher& mDispatcher;
   run_id mId;
   std::string mVersion;
+  std::size_t mExpectedBytes;
+  std::size_t mAnswerBytes = 0;
   time_point mDispatchedAt{};
   int mStatus = 0;
   int mRefusedStatus = 0;
@@ -268,9 +283,11 @@
 };
 
 instance_dispatcher::instance_dispatcher(tcp_transport& aTransport,
-                                         const header_names& aNames)
+                                         const header_names& aNames,
+                                         const bandwidth_scheduler& aLink)
   : mTransport(aTransport)
   , mNames(aNames)
+  , mLink(aLink)
 {
 }
 
@@ -353,6 +370,23 @@
   return std::nullopt;
 }
 
+run_load
+instance_dispatcher::Load() const
+{
+  run_load load = mQueue.Load();
+  load.link_wait = mLink.SendTime(mLink.QueuedBytes() + mExpectedBytes);
+  return load;
+}
+
+duration
+instance_dispatcher::LinkDelay(std::size_t aAnswerBytes) const
+{
+  if (aAnswerBytes < kMinLargeAnswerBytes) {
+    return duration(0);
+  }
+  return mLink.SendTime(mLink.QueuedBytes() + mExpectedBytes + aAnswerBytes);
+}
+
 run_start
 instance_dispatcher::Dispatch(forwarded_request aRequest,
                               std::shared_ptr<answer_sink> aSink)
@@ -360,13 +394,25 @@
   if (std::optional<run_failure> refusal = RefusalOf(aRequest)) {
     return tl::unexpected<run_failure>(*refusal);
   }
+  time_point now = mTransport.Loop().Now();
+  duration linkDelay = LinkDelay(mAnswerSizes.Expected(aRequest.route));
+  if (linkDelay > duration(0) &&
+      now + mQueue.AverageDuration(aRequest.route) + linkDelay >
+        aRequest.deadline) {
+    run_failure failure;
+    failure.reason = run_failure_reason::full;
+    failure.not_run = true;
+    failure.retry_after = linkDelay;
+    failure.load = Load();
+    return tl::unexpected<run_failure>(failure);
+  }
   run_entry entry;
   entry.id = mNextId++;
   entry.key = aRequest.route;
   entry.priority = aRequest.priority;
-  entry.soft_deadline = aRequest.soft_deadline;
-  entry.deadline = aRequest.deadline;
-  run_admission admission = mQueue.Admit(entry, mTransport.Loop().Now());
+  entry.soft_deadline = aRequest.soft_deadline - linkDelay;
+  entry.deadline = aRequest.deadline - linkDelay;
+  run_admission admission = mQueue.Admit(entry, now);
   if (admission.decision == run_decision::refuse) {
     run_failure failure;
     failure.reason = run_failure_reason::full;
@@ -378,6 +424,7 @@
   auto run = std::make_shared<instance_run>(
     *this, entry.id, std::move(aRequest), std::move(aSink));
   mRuns.emplace(entry.id, run);
+  mExpectedBytes += run->ExpectedBytes();
   if (admission.decision == run_decision::run) {
     run->Start();
   } else {
@@ -438,12 +485,22 @@
   }
 }
 
+void
+instance_dispatcher::RemoveRun(run_id aId)
+{
+  auto found = mRuns.find(aId);
+  if (found != mRuns.end()) {
+    mExpectedBytes -= found->second->ExpectedBytes();
+    mRuns.erase(found);
+  }
+}
+
 void
 instance_dispatcher::FinishRun(run_id aId,
                                const std::string& aRoute,
                                duration aDuration)
 {
-  mRuns.erase(aId);
+  RemoveRun(aId);
   mQueue.Finish(aRoute, aDuration);
   StartWaiting();
 }
--- a/src/proxy/instance-dispatcher.h
+++ b/src/proxy/instance-dispatcher.h
@@ -5,6 +5,8 @@
 #include <unordered_map>
 
 #include "mesh/host-record.h"
+#include "net/bandwidth-scheduler.h"
+#include "proxy/answer-size-estimator.h"
 #include "proxy/forwarded-request.h"
 #include "wire/channel-pool.h"
 
@@ -29,7 +31,10 @@
 class instance_dispatcher
 {
 public:
-  instance_dispatcher(tcp_transport& aTransport, const header_names& aNames);
+  /// `aLink` schedules the answers to other nodes.
+  instance_dispatcher(tcp_transport& aTransport,
+                      const header_names& aNames,
+                      const bandwidth_scheduler& aLink);
 
   /// Applies the instance's announcement. If it is another instance or a new
   /// incarnation, idle connections are closed and waiting requests are refused.
@@ -53,7 +58,7 @@
   /// The requests that the instance runs now, each unanswered.
   std::vector<run_result> RunningRequests() const;
 
-  run_load Load() const { return mQueue.Load(); }
+  run_load Load() const;
   /// Requests that run or wait.
   std::size_t RequestCount() const { return mRuns.size(); }
 
@@ -69,11 +74,15 @@
   /// Refuses all waiting requests at once if the instance is gone or absent, or
   /// shortly before the end of the drain time if it is draining.
   void RefuseWaitingIfLeaving();
+  /// Time that the answer of a new request is expected to wait for the link and
+  /// to take on it; 0 for a small answer.
+  duration LinkDelay(std::size_t aAnswerBytes) const;
   /// Why a new request must be refused, if it must.
   std::optional<run_failure> RefusalOf(const forwarded_request& aRequest) const;
   /// Returns an idle or new connection, only a new one if `aNewOnly`; null if
   /// the process has no descriptor left.
   std::shared_ptr<client_channel> AcquireChannel(bool aNewOnly);
+  void RemoveRun(run_id aId);
   /// Removes a started request, frees its slot and starts waiting requests.
   void FinishRun(run_id aId, const std::string& aRoute, duration aDuration);
   /// Starts waiting requests on all free slots and refuses those that are too
@@ -87,6 +96,10 @@
 
   tcp_transport& mTransport;
   const header_names& mNames;
+  const bandwidth_scheduler& mLink;
+  answer_size_estimator mAnswerSizes;
+  /// Bytes of the large answers that running and waiting requests will have.
+  std::size_t mExpectedBytes = 0;
   instance_record mInstance;
   bool mLeaving = false;
   bool mSweepScheduled = false;
--- a/src/proxy/proxied-request.cc
+++ b/src/proxy/proxied-request.cc
@@ -134,12 +134,14 @@
 {
   mAnswer.head = std::move(aHead);
   mAnswer.length = aLength;
+  mAnswerBytes = 0;
   mLoad = aLoad;
 }
 
 void
 proxied_request::OnAnswerBody(std::string_view aBytes)
 {
+  mAnswerBytes += aBytes.size();
   mAnswer.body.append(aBytes);
   if (!mAnswerBegun && mAnswer.body.size() > kMaxBufferedAnswerBytes) {
     mAnswerBegun = true;
@@ -182,6 +184,9 @@
   bool failed = status::IsServerError(mAnswer.head.status);
   mDependencies.counters.Add(failed ? proxy_event::failed_by_instance
                                     : proxy_event::answered);
+  if (!failed) {
+    mIngress.AnswerSizes().Record(mRoute->name, mAnswerBytes);
+  }
   duration latency = Now() - mReceived.received;
   mDependencies.counters.Latency().Add(latency);
   if (!failed && Now() > mSoftDeadline) {
--- a/src/proxy/proxied-request.h
+++ b/src/proxy/proxied-request.h
@@ -74,7 +74,9 @@
   /// Urgency of the request, for the choice of an instance.
   request_urgency Urgency()
   {
-    return { mRoute->priority, mSoftDeadline - Now() };
+    return { mRoute->priority,
+             mSoftDeadline - Now(),
+             mIngress.AnswerSizes().Expected(mRoute->name) };
   }
 
   void SendTo(const instance_candidate& aCandidate);
@@ -131,6 +133,8 @@
   /// The failure answer of an instance, kept while the request is retried.
   std::optional<buffered_answer> mFailedAnswer;
   run_load mLoad;
+  /// Bytes of the current answer's body that were received.
+  std::size_t mAnswerBytes = 0;
   attempt_history mAttempts;
   /// An attempt was reported to the chooser as started and not yet as ended.
   bool mRunning = false;
--- a/src/proxy/run-queue.h
+++ b/src/proxy/run-queue.h
@@ -55,6 +55,9 @@
   unsigned slots = 1;
   /// Moving average of the time that a request takes; zero if unknown.
   duration average_duration{ 0 };
+  /// Time until the host's link has sent the large answers that are waiting or
+  /// expected.
+  duration link_wait{ 0 };
 };
 
 /// Queue of requests for the slots of one instance.
--- a/src/proxy/server-session.cc
+++ b/src/proxy/server-session.cc
@@ -26,13 +26,15 @@
 result<void>
 session_list::Listen(tcp_transport& aTransport,
                      const endpoint& aAddress,
-                     request_server& aServer)
+                     request_server& aServer,
+                     link_pacer* aPacer)
 {
   return aTransport.Listen(
     aAddress,
-    [this, &aTransport, &aServer](std::shared_ptr<connection> aConnection) {
+    [this, &aTransport, &aServer, aPacer](
+      std::shared_ptr<connection> aConnection) {
       auto session = std::make_shared<server_session>(
-        aConnection, aServer, *this, aTransport.Loop());
+        aConnection, aServer, *this, aTransport.Loop(), aPacer);
       Add(session);
       aConnection->SetObserver(session);
     });
@@ -72,11 +74,13 @@
 server_session::server_session(std::shared_ptr<connection> aConnection,
                                request_server& aServer,
                                session_list& aList,
-                               loop& aLoop)
+                               loop& aLoop,
+                               link_pacer* aPacer)
   : mConnection(std::move(aConnection))
   , mServer(aServer)
   , mList(aList)
   , mLoop(aLoop)
+  , mPacer(aPacer)
   , mIdleSince(aLoop.Now())
 {
   mParser.SetHeadLimit(aServer.Limits().head_bytes);
@@ -213,7 +217,7 @@
     CancelAll();
     if (answering) {
       RemoveFromList();
-      mConnection->Close();
+      CloseNow();
       return;
     }
   }
@@ -230,7 +234,7 @@
     return;
   }
   mContinueSent = true;
-  mConnection->Send("HTTP/1.1 100 Continue\r\n\r\n");
+  Send("HTTP/1.1 100 Continue\r\n\r\n");
 }
 
 bool
@@ -299,7 +303,7 @@
     if (first->mCloseAfter) {
       CancelAll();
       RemoveFromList();
-      mConnection->CloseAfterSending();
+      CloseAfterSending();
       return;
     }
     ScheduleInput();
@@ -339,7 +343,7 @@
   }
   CancelAll();
   RemoveFromList();
-  mConnection->CloseAfterSending();
+  CloseAfterSending();
 }
 
 void
@@ -367,9 +371,9 @@
   AppendField(text, "Content-Length", "0");
   AppendField(text, "Connection", "close");
   text += "\r\n";
-  mConnection->Send(text);
+  Send(text);
   RemoveFromList();
-  mConnection->CloseAfterSending();
+  CloseAfterSending();
 }
 
 void
@@ -389,10 +393,48 @@
 {
   std::shared_ptr<server_session> self = shared_from_this();
   RemoveFromList();
+  if (mPacer != nullptr) {
+    mPacer->Drop(*mConnection);
+  }
   mLastBegun = true;
   CancelAll();
 }
 
+void
+server_session::Send(std::string_view aBytes)
+{
+  if (mPacer != nullptr) {
+    mPacer->Send(mConnection, aBytes);
+  } else {
+    mConnection->Send(aBytes);
+  }
+}
+
+std::size_t
+server_session::Unsent() const
+{
+  std::size_t pending = mPacer != nullptr ? mPacer->Pending(*mConnection) : 0;
+  return mConnection->Unsent() + pending;
+}
+
+void
+server_session::CloseAfterSending()
+{
+  if (mPacer != nullptr) {
+    mPacer->SendAll(*mConnection);
+  }
+  mConnection->CloseAfterSending();
+}
+
+void
+server_session::CloseNow()
+{
+  if (mPacer != nullptr) {
+    mPacer->Drop(*mConnection);
+  }
+  mConnection->Close();
+}
+
 void
 server_session::RemoveFromList()
 {
@@ -407,7 +449,7 @@
     return;
   }
   RemoveFromList();
-  mConnection->Close();
+  CloseNow();
 }
 
 void
--- a/src/proxy/server-session.h
+++ b/src/proxy/server-session.h
@@ -5,7 +5,7 @@
 #include <functional>
 #include <unordered_set>
 
-#include "net/socket.h"
+#include "net/link-pacer.h"
 #include "proxy/server-exchange.h"
 #include "traffic/traffic-table.h"
 #include "wire/message-parser.h"
@@ -54,11 +54,13 @@
 class session_list
 {
 public:
-  /// Listens on the address and creates a session for each connection.
-  /// `aTransport` and `aServer` outlive the list.
+  /// Listens on the address and creates a session for each connection. Answers
+  /// are sent through `aPacer` unless it is null. `aTransport`, `aServer` and
+  /// `aPacer` outlive the list.
   result<void> Listen(tcp_transport& aTransport,
                       const endpoint& aAddress,
-                      request_server& aServer);
+                      request_server& aServer,
+                      link_pacer* aPacer = nullptr);
   void Add(const std::shared_ptr<server_session>& aSession);
   void Remove(server_session* aSession);
   /// Closes sessions that exceeded the idle timeout, or the timeout for
@@ -85,7 +87,8 @@
   server_session(std::shared_ptr<connection> aConnection,
                  request_server& aServer,
                  session_list& aList,
-                 loop& aLoop);
+                 loop& aLoop,
+                 link_pacer* aPacer);
 
   bool IsBusy() const { return !mExchanges.empty(); }
   /// Closes the connection if no request is being received or handled.
@@ -117,6 +120,8 @@
   /// Parses the next request on the connection. Returns false if it is invalid.
   bool ParseNext();
   void RemoveFromList();
+  void CloseAfterSending();
+  void CloseNow();
   /// Sends 100 Continue once if the request has an Expect field.
   void SendContinueIfExpected();
   /// Stops reading while too much input is buffered, or resumes it.
@@ -130,8 +135,8 @@
   // Used by the exchanges.
 
   bool IsFirst(const server_exchange& aExchange) const;
-  void Send(std::string_view aBytes) { mConnection->Send(aBytes); }
-  std::size_t Unsent() const { return mConnection->Unsent(); }
+  void Send(std::string_view aBytes);
+  std::size_t Unsent() const;
   void PauseBody(bool aPaused);
   /// Decides whether the connection is closed after the answer of an exchange.
   /// No request starts after such an answer.
@@ -145,6 +150,7 @@
   request_server& mServer;
   session_list& mList;
   loop& mLoop;
+  link_pacer* mPacer;
   message_parser mParser{ message_kind::request };
   /// Requests in progress and answers that wait for earlier ones, in order.
   std::deque<std::shared_ptr<server_exchange>> mExchanges;
--- a/test/unit/hop-test.cc
+++ b/test/unit/hop-test.cc
@@ -95,8 +95,9 @@
 public:
   hop_fixture()
     : sockets(events)
-    , dispatcher(sockets, names)
-    , server(sockets, names, dispatcher)
+    , pacer(events)
+    , dispatcher(sockets, names, pacer.Scheduler())
+    , server(sockets, names, dispatcher, pacer)
     , client(sockets, names)
     , address(FreeAddress())
     , sink(std::make_shared<recording_sink>(events))
@@ -160,6 +161,7 @@
                       "X-Caller", "X-Stamp",   "X-Not" };
   loop events{ 256 };
   tcp_transport sockets;
+  link_pacer pacer;
   instance_dispatcher dispatcher;
   hop_server server;
   hop_client client;
