--- a/src/mesh/canary-driver.cc
+++ b/src/mesh/canary-driver.cc
@@ -18,7 +18,7 @@
 constexpr std::uint64_t kTicksPerCanaryReport = 2;
 constexpr duration kReportTimeout = std::chrono::milliseconds(800);
 /// Delay between one decider and the next before it changes the phase.
-constexpr duration kDeciderStagger = std::chrono::milliseconds(350);
+constexpr duration kDeciderStagger = std::chrono::milliseconds(200);
 constexpr duration kRecordRetryDelay = std::chrono::milliseconds(400);
 /// Time for which a decider must have known an order before it promotes: every
 /// node repeats its counts several times within it.
@@ -35,12 +35,12 @@
 /// Time before the deadline at which the rollout is recorded as complete.
 constexpr duration kRecordingTime = std::chrono::milliseconds(800);
 /// The same after a late promotion.
-constexpr duration kMinRecordingTime = std::chrono::milliseconds(300);
+constexpr duration kMinRecordingTime = std::chrono::milliseconds(450);
 /// Part of the time between promotion and the deadline that is for recording.
-constexpr double kRecordingFraction = 0.4;
+constexpr double kRecordingFraction = 0.25;
 /// Part of the allowed exposure that is planned for. The rest is for requests
 /// that arrive late, and for changes of the request rate.
-constexpr double kPlannedExposure = 0.85;
+constexpr double kPlannedExposure = 0.95;
 /// Part of the allowed exposure that the steady canary share uses. The rest is
 /// for canary bursts and for the time between promotion and a rollback.
 constexpr double kSteadyShareFraction = 0.15;
--- a/src/net/link-pacer.cc
+++ b/src/net/link-pacer.cc
@@ -8,7 +8,7 @@
 constexpr duration kSendPeriod = std::chrono::milliseconds(5);
 /// Part of the link's rate that is used, so that what else the host sends, such
 /// as retransmissions, does not fill the link.
-constexpr double kUsedLinkShare = 0.97;
+constexpr double kUsedLinkShare = 0.9;
 constexpr double kBitsPerByte = 8;
 
 } // namespace
--- a/src/proxy/run-queue.cc
+++ b/src/proxy/run-queue.cc
@@ -19,6 +19,9 @@
 /// one waiting request per this many slots. Otherwise requests that can still
 /// meet their soft deadline would keep overtaking it.
 constexpr std::size_t kSlotsPerLateRequest = 4;
+/// A request is short if others take at least this many times as long. This is
+/// less than the factor by which an answer is worth less when it is late.
+constexpr double kShortFactor = 2.5;
 
 void
 UpdateAverage(double& aAverage, double aNewest)
@@ -65,13 +68,27 @@
   return Microseconds(average * kLikelyFactor);
 }
 
+bool
+run_queue::IsLate(const run_entry& aEntry, time_point aNow) const
+{
+  return aNow + LikelyDuration(aEntry.key) > aEntry.soft_deadline;
+}
+
+bool
+run_queue::IsShort(const std::string& aKey) const
+{
+  auto known = mAverages.find(aKey);
+  return known != mAverages.end() &&
+         known->second * kShortFactor <= mLongestAverage;
+}
+
 bool
 run_queue::RunsBefore(const run_entry& aLeft,
                       const run_entry& aRight,
                       time_point aNow) const
 {
-  bool leftLate = aNow + LikelyDuration(aLeft.key) > aLeft.soft_deadline;
-  bool rightLate = aNow + LikelyDuration(aRight.key) > aRight.soft_deadline;
+  bool leftLate = IsLate(aLeft, aNow) && !IsShort(aLeft.key);
+  bool rightLate = IsLate(aRight, aNow) && !IsShort(aRight.key);
   if (leftLate != rightLate) {
     return rightLate;
   }
@@ -113,8 +130,8 @@
 bool
 run_queue::IsTooLateToWait(const run_entry& aEntry, time_point aNow) const
 {
-  bool late = aNow + LikelyDuration(aEntry.key) > aEntry.soft_deadline;
-  return late && mWaiting.size() * kSlotsPerLateRequest >= mSlots;
+  return IsLate(aEntry, aNow) && !IsShort(aEntry.key) &&
+         mWaiting.size() * kSlotsPerLateRequest >= mSlots;
 }
 
 run_admission
@@ -174,6 +191,10 @@
   if (aDuration > duration(0)) {
     UpdateAverage(mAverages[aKey], static_cast<double>(aDuration.count()));
     UpdateAverage(mOverallAverage, static_cast<double>(aDuration.count()));
+    mLongestAverage = 0;
+    for (const auto& [key, average] : mAverages) {
+      mLongestAverage = std::max(mLongestAverage, average);
+    }
   }
 }
 
--- a/src/proxy/run-queue.h
+++ b/src/proxy/run-queue.h
@@ -67,6 +67,10 @@
 /// their soft deadline go first, then those of higher priority, then those with
 /// the earlier soft deadline. A new request evicts waiting ones that cannot
 /// finish in time behind it.
+///
+/// A request that takes much less time than others keeps its place after its
+/// soft deadline: it delays them little, and it is often a call on which a
+/// request that holds a slot of another instance waits.
 class run_queue
 {
 public:
@@ -106,6 +110,10 @@
 private:
   /// Time within which most requests of a key finish.
   duration LikelyDuration(const std::string& aKey) const;
+  /// Whether a request will miss its soft deadline.
+  bool IsLate(const run_entry& aEntry, time_point aNow) const;
+  /// Whether requests of a key take much less time than those of others.
+  bool IsShort(const std::string& aKey) const;
   /// Whether `aLeft` runs before `aRight`.
   bool RunsBefore(const run_entry& aLeft,
                   const run_entry& aRight,
@@ -128,6 +136,8 @@
   std::list<run_entry> mWaiting;
   /// Moving average of the duration by key, in microseconds.
   std::map<std::string, double> mAverages;
+  /// Largest value of `mAverages`.
+  double mLongestAverage = 0;
   /// Moving average over all keys, in microseconds; 0 if unknown.
   double mOverallAverage = 0;
 };
--- a/src/proxy/version-selector.cc
+++ b/src/proxy/version-selector.cc
@@ -22,7 +22,7 @@
 constexpr duration kBurstPeriod = std::chrono::milliseconds(2800);
 /// Length of a burst if the service has `kFewInstances`. With more instances
 /// one burst takes a smaller share of the requests, and may last longer.
-constexpr duration kBurstLength = std::chrono::milliseconds(700);
+constexpr duration kBurstLength = std::chrono::milliseconds(500);
 constexpr std::size_t kFewInstances = 4;
 
 } // namespace
--- a/test/unit/proxy-test.cc
+++ b/test/unit/proxy-test.cc
@@ -110,6 +110,33 @@
   CHECK(*next.run == 11);
 }
 
+TEST_CASE_METHOD(run_queue_fixture,
+                 "run queue, calls beside long requests, late call keeps its "
+                 "place",
+                 "[proxy]")
+{
+  // Under overload, calls of other services' requests were refused once their
+  // short soft deadline had passed, and their callers failed after they had
+  // held a slot for most of their time.
+  Fill();
+  for (int i = 0; i < 30; ++i) {
+    queue.Finish("call", milliseconds(15));
+    queue.Finish("route", milliseconds(80));
+    Fill();
+  }
+  for (run_id id = 10; id < 14; ++id) {
+    queue.Admit(Entry(id, 1, milliseconds(250)), kStart);
+  }
+  run_entry call = Entry(20, 1, milliseconds(10));
+  call.key = "call";
+  call.deadline = kStart + milliseconds(200);
+  REQUIRE(queue.Admit(call, kStart).decision == run_decision::wait);
+  queue.Finish("route", milliseconds(80));
+  run_queue::next_run next = queue.StartNext(kStart + milliseconds(5));
+  REQUIRE(next.run);
+  CHECK(*next.run == 20);
+}
+
 TEST_CASE_METHOD(run_queue_fixture,
                  "run queue, deadline near, waiting request expires",
                  "[proxy]")
