--- a/src/proxy/channel-run.cc
+++ b/src/proxy/channel-run.cc
@@ -15,7 +15,7 @@
   if (mChannel) {
     std::string text;
     mBody.Append(text, aBytes, aLast);
-    mChannel->SendBody(text);
+    mChannel->SendBody(text, aLast);
   }
 }
 
--- a/src/proxy/hop-client.cc
+++ b/src/proxy/hop-client.cc
@@ -53,7 +53,7 @@
     mChannel->Begin(text,
                     shared_from_this(),
                     { mClient.mNames.request_id, mRequest.request_id },
-                    mRequest.head.method == "HEAD");
+                    { mRequest.head.method == "HEAD", mRequest.body_complete });
     return true;
   }
 
--- a/src/proxy/hop-fields.cc
+++ b/src/proxy/hop-fields.cc
@@ -6,6 +6,8 @@
 
 namespace {
 
+/// Stands for an empty word.
+constexpr std::string_view kEmptyWord = "-";
 constexpr std::string_view kIdempotent = "idempotent";
 constexpr std::string_view kNotIdempotent = "once";
 constexpr std::string_view kNotRun = "not_run";
@@ -68,7 +70,7 @@
   bool mValid = true;
 };
 
-/// Joins words with spaces; writes an empty word as `-`.
+/// Joins words with spaces.
 std::string
 JoinWords(std::initializer_list<std::string_view> aWords)
 {
@@ -77,7 +79,7 @@
     if (!text.empty()) {
       text += ' ';
     }
-    text += word.empty() ? std::string_view("-") : word;
+    text += word.empty() ? kEmptyWord : word;
   }
   return text;
 }
@@ -112,7 +114,8 @@
   aRequest.idempotent = words.ReadChoice(kIdempotent, kNotIdempotent);
   aRequest.soft_deadline = aNow + words.ReadDuration();
   aRequest.deadline = aNow + words.ReadDuration();
-  aRequest.caller_service = words.ReadWord();
+  std::string_view service = words.ReadWord();
+  aRequest.caller_service = service == kEmptyWord ? "" : service;
   if (!words.IsValid()) {
     return Fail(error_kind::invalid_argument,
                 "hop request: Mesh-Call field missing or malformed");
--- a/src/proxy/instance-chooser.cc
+++ b/src/proxy/instance-chooser.cc
@@ -143,8 +143,9 @@
   // priority. A refused late request says nothing about requests that can still
   // meet their soft deadline, since those go first.
   bool late = aRequest.time_to_soft_deadline <= duration(0);
-  for (std::size_t priority = aRequest.priority; priority < kPriorityLevels;
-       ++priority) {
+  std::size_t first =
+    std::min<std::size_t>(aRequest.priority, kPriorityLevels - 1);
+  for (std::size_t priority = first; priority < kPriorityLevels; ++priority) {
     aLoad.full_until[priority][1] =
       std::max(aLoad.full_until[priority][1], aUntil);
     if (!late) {
--- a/src/proxy/instance-dispatcher.cc
+++ b/src/proxy/instance-dispatcher.cc
@@ -198,7 +198,7 @@
     channel->Begin(RequestText(now),
                    shared_from_this(),
                    { mDispatcher.mNames.request_id, mRequest.request_id },
-                   mRequest.head.method == "HEAD");
+                   { mRequest.head.method == "HEAD", mRequest.body_complete });
   }
 
   /// The head of the request and the first part of its body.
--- a/src/wire/client-channel.cc
+++ b/src/wire/client-channel.cc
@@ -37,14 +37,14 @@
 client_channel::Begin(std::string_view aBytes,
                       std::shared_ptr<observer> aObserver,
                       answer_identity aIdentity,
-                      bool aIsHeadRequest)
+                      request_properties aProperties)
 {
   mObserver = std::move(aObserver);
   mIdentity = std::move(aIdentity);
-  mIsHeadRequest = aIsHeadRequest;
+  mProperties = aProperties;
   mHeadDelivered = false;
   mInExchange = true;
-  if (mIsHeadRequest) {
+  if (mProperties.head_only) {
     mParser.ExpectNoBody();
   }
   if (mConnection) {
@@ -53,8 +53,9 @@
 }
 
 void
-client_channel::SendBody(std::string_view aBytes)
+client_channel::SendBody(std::string_view aBytes, bool aLast)
 {
+  mProperties.complete = mProperties.complete || aLast;
   if (mConnection) {
     mConnection->Send(aBytes);
   }
@@ -142,7 +143,7 @@
   if (mSkippingAnswer) {
     mSkippingAnswer = false;
     result<void> next = mParser.Next();
-    if (mIsHeadRequest) {
+    if (mProperties.head_only) {
       mParser.ExpectNoBody();
     }
     if (!next) {
@@ -204,7 +205,10 @@
 void
 client_channel::FinishExchange()
 {
-  bool reusable = mParser.RemainingBytes() == 0 && mParser.KeepAlive();
+  // A server that answers early reads on for the rest of the body, where the
+  // next request would follow.
+  bool reusable = mProperties.complete && mParser.RemainingBytes() == 0 &&
+                  mParser.KeepAlive();
   mKeepOpen = mKeepOpen && reusable;
   mInExchange = false;
   mUsedBefore = true;
--- a/src/wire/client-channel.h
+++ b/src/wire/client-channel.h
@@ -56,16 +56,25 @@
 
   explicit client_channel(tcp_transport& aTransport);
 
+  /// Properties of a request that matter to the connection.
+  struct request_properties
+  {
+    /// The answer to a HEAD request has no body.
+    bool head_only = false;
+    /// The request is sent whole; otherwise, `SendBody` sends the rest.
+    bool complete = true;
+  };
+
   /// Starts an exchange. `aBytes` holds the head and the part of the body that
   /// is available. An answer with another identity belongs to an earlier
-  /// request and is dropped. The answer to a HEAD request has no body.
+  /// request and is dropped.
   void Begin(std::string_view aBytes,
              std::shared_ptr<observer> aObserver,
              answer_identity aIdentity,
-             bool aIsHeadRequest);
+             request_properties aProperties);
 
   /// Sends the next part of the request body.
-  void SendBody(std::string_view aBytes);
+  void SendBody(std::string_view aBytes, bool aLast);
 
   /// Ends the exchange and closes the connection without notifying the
   /// observer.
@@ -107,7 +116,7 @@
   message_parser mParser{ message_kind::response };
   std::shared_ptr<observer> mObserver;
   answer_identity mIdentity;
-  bool mIsHeadRequest = false;
+  request_properties mProperties;
   bool mHeadDelivered = false;
   /// The current answer is not the final one of the current request.
   bool mSkippingAnswer = false;
--- a/src/wire/control-client.cc
+++ b/src/wire/control-client.cc
@@ -61,7 +61,7 @@
             execution::unknown }),
         false);
     });
-    mChannel->Begin(aText, shared_from_this(), {}, false);
+    mChannel->Begin(aText, shared_from_this(), {}, {});
   }
 
   void OnAnswerHead(message_head& aHead, std::optional<std::uint64_t>) override
--- a/test/unit/platform-test.cc
+++ b/test/unit/platform-test.cc
@@ -193,6 +193,21 @@
   CHECK(settings->bounds.drain_time == std::chrono::milliseconds(2500));
 }
 
+TEST_CASE("platform settings, malformed bound, are rejected", "[platform]")
+{
+  // A malformed number was read as 0, which turned a bound off.
+  nlohmann::json document = nlohmann::json::parse(kSettings);
+  for (const char* bound :
+       { "drain_s=", "drain_s=2x", "retry_ratio=-1", "canary_slack=nan" }) {
+    document["bounds"] = { bound };
+    CHECK_FALSE(ParseMeshSettings(document.dump()));
+  }
+  document["bounds"] = { "unknown=many", "drain_s=2.5" };
+  CHECK(ParseMeshSettings(document.dump()));
+  document["beat_interval_s"] = 0;
+  CHECK_FALSE(ParseMeshSettings(document.dump()));
+}
+
 TEST_CASE("platform settings, address missing or not JSON, are rejected",
           "[platform]")
 {
--- a/test/unit/proxy-test.cc
+++ b/test/unit/proxy-test.cc
@@ -179,6 +179,43 @@
   CHECK(Choose() == "far");
 }
 
+TEST_CASE_METHOD(chooser_fixture,
+                 "instance chooser, refusal of a very low priority, is "
+                 "remembered",
+                 "[proxy]")
+{
+  const request_urgency kLowest{ 9, milliseconds(300) };
+  for (const char* instance : { "near", "far" }) {
+    chooser.RecordEnd(instance,
+                      kLowest,
+                      instance_chooser::outcome::refused,
+                      std::nullopt,
+                      kStart);
+  }
+  CHECK_FALSE(chooser.Choose(candidates, {}, kLowest, kStart));
+}
+
+TEST_CASE_METHOD(chooser_fixture,
+                 "instance chooser, large answers wait for a link, chooses the "
+                 "other host",
+                 "[proxy]")
+{
+  // Only large answers wait behind large answers.
+  run_load load;
+  load.slots = 10;
+  load.average_duration = milliseconds(50);
+  load.link_wait = milliseconds(400);
+  chooser.RecordStart("near");
+  chooser.RecordEnd(
+    "near", kInTime, instance_chooser::outcome::answered, load, kStart);
+  CHECK(Choose() == "near");
+  request_urgency download = kInTime;
+  download.answer_bytes = 90000;
+  auto chosen = chooser.Choose(candidates, {}, download, kStart);
+  REQUIRE(chosen);
+  CHECK(candidates[*chosen].instance == "far");
+}
+
 TEST_CASE_METHOD(
   chooser_fixture,
   "instance chooser, both instances refused recently, chooses none",
@@ -431,6 +468,9 @@
   CHECK(received.soft_deadline == sent.soft_deadline);
   CHECK(received.deadline == sent.deadline);
   CHECK(received.caller_service == sent.caller_service);
+  sent.caller_service.clear();
+  REQUIRE(DecodeCall(EncodeCall(sent, kStart), kStart, received));
+  CHECK(received.caller_service.empty());
 }
 
 TEST_CASE("hop fields, malformed values, are rejected", "[proxy]")
