--- a/test/unit/server-session-test.cc
+++ b/test/unit/server-session-test.cc
@@ -1,4 +1,6 @@
+#include <algorithm>
 #include <catch2/catch.hpp>
+#include <random>
 
 #include "harness/free-address.h"
 #include "proxy/server-session.h"
@@ -72,7 +74,6 @@
     : sockets(events)
     , client(std::make_shared<recording_client>())
   {
-    endpoint address = FreeAddress();
     REQUIRE(sessions.Listen(sockets, address, server));
     caller = sockets.Connect(address, {});
     caller->SetObserver(client);
@@ -85,6 +86,14 @@
     }
   }
 
+  /// Replaces the client's connection.
+  void Reconnect()
+  {
+    client = std::make_shared<recording_client>();
+    caller = sockets.Connect(address, {});
+    caller->SetObserver(client);
+  }
+
   void Send(const std::string& aText)
   {
     caller->Send(aText);
@@ -113,6 +122,7 @@
 
   loop events{ 256 };
   tcp_transport sockets;
+  endpoint address = FreeAddress();
   holding_server server;
   session_list sessions;
   std::shared_ptr<recording_client> client;
@@ -191,6 +201,48 @@
   CHECK(client->ended);
 }
 
+TEST_CASE_METHOD(
+  session_fixture,
+  "server session, hundreds of stops at any moment, every started "
+  "request is answered",
+  "[session]")
+{
+  std::mt19937 random(1);
+  constexpr int kStops = 200;
+  for (int stop = 0; stop < kStops; ++stop) {
+    server.closing = false;
+    server.requests.clear();
+    Reconnect();
+    std::string sent;
+    int pipelined = static_cast<int>(random() % 4) + 1;
+    for (int i = 0; i < pipelined; ++i) {
+      sent += Get(i);
+    }
+    Send(sent);
+    REQUIRE(server.requests.size() == static_cast<std::size_t>(pipelined));
+    std::vector<std::size_t> order(server.requests.size());
+    for (std::size_t i = 0; i < order.size(); ++i) {
+      order[i] = i;
+    }
+    std::shuffle(order.begin(), order.end(), random);
+    std::size_t before = random() % order.size();
+    for (std::size_t i = 0; i < order.size(); ++i) {
+      server.closing = server.closing || i == before;
+      std::shared_ptr<server_exchange> exchange =
+        std::move(server.requests[order[i]]->exchange);
+      exchange->Answer(200, {}, "answer;");
+    }
+    Wait();
+    std::size_t answers = 0;
+    for (std::size_t at = client->received.find("answer;");
+         at != std::string::npos;
+         at = client->received.find("answer;", at + 1)) {
+      ++answers;
+    }
+    CHECK(answers == order.size());
+  }
+}
+
 TEST_CASE_METHOD(session_fixture,
                  "server session, invalid input behind a request, answers the "
                  "request first",
