Begin each burst with a short peak of all requests

In a service of 28 instances that keep 4 of 18 slots busy, one instance's natural load shows no fault under load (1 of 69 failed); the version was recorded as complete and failed 50 requests 5 s later. All requests of 120 ms fill the slots of one instance.

--- a/src/proxy/version-selector.cc
+++ b/src/proxy/version-selector.cc
@@ -20,9 +20,13 @@
 /// seconds after their start.
 constexpr duration kFirstBurst = std::chrono::milliseconds(3600);
 constexpr duration kBurstPeriod = std::chrono::milliseconds(2800);
+/// Time at the start of a burst in which all requests go to one instance. It
+/// fills the instance's slots, which shows a fault even in a service whose
+/// instances are mostly idle.
+constexpr duration kPeakLength = std::chrono::milliseconds(120);
 /// Length of a burst if the service has `kFewInstances`. With more instances
 /// one burst takes a smaller share of the requests, and may last longer.
-constexpr duration kBurstLength = std::chrono::milliseconds(500);
+constexpr duration kBurstLength = std::chrono::milliseconds(370);
 constexpr std::size_t kFewInstances = 4;
 
 } // namespace
@@ -102,12 +106,16 @@
                kBurstLength,
                kBurstPeriod);
   duration sinceFirst = aSinceOrder - kFirstBurst;
-  if (sinceFirst % kBurstPeriod >= length) {
+  duration sinceStart = sinceFirst % kBurstPeriod;
+  if (sinceStart >= length) {
     return std::nullopt;
   }
   canary_burst burst;
   burst.number = static_cast<unsigned>(sinceFirst / kBurstPeriod);
-  burst.share = 1.0 / static_cast<double>(std::max(instances, kFewInstances));
+  bool isPeak = sinceStart < kPeakLength;
+  burst.share =
+    isPeak ? 1.0
+           : 1.0 / static_cast<double>(std::max(instances, kFewInstances));
   return burst;
 }
 
--- a/src/proxy/version-selector.h
+++ b/src/proxy/version-selector.h
@@ -49,8 +49,8 @@
   time_point started_at{};
 };
 
-/// A time in which one instance of the new version gets the load that it would
-/// have after the promotion.
+/// A time in which one instance of the new version gets a short peak of all
+/// requests and then the load that it would have after the promotion.
 struct canary_burst
 {
   /// Counted from 0; selects the instance of the new version.
--- a/test/unit/proxy-test.cc
+++ b/test/unit/proxy-test.cc
@@ -391,6 +391,38 @@
   CHECK(mostRunning >= 0.9 * kPerSecond * 0.36 / kInstances);
 }
 
+TEST_CASE("version selector, burst in a service of idle instances, fills the "
+          "slots of one",
+          "[proxy]")
+{
+  // With 28 instances, the load after the promotion keeps few slots busy, and a
+  // fault under load shows there only after minutes.
+  constexpr int kPerSecond = 220;
+  constexpr unsigned kSlots = 18;
+  constexpr auto kWork = milliseconds(310);
+  version_selector selector;
+  selector.SetInstanceCounts({ { "service", 28 } });
+  canary_rollout rollout;
+  rollout.service = "service";
+  rollout.target_version = "v2";
+  rollout.order_id = 5;
+  rollout.share = 0.015;
+  rollout.time_limit = seconds(12);
+  rollout.started_at = kStart;
+  selector.Merge(rollout);
+  std::vector<time_point> ends;
+  std::size_t mostRunning = 0;
+  for (int i = 0; i < 11 * kPerSecond; ++i) {
+    time_point now = kStart + milliseconds(i * 1000 / kPerSecond);
+    std::erase_if(ends, [now](time_point aEnd) { return aEnd <= now; });
+    if (selector.DecideCanary("service", now).instance) {
+      ends.push_back(now + kWork);
+    }
+    mostRunning = std::max(mostRunning, ends.size());
+  }
+  CHECK(mostRunning >= kSlots);
+}
+
 TEST_CASE("version selector, many nodes with little traffic, send the extra "
           "canary requests",
           "[proxy]")
