--- a/test/unit/proxy-test.cc
+++ b/test/unit/proxy-test.cc
@@ -50,6 +50,20 @@
 const request_urgency kLate{ 1, milliseconds(-300) };
 const request_urgency kUrgent{ 0, milliseconds(300) };
 
+/// A rollout that starts at `kStart` and must be complete within 12 s.
+canary_rollout
+CanaryOfTwelveSeconds()
+{
+  canary_rollout rollout;
+  rollout.service = "service";
+  rollout.target_version = "v2";
+  rollout.order_id = 5;
+  rollout.share = 0.015;
+  rollout.time_limit = seconds(12);
+  rollout.started_at = kStart;
+  return rollout;
+}
+
 class chooser_fixture
 {
 public:
@@ -370,14 +384,7 @@
   constexpr auto kWork = milliseconds(360);
   version_selector selector;
   selector.SetInstanceCounts({ { "service", kInstances } });
-  canary_rollout rollout;
-  rollout.service = "service";
-  rollout.target_version = "v2";
-  rollout.order_id = 5;
-  rollout.share = 0.015;
-  rollout.time_limit = seconds(12);
-  rollout.started_at = kStart;
-  selector.Merge(rollout);
+  selector.Merge(CanaryOfTwelveSeconds());
   std::vector<time_point> ends;
   double mostRunning = 0;
   for (int i = 0; i < 11 * kPerSecond; ++i) {
@@ -395,21 +402,14 @@
           "slots of one",
           "[proxy]")
 {
-  // With 28 instances, the load after the promotion keeps few slots busy, and a
-  // fault under load shows there only after minutes.
+  // With 28 instances, the load after the promotion keeps few slots busy, so a
+  // fault under load seldom shows.
   constexpr int kPerSecond = 220;
   constexpr unsigned kSlots = 18;
   constexpr auto kWork = milliseconds(310);
   version_selector selector;
   selector.SetInstanceCounts({ { "service", 28 } });
-  canary_rollout rollout;
-  rollout.service = "service";
-  rollout.target_version = "v2";
-  rollout.order_id = 5;
-  rollout.share = 0.015;
-  rollout.time_limit = seconds(12);
-  rollout.started_at = kStart;
-  selector.Merge(rollout);
+  selector.Merge(CanaryOfTwelveSeconds());
   std::vector<time_point> ends;
   std::size_t mostRunning = 0;
   for (int i = 0; i < 11 * kPerSecond; ++i) {
@@ -436,14 +436,7 @@
   for (unsigned node = 0; node < kNodes; ++node) {
     version_selector selector(node);
     selector.SetExtraCanaryRequests(kExtraRequests / kNodes, 40.0 / kNodes);
-    canary_rollout rollout;
-    rollout.service = "service";
-    rollout.target_version = "v2";
-    rollout.order_id = 5;
-    rollout.share = 0.015;
-    rollout.time_limit = seconds(kSeconds);
-    rollout.started_at = kStart;
-    selector.Merge(rollout);
+    selector.Merge(CanaryOfTwelveSeconds());
     for (int second = 0; second < kSeconds; second += 2) {
       canary_decision decision =
         selector.DecideCanary("service", kStart + seconds(second));
