Log and expose the limit that an instance names, and the requests sent to it

Neither log nor metrics told whether the limit is read at all, kept by each node for itself, or lost with the process. Event instance_limit at each change, metrics eelgrasstrack_instance_sent_total and _instance_request_limit. No change of what is sent where.

--- a/src/mesh/mesh-node.cc
+++ b/src/mesh/mesh-node.cc
@@ -7,6 +7,7 @@
 #include "base/invariant.h"
 #include "base/log.h"
 #include "mesh/role-assignment.h"
+#include "proxy/instance-notices.h"
 #include "wire/compression.h"
 #include "wire/status.h"
 
@@ -714,7 +715,13 @@
           "\neelgrasstrack_instance_busy " +
           std::to_string(mDispatcher.Load().busy) +
           "\neelgrasstrack_instance_waiting " +
-          std::to_string(mDispatcher.Load().waiting) + "\n";
+          std::to_string(mDispatcher.Load().waiting) +
+          "\neelgrasstrack_instance_sent_total " +
+          std::to_string(mDispatcher.SentCount()) + "\n";
+  if (const std::optional<double>& limit = mDispatcher.RequestLimit()) {
+    text +=
+      "eelgrasstrack_instance_request_limit " + RequestLimitText(limit) + "\n";
+  }
   return text;
 }
 
--- a/src/proxy/forwarded-request.h
+++ b/src/proxy/forwarded-request.h
@@ -26,6 +26,9 @@
   std::string server_stamp;
   /// Set in an answer if the instance did not run the request.
   std::string not_executed;
+  /// Requests per second that the instance takes from all hosts together, while
+  /// it is in need.
+  std::string request_limit;
 };
 
 /// A request that is forwarded to the instance chosen for it.
--- a/src/proxy/instance-dispatcher.cc
+++ b/src/proxy/instance-dispatcher.cc
@@ -5,6 +5,7 @@
 #include "base/invariant.h"
 #include "base/log.h"
 #include "proxy/channel-run.h"
+#include "proxy/instance-notices.h"
 #include "wire/status.h"
 
 namespace eelgrasstrack {
@@ -111,13 +112,19 @@
                     std::optional<std::uint64_t> aLength) override
   {
     const header_names& names = mDispatcher.mNames;
-    if (FindField(aHead.fields, names.not_executed) != nullptr ||
-        aHead.status == status::kMisdirected) {
+    bool refused = FindField(aHead.fields, names.not_executed) != nullptr ||
+                   aHead.status == status::kMisdirected;
+    bool stamped = FindField(aHead.fields, names.server_stamp) != nullptr;
+    // A misdirected request may have reached another instance.
+    if (aHead.status != status::kMisdirected && (refused || stamped)) {
+      mDispatcher.RecordNotices(aHead.fields);
+    }
+    if (refused) {
       mRefusedStatus = aHead.status;
       return;
     }
     bool success = status::IsSuccess(aHead.status);
-    if (success && FindField(aHead.fields, names.server_stamp) == nullptr) {
+    if (success && !stamped) {
       mMissingStamp = true; // not an answer of an instance
       return;
     }
@@ -195,6 +202,7 @@
       return;
     }
     mChannel = channel;
+    ++mDispatcher.mSentCount;
     channel->Begin(RequestText(now),
                    shared_from_this(),
                    { mDispatcher.mNames.request_id, mRequest.request_id },
@@ -299,6 +307,7 @@
   mInstance = aInstance;
   mQueue.SetSlots(aInstance.slots);
   if (changed) {
+    mRequestLimit.reset();
     mIdleChannels.Clear();
     RefuseWaiting(mQueue.RemoveAll(), run_failure_reason::wrong_instance);
   }
@@ -339,6 +348,29 @@
   }
 }
 
+void
+instance_dispatcher::RecordNotices(const header_fields& aFields)
+{
+  result<std::optional<double>> limit = RequestLimitOf(aFields, mNames);
+  if (!limit) {
+    LogEvent(
+      log_level::warning,
+      "instance_limit_malformed",
+      { { "instance", mInstance.id }, { "reason", limit.error().message } });
+    return;
+  }
+  if (*limit == mRequestLimit) {
+    return;
+  }
+  LogEvent(log_level::info,
+           "instance_limit",
+           { { "instance", mInstance.id },
+             { "limit", RequestLimitText(*limit) },
+             { "before", RequestLimitText(mRequestLimit) },
+             { "sent", std::to_string(mSentCount) } });
+  mRequestLimit = *limit;
+}
+
 std::vector<run_result>
 instance_dispatcher::RunningRequests() const
 {
--- a/src/proxy/instance-dispatcher.h
+++ b/src/proxy/instance-dispatcher.h
@@ -58,6 +58,11 @@
   /// The requests that the instance runs now, each unanswered.
   std::vector<run_result> RunningRequests() const;
 
+  /// Limit that the instance named in its last answer, in requests per second.
+  const std::optional<double>& RequestLimit() const { return mRequestLimit; }
+  /// Requests sent to the instance since this process started.
+  std::uint64_t SentCount() const { return mSentCount; }
+
   run_load Load() const;
   /// Requests that run or wait.
   std::size_t RequestCount() const { return mRuns.size(); }
@@ -93,6 +98,8 @@
   /// Checks the queue periodically while requests wait.
   void ScheduleSweep();
   void Report(const run_result& aResult);
+  /// Records what an answer of the instance says about the instance itself.
+  void RecordNotices(const header_fields& aFields);
 
   tcp_transport& mTransport;
   const header_names& mNames;
@@ -104,6 +111,8 @@
   bool mLeaving = false;
   bool mSweepScheduled = false;
   duration mDrainTime{ 0 };
+  std::optional<double> mRequestLimit;
+  std::uint64_t mSentCount = 0;
   run_queue mQueue{ 1 };
   run_id mNextId = 1;
   std::unordered_map<run_id, std::shared_ptr<class instance_run>> mRuns;
--- /dev/null
+++ b/src/proxy/instance-notices.cc
@@ -0,0 +1,39 @@
+#include "proxy/instance-notices.h"
+
+#include <array>
+#include <charconv>
+#include <cmath>
+
+namespace eelgrasstrack {
+
+result<std::optional<double>>
+RequestLimitOf(const header_fields& aFields, const header_names& aNames)
+{
+  const std::string* text = FindField(aFields, aNames.request_limit);
+  if (text == nullptr) {
+    return std::optional<double>();
+  }
+  double limit = 0;
+  const char* end = text->data() + text->size();
+  auto parsed = std::from_chars(text->data(), end, limit);
+  if (parsed.ec != std::errc() || parsed.ptr != end || !std::isfinite(limit) ||
+      limit < 0) {
+    return Fail(error_kind::invalid_argument,
+                "request limit '" + *text + "' is not a number of 0 or more");
+  }
+  return std::optional<double>(limit);
+}
+
+std::string
+RequestLimitText(const std::optional<double>& aLimit)
+{
+  if (!aLimit) {
+    return "none";
+  }
+  constexpr std::size_t kMaxDigits = 32;
+  std::array<char, kMaxDigits> text{};
+  auto written = std::to_chars(text.data(), text.data() + text.size(), *aLimit);
+  return std::string(text.data(), written.ptr);
+}
+
+} // namespace eelgrasstrack
