--- a/test/harness/mesh-world.cc
+++ b/test/harness/mesh-world.cc
@@ -20,8 +20,8 @@
 header_names
 TestHeaderNames()
 {
-  return { "X-Request-Id", "X-Timeout-Ms", "X-Target",
-           "X-Caller",     "X-Stamp",      "X-Not-Executed" };
+  return { "X-Request-Id", "X-Timeout-Ms",   "X-Target",    "X-Caller",
+           "X-Stamp",      "X-Not-Executed", "Server-Limit" };
 }
 
 } // namespace
@@ -144,10 +144,6 @@
   host->settings.domain = index % 2 == 0 ? "a" : "b";
   host->settings.service = aService;
   host->settings.first_start = mFirstStart;
-  host->settings.caller_listen = FreeAddress();
-  host->settings.hop_listen = FreeAddress();
-  host->settings.control_listen = FreeAddress();
-  host->settings.ready_listen = FreeAddress();
   host->instance.id = "i-" + std::to_string(index);
   host->instance.service = aService;
   host->instance.version = aVersion;
@@ -155,14 +151,7 @@
   host->instance.slots = 4;
   host->instance.started_unix_ms = 1000;
   ServeInstance(*host);
-  host->node = std::make_unique<mesh_node>(mLoop,
-                                           mSockets,
-                                           mCaller,
-                                           host->store,
-                                           host->counters,
-                                           mNames,
-                                           host->settings);
-  REQUIRE(host->node->Start());
+  StartNode(*host);
   mHosts.push_back(std::move(host));
   if (mFirstStart) {
     Announce(index, instance_state::ready);
@@ -170,6 +159,34 @@
   return index;
 }
 
+void
+mesh_world::StartNode(world_host& aHost)
+{
+  aHost.settings.caller_listen = FreeAddress();
+  aHost.settings.hop_listen = FreeAddress();
+  aHost.settings.control_listen = FreeAddress();
+  aHost.settings.ready_listen = FreeAddress();
+  aHost.node = std::make_unique<mesh_node>(mLoop,
+                                           mSockets,
+                                           mCaller,
+                                           aHost.store,
+                                           aHost.counters,
+                                           mNames,
+                                           aHost.settings);
+  REQUIRE(aHost.node->Start());
+}
+
+void
+mesh_world::RestartNode(std::size_t aHost)
+{
+  world_host& host = *mHosts[aHost];
+  host.node->Drain();
+  mReplacedNodes.push_back(std::move(host.node));
+  RunFor(std::chrono::milliseconds(2)); // the new incarnation starts later
+  host.settings.first_start = false;
+  StartNode(host);
+}
+
 void
 mesh_world::Announce(std::size_t aHost, instance_state aState)
 {
@@ -193,6 +210,10 @@
             FindField(aRequest.fields, mNames.request_id)) {
         response.fields.push_back({ mNames.request_id, *id });
       }
+      if (!behaviour.request_limit.empty()) {
+        response.fields.push_back(
+          { mNames.request_limit, behaviour.request_limit });
+      }
       if (behaviour.refuses) {
         response.status = 503;
         response.fields.push_back({ mNames.not_executed, "1" });
--- a/test/harness/mesh-world.h
+++ b/test/harness/mesh-world.h
@@ -63,6 +63,8 @@
   bool refuses = false;
   /// Sends a head that is not valid HTTP.
   bool sends_invalid_answer = false;
+  /// Requests per second that its answers name as its limit; empty for none.
+  std::string request_limit;
 };
 
 /// Nodes and instances on loopback addresses that share one event loop.
@@ -79,6 +81,11 @@
   /// announced automatically.
   void EndFirstStart() { mFirstStart = false; }
 
+  /// Replaces the node of a host by a new process that knows nothing, while the
+  /// instance keeps running. The new node listens on other addresses, since
+  /// those of the old one stay open in this process.
+  void RestartNode(std::size_t aHost);
+
   /// Announces the instance of a host in a state to its node.
   void Announce(std::size_t aHost, instance_state aState);
 
@@ -139,6 +146,7 @@
   };
 
   void ServeInstance(world_host& aHost);
+  void StartNode(world_host& aHost);
   bool KnowsAll(const mesh_node& aNode) const;
 
   loop mLoop;
@@ -147,6 +155,8 @@
   memory_store mStore;
   header_names mNames;
   std::vector<std::unique_ptr<world_host>> mHosts;
+  /// Nodes that were replaced. They drain and send nothing to the instances.
+  std::vector<std::unique_ptr<mesh_node>> mReplacedNodes;
   bool mFirstStart = true;
 };
 
--- /dev/null
+++ b/test/unit/instance-limit-test.cc
@@ -0,0 +1,95 @@
+#include <catch2/catch.hpp>
+
+#include "harness/mesh-world.h"
+
+using namespace eelgrasstrack;
+using namespace eelgrasstrack::test;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// Requests per second that a limited instance takes.
+constexpr double kLimit = 5;
+constexpr const char* kLimitText = "5";
+
+/// Requests that a limited instance may get within a time: the published bound
+/// of one and a half times its limit, and 5.
+double
+AllowedRequests(duration aTime)
+{
+  constexpr double kAllowedFactor = 1.5;
+  constexpr double kAllowedExtra = 5;
+  double seconds = std::chrono::duration<double>(aTime).count();
+  return kAllowedFactor * kLimit * seconds + kAllowedExtra;
+}
+
+/// Two hosts without an instance of the service, and two with one.
+class limit_fixture
+{
+public:
+  limit_fixture()
+  {
+    fronts = { world.AddHost("front", "v1"), world.AddHost("front", "v1") };
+    first = world.AddHost("orders", "v1");
+    second = world.AddHost("orders", "v1");
+    world.SetRoute(1, "/orders/", "orders", true);
+    world.RunUntilInstancesKnown();
+  }
+
+  /// Sends requests through all front hosts in turn for this time. Returns the
+  /// number of those that were served.
+  unsigned SendFor(duration aTime)
+  {
+    unsigned served = 0;
+    time_point end = world.Loop().Now() + aTime;
+    for (std::size_t i = 0; world.Loop().Now() < end; ++i) {
+      result<buffered_response> answer =
+        world.SendRequest(fronts[i % fronts.size()], "GET", "/orders/1");
+      served += answer && answer->status == 200 ? 1 : 0;
+    }
+    return served;
+  }
+
+  mesh_world world;
+  std::vector<std::size_t> fronts;
+  std::size_t first = 0;
+  std::size_t second = 0;
+};
+
+} // namespace
+
+// Guards against LIMIT: an instance that has named a limit gets more requests
+// from all hosts together than it takes.
+TEST_CASE_METHOD(
+  limit_fixture,
+  "instance limit, named by all instances, is kept by the sum of "
+  "all hosts",
+  "[instance-limit][known-red]")
+{
+  world.Behaviour(first).request_limit = kLimitText;
+  world.Behaviour(second).request_limit = kLimitText;
+  (void)SendFor(milliseconds(100)); // every front host hears of the limits
+  unsigned before = world.RunCount(first);
+  constexpr duration kTime = milliseconds(1500);
+  (void)SendFor(kTime);
+  CHECK(world.RunCount(first) - before <= AllowedRequests(kTime));
+}
+
+// Guards against LIMIT after a restart: the node beside a limited instance
+// starts again and forgets the limit that others have heard.
+TEST_CASE_METHOD(limit_fixture,
+                 "instance limit, node beside the instance restarts, is kept",
+                 "[instance-limit][known-red]")
+{
+  world.Behaviour(first).request_limit = kLimitText;
+  world.Behaviour(second).request_limit = kLimitText;
+  (void)SendFor(milliseconds(100));
+  unsigned before = world.RunCount(first);
+  world.RestartNode(first);
+  world.Announce(first, instance_state::ready);
+  world.RunFor(milliseconds(100));
+  constexpr duration kTime = milliseconds(1000);
+  (void)SendFor(kTime);
+  CHECK(world.RunCount(first) - before <=
+        AllowedRequests(kTime + milliseconds(100)));
+}
