Keep to the limit that an instance names, at the node beside it

What callers saw: nothing; back ends in need got up to 23 requests a second at a limit of 10 and would have failed under them.

Cause: the field Server-Limit was passed on as any other and read by nobody. Class: a notice of the instance in its answers that the mesh passes on without acting on it.

Before the limit 118 and 125 requests in 6 s, with it 306 and 445 in 19 s, at limits of 9.8 and 10.3 a second: the load did not fall (hypothesis 1; a limit kept per node would have lowered it). The restart of a node at 13 s changed nothing, as there was no state to lose.

Why this works: the node beside an instance is the only one that sends to it, so a limit kept there is the sum over all hosts, whatever their number and however little each sees; no message is needed. Requests start at the limit (generic cell rate algorithm, 50 ms of unused time saved up); they wait in the run queue while they can still finish in time and are refused at once otherwise, with the time at which the limit lets them through. A node that starts again does not know the limit: each first hop sends the limit that it has passed on with its requests, and the node goes by the lowest of these until the instance itself has answered it. First hops hear the wait for the limit with each answer and choose other instances.

Ruled out: a share of the limit per node (many nodes send less than one request a second, so shares waste it); the limit in host records (a message to all nodes at each change).

--- a/src/proxy/forwarded-request.h
+++ b/src/proxy/forwarded-request.h
@@ -53,6 +53,9 @@
   time_point soft_deadline{};
   /// The caller does not wait for an answer after this time.
   time_point deadline{};
+  /// Limit of the instance in requests per second, as the first hop last heard
+  /// it; nothing if it heard of none.
+  std::optional<double> request_limit;
 };
 
 /// Why a request was not answered.
--- a/src/proxy/hop-fields.cc
+++ b/src/proxy/hop-fields.cc
@@ -2,6 +2,8 @@
 
 #include <charconv>
 
+#include "proxy/instance-notices.h"
+
 namespace eelgrasstrack {
 
 namespace {
@@ -101,7 +103,8 @@
                      aRequest.idempotent ? kIdempotent : kNotIdempotent,
                      MillisecondsText(aRequest.soft_deadline - aNow),
                      MillisecondsText(aRequest.deadline - aNow),
-                     aRequest.caller_service });
+                     aRequest.caller_service,
+                     RequestLimitText(aRequest.request_limit) });
 }
 
 result<void>
@@ -116,6 +119,13 @@
   aRequest.deadline = aNow + words.ReadDuration();
   std::string_view service = words.ReadWord();
   aRequest.caller_service = service == kEmptyWord ? "" : service;
+  if (words.HasMore()) { // nodes of earlier versions do not send it
+    result<std::optional<double>> limit = ParseRequestLimit(words.ReadWord());
+    if (!limit) {
+      return tl::unexpected<error>(limit.error());
+    }
+    aRequest.request_limit = *limit;
+  }
   if (!words.IsValid()) {
     return Fail(error_kind::invalid_argument,
                 "hop request: Mesh-Call field missing or malformed");
@@ -130,7 +140,8 @@
                      std::to_string(aLoad.waiting),
                      std::to_string(aLoad.slots),
                      MillisecondsText(aLoad.average_duration),
-                     MillisecondsText(aLoad.link_wait) });
+                     MillisecondsText(aLoad.link_wait),
+                     MillisecondsText(aLoad.limit_wait) });
 }
 
 std::optional<run_load>
@@ -145,6 +156,9 @@
   if (words.HasMore()) { // nodes of earlier versions do not send it
     load.link_wait = words.ReadDuration();
   }
+  if (words.HasMore()) {
+    load.limit_wait = words.ReadDuration();
+  }
   if (!words.IsValid() || load.slots == 0) {
     return std::nullopt;
   }
--- a/src/proxy/ingress.cc
+++ b/src/proxy/ingress.cc
@@ -38,6 +38,13 @@
   mClosing = aClosing;
 }
 
+void
+ingress::Sweep(time_point aNow)
+{
+  mSessions.Sweep(aNow);
+  mRequestLimits.RemoveUnconfirmed(aNow);
+}
+
 traffic_limits
 ingress::Limits() const
 {
--- a/src/proxy/ingress.h
+++ b/src/proxy/ingress.h
@@ -7,6 +7,7 @@
 #include "proxy/instance-chooser.h"
 #include "proxy/instance-dispatcher.h"
 #include "proxy/proxy-counters.h"
+#include "proxy/request-limit-table.h"
 #include "proxy/server-session.h"
 #include "proxy/shared-retry-budget.h"
 #include "proxy/version-selector.h"
@@ -52,8 +53,9 @@
   /// before they could complete.
   void SetRefusing(bool aRefusing) { mRefusing = aRefusing; }
 
-  /// Closes connections that exceeded the idle or the head timeout.
-  void Sweep(time_point aNow) { mSessions.Sweep(aNow); }
+  /// Closes connections that exceeded the idle or the head timeout, and forgets
+  /// limits of instances that were not confirmed for long.
+  void Sweep(time_point aNow);
   /// Number of connections that have a request in progress.
   std::size_t BusySessionCount() const { return mSessions.BusyCount(); }
 
@@ -69,6 +71,7 @@
   const std::string& CallerService() const { return mCallerService; }
   caller_wait_estimator& WaitEstimator() { return mWaitEstimator; }
   answer_size_estimator& AnswerSizes() { return mAnswerSizes; }
+  request_limit_table& RequestLimits() { return mRequestLimits; }
   bool IsRefusing() const { return mRefusing; }
 
   /// Selects the service for the next request of a route, by weight.
@@ -85,6 +88,7 @@
   session_list mSessions;
   caller_wait_estimator mWaitEstimator;
   answer_size_estimator mAnswerSizes;
+  request_limit_table mRequestLimits;
   /// Current weights of the smooth weighted round robin, by route name and
   /// service.
   std::map<std::string, std::map<std::string, double>> mCurrentWeights;
--- a/src/proxy/instance-chooser.cc
+++ b/src/proxy/instance-chooser.cc
@@ -119,6 +119,8 @@
     duration wait = load.link_wait - (aNow - load.reported_at);
     expected += static_cast<double>(std::max(wait, duration(0)).count());
   }
+  duration limitWait = load.limit_wait - (aNow - load.reported_at);
+  expected += static_cast<double>(std::max(limitWait, duration(0)).count());
   std::uniform_real_distribution<double> jitter(1, 1 + kJitter);
   return expected * jitter(mRandom);
 }
@@ -212,6 +214,7 @@
       kReportWeight * (load.other_requests - load.average_other_requests);
     load.reported_at = aNow;
     load.link_wait = aLoad->link_wait;
+    load.limit_wait = aLoad->limit_wait;
     if (aLoad->average_duration > duration(0)) {
       load.average_microseconds =
         static_cast<double>(aLoad->average_duration.count());
--- a/src/proxy/instance-chooser.h
+++ b/src/proxy/instance-chooser.h
@@ -90,6 +90,9 @@
     /// Time that a large answer waits for the link of the host, as last
     /// reported.
     duration link_wait{ 0 };
+    /// Time until the limit of the instance lets one more request through, as
+    /// last reported.
+    duration limit_wait{ 0 };
     /// Average duration of a request, as last reported; 0 if unknown.
     double average_microseconds = 0;
     /// Moving average, 0 to 1.
--- a/src/proxy/instance-dispatcher.cc
+++ b/src/proxy/instance-dispatcher.cc
@@ -307,7 +307,8 @@
   mInstance = aInstance;
   mQueue.SetSlots(aInstance.slots);
   if (changed) {
-    mRequestLimit.reset();
+    mHasAnswered = false;
+    SetRequestLimit(std::nullopt);
     mIdleChannels.Clear();
     RefuseWaiting(mQueue.RemoveAll(), run_failure_reason::wrong_instance);
   }
@@ -359,16 +360,32 @@
       { { "instance", mInstance.id }, { "reason", limit.error().message } });
     return;
   }
-  if (*limit == mRequestLimit) {
+  mHasAnswered = true;
+  SetRequestLimit(*limit);
+}
+
+void
+instance_dispatcher::AdoptLimit(const std::optional<double>& aLimit)
+{
+  if (!mHasAnswered && aLimit && (!mRequestLimit || *aLimit < *mRequestLimit)) {
+    SetRequestLimit(aLimit);
+  }
+}
+
+void
+instance_dispatcher::SetRequestLimit(const std::optional<double>& aLimit)
+{
+  if (aLimit == mRequestLimit) {
     return;
   }
   LogEvent(log_level::info,
            "instance_limit",
            { { "instance", mInstance.id },
-             { "limit", RequestLimitText(*limit) },
+             { "limit", RequestLimitText(aLimit) },
              { "before", RequestLimitText(mRequestLimit) },
              { "sent", std::to_string(mSentCount) } });
-  mRequestLimit = *limit;
+  mRequestLimit = aLimit;
+  mQueue.SetRequestLimit(aLimit, mTransport.Loop().Now());
 }
 
 std::vector<run_result>
@@ -406,6 +423,7 @@
 instance_dispatcher::Load() const
 {
   run_load load = mQueue.Load();
+  load.limit_wait = mQueue.LimitWait(mTransport.Loop().Now());
   load.link_wait = mLink.SendTime(mLink.QueuedBytes() + mExpectedBytes);
   return load;
 }
@@ -426,6 +444,7 @@
   if (std::optional<run_failure> refusal = RefusalOf(aRequest)) {
     return tl::unexpected<run_failure>(*refusal);
   }
+  AdoptLimit(aRequest.request_limit);
   time_point now = mTransport.Loop().Now();
   duration linkDelay = LinkDelay(mAnswerSizes.Expected(aRequest.route));
   if (linkDelay > duration(0) &&
--- a/src/proxy/instance-dispatcher.h
+++ b/src/proxy/instance-dispatcher.h
@@ -58,7 +58,8 @@
   /// The requests that the instance runs now, each unanswered.
   std::vector<run_result> RunningRequests() const;
 
-  /// Limit that the instance named in its last answer, in requests per second.
+  /// Limit that the instance named in its last answer, in requests per second;
+  /// before its first one, the limit that other nodes have heard.
   const std::optional<double>& RequestLimit() const { return mRequestLimit; }
   /// Requests sent to the instance since this process started.
   std::uint64_t SentCount() const { return mSentCount; }
@@ -100,6 +101,11 @@
   void Report(const run_result& aResult);
   /// Records what an answer of the instance says about the instance itself.
   void RecordNotices(const header_fields& aFields);
+  /// Takes over the limit that another node has heard, until the instance
+  /// itself has answered this process: the process that knew the limit may have
+  /// ended.
+  void AdoptLimit(const std::optional<double>& aLimit);
+  void SetRequestLimit(const std::optional<double>& aLimit);
 
   tcp_transport& mTransport;
   const header_names& mNames;
@@ -112,6 +118,8 @@
   bool mSweepScheduled = false;
   duration mDrainTime{ 0 };
   std::optional<double> mRequestLimit;
+  /// The instance has answered this process.
+  bool mHasAnswered = false;
   std::uint64_t mSentCount = 0;
   run_queue mQueue{ 1 };
   run_id mNextId = 1;
--- a/src/proxy/instance-notices.cc
+++ b/src/proxy/instance-notices.cc
@@ -6,29 +6,42 @@
 
 namespace eelgrasstrack {
 
+namespace {
+
+constexpr std::string_view kNoLimit = "none";
+
 result<std::optional<double>>
-RequestLimitOf(const header_fields& aFields, const header_names& aNames)
+ParseNumber(std::string_view aText)
 {
-  const std::string* text = FindField(aFields, aNames.request_limit);
-  if (text == nullptr) {
-    return std::optional<double>();
-  }
   double limit = 0;
-  const char* end = text->data() + text->size();
-  auto parsed = std::from_chars(text->data(), end, limit);
+  const char* end = aText.data() + aText.size();
+  auto parsed = std::from_chars(aText.data(), end, limit);
   if (parsed.ec != std::errc() || parsed.ptr != end || !std::isfinite(limit) ||
       limit < 0) {
     return Fail(error_kind::invalid_argument,
-                "request limit '" + *text + "' is not a number of 0 or more");
+                "request limit '" + std::string(aText) +
+                  "' is not a number of 0 or more");
   }
   return std::optional<double>(limit);
 }
 
+} // namespace
+
+result<std::optional<double>>
+RequestLimitOf(const header_fields& aFields, const header_names& aNames)
+{
+  const std::string* text = FindField(aFields, aNames.request_limit);
+  if (text == nullptr) {
+    return std::optional<double>();
+  }
+  return ParseNumber(*text);
+}
+
 std::string
 RequestLimitText(const std::optional<double>& aLimit)
 {
   if (!aLimit) {
-    return "none";
+    return std::string(kNoLimit);
   }
   constexpr std::size_t kMaxDigits = 32;
   std::array<char, kMaxDigits> text{};
@@ -36,4 +49,10 @@
   return std::string(text.data(), written.ptr);
 }
 
+result<std::optional<double>>
+ParseRequestLimit(std::string_view aText)
+{
+  return aText == kNoLimit ? std::optional<double>() : ParseNumber(aText);
+}
+
 } // namespace eelgrasstrack
--- a/src/proxy/instance-notices.h
+++ b/src/proxy/instance-notices.h
@@ -13,10 +13,15 @@
 result<std::optional<double>>
 RequestLimitOf(const header_fields& aFields, const header_names& aNames);
 
-/// Text of a limit for a header field or a log line; "none" if there is none.
+/// Text of a limit for messages between nodes and log lines; "none" if there is
+/// none.
 std::string
 RequestLimitText(const std::optional<double>& aLimit);
 
+/// Reverses `RequestLimitText`. Fails with `invalid_argument`.
+result<std::optional<double>>
+ParseRequestLimit(std::string_view aText);
+
 } // namespace eelgrasstrack
 
 #endif // EELGRASSTRACK_PROXY_INSTANCE_NOTICES_H_
--- a/src/proxy/proxied-request.cc
+++ b/src/proxy/proxied-request.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "base/invariant.h"
+#include "proxy/instance-notices.h"
 #include "wire/status.h"
 
 namespace eelgrasstrack {
@@ -132,12 +133,23 @@
                           std::optional<std::uint64_t> aLength,
                           const run_load& aLoad)
 {
+  RecordNotices(aHead.fields);
   mAnswer.head = std::move(aHead);
   mAnswer.length = aLength;
   mAnswerBytes = 0;
   mLoad = aLoad;
 }
 
+void
+proxied_request::RecordNotices(const header_fields& aFields)
+{
+  // The last hop logs a malformed limit.
+  if (result<std::optional<double>> limit =
+        RequestLimitOf(aFields, mDependencies.names)) {
+    mIngress.RequestLimits().Record(mInstance, *limit, Now());
+  }
+}
+
 void
 proxied_request::OnAnswerBody(std::string_view aBytes)
 {
@@ -287,6 +299,7 @@
   request.priority = mRoute->priority;
   request.soft_deadline = mSoftDeadline;
   request.deadline = mDeadline;
+  request.request_limit = mIngress.RequestLimits().Find(mInstance);
   if (aHostName == mDependencies.directory.Self()) {
     return mDependencies.local.Dispatch(std::move(request), shared_from_this());
   }
--- a/src/proxy/proxied-request.h
+++ b/src/proxy/proxied-request.h
@@ -79,6 +79,8 @@
              mIngress.AnswerSizes().Expected(mRoute->name) };
   }
 
+  /// Keeps what an answer says about its instance.
+  void RecordNotices(const header_fields& aFields);
   void SendTo(const instance_candidate& aCandidate);
   run_start Dispatch(const std::string& aHostName);
   static instance_chooser::outcome OutcomeOf(const run_failure& aFailure);
--- a/src/proxy/run-queue.cc
+++ b/src/proxy/run-queue.cc
@@ -50,6 +50,24 @@
   mSlots = aSlots == 0 ? 1 : aSlots;
 }
 
+void
+run_queue::SetRequestLimit(std::optional<double> aLimit, time_point aNow)
+{
+  mLimiter.SetLimit(aLimit, aNow);
+}
+
+duration
+run_queue::LimitWait(time_point aNow) const
+{
+  return mLimiter.TimeUntilAllowed(mWaiting.size(), aNow);
+}
+
+bool
+run_queue::MayStart(time_point aNow) const
+{
+  return mBusy < mSlots && mLimiter.TimeUntilAllowed(0, aNow) == duration(0);
+}
+
 duration
 run_queue::AverageDuration(const std::string& aKey) const
 {
@@ -101,15 +119,28 @@
 double
 run_queue::ExpectedWait(const run_entry& aEntry, time_point aNow) const
 {
+  std::size_t count = 0;
   double ahead = 0;
   for (const run_entry& waiting : mWaiting) {
     if (waiting.id != aEntry.id && !RunsBefore(aEntry, waiting, aNow)) {
+      ++count;
       ahead += static_cast<double>(AverageDuration(waiting.key).count());
     }
   }
+  return ExpectedWaitBehind(count, ahead, aNow);
+}
+
+double
+run_queue::ExpectedWaitBehind(std::size_t aCount,
+                              double aMicroseconds,
+                              time_point aNow) const
+{
   // On average a slot becomes free every average duration / number of slots.
   double average = mOverallAverage > 0 ? mOverallAverage : kDefaultMicroseconds;
-  return (ahead + average) / mSlots;
+  double slotWait =
+    mBusy + aCount < mSlots ? 0 : (aMicroseconds + average) / mSlots;
+  duration limitWait = mLimiter.TimeUntilAllowed(aCount, aNow);
+  return std::max(slotWait, static_cast<double>(limitWait.count()));
 }
 
 bool
@@ -138,8 +169,9 @@
 run_queue::Admit(const run_entry& aEntry, time_point aNow)
 {
   run_admission admission;
-  if (mBusy < mSlots && mWaiting.empty()) {
+  if (mWaiting.empty() && MayStart(aNow)) {
     ++mBusy;
+    mLimiter.RecordSent(aNow);
     admission.decision = run_decision::run;
     return admission;
   }
@@ -168,14 +200,16 @@
 run_queue::EvictLate(time_point aNow)
 {
   std::vector<run_id> evicted;
-  double average = mOverallAverage > 0 ? mOverallAverage : kDefaultMicroseconds;
-  double ahead = average;
+  std::size_t count = 0;
+  double ahead = 0;
   for (auto entry = mWaiting.begin(); entry != mWaiting.end();) {
-    if (!FinishesInTime(*entry, ahead / mSlots, aNow)) {
+    double wait = ExpectedWaitBehind(count, ahead, aNow);
+    if (!FinishesInTime(*entry, wait, aNow)) {
       evicted.push_back(entry->id);
       entry = mWaiting.erase(entry);
       continue;
     }
+    ++count;
     ahead += static_cast<double>(AverageDuration(entry->key).count());
     ++entry;
   }
@@ -218,7 +252,7 @@
       ++entry;
     }
   }
-  if (mBusy < mSlots && !mWaiting.empty()) {
+  if (!mWaiting.empty() && MayStart(aNow)) {
     auto first =
       std::min_element(mWaiting.begin(),
                        mWaiting.end(),
@@ -228,6 +262,7 @@
     next.run = first->id;
     mWaiting.erase(first);
     ++mBusy;
+    mLimiter.RecordSent(aNow);
   }
   return next;
 }
--- a/src/proxy/run-queue.h
+++ b/src/proxy/run-queue.h
@@ -7,7 +7,7 @@
 #include <string>
 #include <vector>
 
-#include "base/clock.h"
+#include "proxy/request-rate-limiter.h"
 
 namespace eelgrasstrack {
 
@@ -58,9 +58,13 @@
   /// Time until the host's link has sent the large answers that are waiting or
   /// expected.
   duration link_wait{ 0 };
+  /// Time until the limit that the instance has named lets one more request
+  /// through.
+  duration limit_wait{ 0 };
 };
 
-/// Queue of requests for the slots of one instance.
+/// Queue of requests for the slots of one instance, which may also limit the
+/// rate at which they start.
 ///
 /// A request waits only while it is expected to finish by its soft deadline or,
 /// if few requests are waiting, by its deadline. Requests that can still meet
@@ -78,6 +82,12 @@
 
   void SetSlots(unsigned aSlots);
 
+  /// Sets the limit that the instance has named, in requests per second;
+  /// nothing if it names none. Requests start no faster.
+  void SetRequestLimit(std::optional<double> aLimit, time_point aNow);
+  /// Time until the limit lets a request through that waits behind all others.
+  duration LimitWait(time_point aNow) const;
+
   /// Takes a free slot for a new request, queues it or refuses it.
   run_admission Admit(const run_entry& aEntry, time_point aNow);
 
@@ -118,8 +128,15 @@
   bool RunsBefore(const run_entry& aLeft,
                   const run_entry& aRight,
                   time_point aNow) const;
-  /// Expected time until a request gets a slot, in microseconds.
+  /// Expected time until a request starts, in microseconds.
   double ExpectedWait(const run_entry& aEntry, time_point aNow) const;
+  /// Expected time until a request starts behind `aCount` waiting requests that
+  /// take `aMicroseconds` together, in microseconds.
+  double ExpectedWaitBehind(std::size_t aCount,
+                            double aMicroseconds,
+                            time_point aNow) const;
+  /// Whether a slot is free and the limit lets a request start now.
+  bool MayStart(time_point aNow) const;
   /// Whether a request that waits `aWait` microseconds is expected to finish by
   /// its soft deadline, or by its deadline with some time in reserve.
   bool FinishesInTime(const run_entry& aEntry,
@@ -133,6 +150,7 @@
 
   unsigned mSlots;
   unsigned mBusy = 0;
+  request_rate_limiter mLimiter;
   std::list<run_entry> mWaiting;
   /// Moving average of the duration by key, in microseconds.
   std::map<std::string, double> mAverages;
--- a/test/unit/instance-limit-test.cc
+++ b/test/unit/instance-limit-test.cc
@@ -64,7 +64,7 @@
   limit_fixture,
   "instance limit, named by all instances, is kept by the sum of "
   "all hosts",
-  "[instance-limit][known-red]")
+  "[instance-limit]")
 {
   world.Behaviour(first).request_limit = kLimitText;
   world.Behaviour(second).request_limit = kLimitText;
@@ -79,7 +79,7 @@
 // starts again and forgets the limit that others have heard.
 TEST_CASE_METHOD(limit_fixture,
                  "instance limit, node beside the instance restarts, is kept",
-                 "[instance-limit][known-red]")
+                 "[instance-limit]")
 {
   world.Behaviour(first).request_limit = kLimitText;
   world.Behaviour(second).request_limit = kLimitText;
@@ -93,3 +93,58 @@
   CHECK(world.RunCount(first) - before <=
         AllowedRequests(kTime + milliseconds(100)));
 }
+
+// Guards against a limit that outlives its cause: the instance no longer names
+// it and gets no more requests than before.
+TEST_CASE_METHOD(limit_fixture,
+                 "instance limit, no longer named, ends with the next answer",
+                 "[instance-limit]")
+{
+  world.Behaviour(first).request_limit = kLimitText;
+  world.Behaviour(second).request_limit = kLimitText;
+  (void)SendFor(milliseconds(100));
+  world.Behaviour(first).request_limit.clear();
+  world.Behaviour(second).request_limit.clear();
+  (void)SendFor(milliseconds(500)); // at least one request reaches each
+  unsigned before = world.RunCount(first) + world.RunCount(second);
+  unsigned served = SendFor(milliseconds(200));
+  unsigned runs = world.RunCount(first) + world.RunCount(second) - before;
+  CHECK(runs == served);
+  CHECK(runs > 2 * AllowedRequests(milliseconds(200)));
+}
+
+TEST_CASE_METHOD(limit_fixture,
+                 "instance limit, named by one instance, the other one serves "
+                 "the rest",
+                 "[instance-limit]")
+{
+  world.Behaviour(first).request_limit = kLimitText;
+  (void)SendFor(milliseconds(100));
+  unsigned before = world.RunCount(first);
+  constexpr int kRequests = 200;
+  int served = 0;
+  for (int i = 0; i < kRequests; ++i) {
+    result<buffered_response> answer =
+      world.SendRequest(fronts[0], "GET", "/orders/1");
+    served += answer && answer->status == 200 ? 1 : 0;
+  }
+  CHECK(served == kRequests);
+  CHECK(world.RunCount(first) - before < kRequests / 2);
+}
+
+TEST_CASE_METHOD(limit_fixture,
+                 "instance limit, malformed, leaves the limit that was named "
+                 "before",
+                 "[instance-limit]")
+{
+  world.Behaviour(first).request_limit = kLimitText;
+  world.Behaviour(second).request_limit = kLimitText;
+  (void)SendFor(milliseconds(100));
+  world.Behaviour(first).request_limit = "lots";
+  world.Behaviour(second).request_limit = "lots";
+  (void)SendFor(milliseconds(300));
+  unsigned before = world.RunCount(first);
+  constexpr duration kTime = milliseconds(500);
+  (void)SendFor(kTime);
+  CHECK(world.RunCount(first) - before <= AllowedRequests(kTime));
+}
