--- a/src/proxy/forwarded-request.h
+++ b/src/proxy/forwarded-request.h
@@ -29,6 +29,8 @@
   /// Requests per second that the instance takes from all hosts together, while
   /// it is in need.
   std::string request_limit;
+  /// Set to `1` in the answers of an instance that is about to exit.
+  std::string leaving;
 };
 
 /// A request that is forwarded to the instance chosen for it.
--- a/test/harness/mesh-world.cc
+++ b/test/harness/mesh-world.cc
@@ -20,8 +20,8 @@
 header_names
 TestHeaderNames()
 {
-  return { "X-Request-Id", "X-Timeout-Ms",   "X-Target",    "X-Caller",
-           "X-Stamp",      "X-Not-Executed", "Server-Limit" };
+  return { "X-Request-Id", "X-Timeout-Ms",   "X-Target",     "X-Caller",
+           "X-Stamp",      "X-Not-Executed", "Server-Limit", "Server-Leaving" };
 }
 
 } // namespace
@@ -159,6 +159,16 @@
   return index;
 }
 
+void
+mesh_world::RestartInstance(std::size_t aHost)
+{
+  world_host& host = *mHosts[aHost];
+  host.behaviour = {};
+  ++host.instance.started_unix_ms;
+  host.sequence = 0;
+  Announce(aHost, instance_state::ready);
+}
+
 void
 mesh_world::StartNode(world_host& aHost)
 {
@@ -214,6 +224,9 @@
         response.fields.push_back(
           { mNames.request_limit, behaviour.request_limit });
       }
+      if (behaviour.leaving) {
+        response.fields.push_back({ mNames.leaving, "1" });
+      }
       if (behaviour.refuses) {
         response.status = 503;
         response.fields.push_back({ mNames.not_executed, "1" });
--- a/test/harness/mesh-world.h
+++ b/test/harness/mesh-world.h
@@ -65,6 +65,8 @@
   bool sends_invalid_answer = false;
   /// Requests per second that its answers name as its limit; empty for none.
   std::string request_limit;
+  /// Its answers say that it is leaving.
+  bool leaving = false;
 };
 
 /// Nodes and instances on loopback addresses that share one event loop.
@@ -86,6 +88,9 @@
   /// those of the old one stay open in this process.
   void RestartNode(std::size_t aHost);
 
+  /// Starts the instance of a host again with its former id and announces it.
+  void RestartInstance(std::size_t aHost);
+
   /// Announces the instance of a host in a state to its node.
   void Announce(std::size_t aHost, instance_state aState);
 
