Remember which instances have left when a node starts again

What callers saw: after a restart of the node beside a leaving instance, requests reached the instance again, from hosts that had known of its leaving; some were cut at its exit.

Cause: a node that starts again takes its instance from its store entry. The entry is written 0.7 s after a change and not at all while the store is down, so it may still say ready; the record of the new process is newer than what the other hosts know and replaced it. Class: a newer record of a host is not newer knowledge about its instance.

Why this works: draining and gone are final for an incarnation of an instance, so each host keeps them across records and removals of the host; another incarnation ends it.

--- a/src/mesh/host-directory.cc
+++ b/src/mesh/host-directory.cc
@@ -4,6 +4,13 @@
 
 namespace eelgrasstrack {
 
+namespace {
+
+/// Time for which the left instance of a removed host is remembered.
+constexpr duration kRememberLeft = std::chrono::minutes(10);
+
+} // namespace
+
 bool
 host_directory::Merge(const host_record& aRecord, time_point aNow)
 {
@@ -17,6 +24,7 @@
   if (!IsNewer(aRecord, known->second.record)) {
     return false;
   }
+  KeepIfLeft(known->second.record, aNow);
   known->second.record = aRecord;
   mIndexValid = false;
   known->second.updated_at = aNow;
@@ -26,12 +34,31 @@
 
 void
 host_directory::RecordLeaving(const std::string& aHost,
-                              const instance_incarnation& aInstance)
+                              const instance_incarnation& aInstance,
+                              time_point aNow)
 {
-  mLeaving.insert_or_assign(aHost, aInstance);
+  mLeft.insert_or_assign(aHost, left_instance{ aInstance, aNow });
   mIndexValid = false;
 }
 
+void
+host_directory::KeepIfLeft(const host_record& aDropped, time_point aNow)
+{
+  if (aDropped.instance.state == instance_state::draining ||
+      aDropped.instance.state == instance_state::gone) {
+    RecordLeaving(aDropped.name, IncarnationOf(aDropped.instance), aNow);
+  }
+}
+
+void
+host_directory::ForgetLeft(time_point aNow)
+{
+  std::erase_if(mLeft, [&](const auto& aEntry) {
+    return mHosts.count(aEntry.first) == 0 &&
+           aNow - aEntry.second.recorded_at > kRememberLeft;
+  });
+}
+
 void
 host_directory::MarkUnreachable(const std::string& aName, time_point aNow)
 {
@@ -68,6 +95,7 @@
 host_directory::RemoveUnreachable(duration aAfter, time_point aNow)
 {
   std::vector<host_record> removed;
+  ForgetLeft(aNow);
   if (!ReachesMajority()) {
     return removed;
   }
@@ -75,6 +103,7 @@
     const known_host& host = entry->second;
     if (host.unreachable && aNow - host.unreachable_since > aAfter) {
       mRemoved.insert(entry->first);
+      KeepIfLeft(host.record, aNow);
       removed.push_back(host.record);
       entry = mHosts.erase(entry);
       mIndexValid = false;
@@ -98,9 +127,9 @@
   if (aRecord.leaving || aRecord.instance.state != instance_state::ready) {
     return false;
   }
-  auto leaving = mLeaving.find(aRecord.name);
-  return leaving == mLeaving.end() ||
-         !(leaving->second == IncarnationOf(aRecord.instance));
+  auto left = mLeft.find(aRecord.name);
+  return left == mLeft.end() ||
+         !(left->second.incarnation == IncarnationOf(aRecord.instance));
 }
 
 void
--- a/src/mesh/host-directory.h
+++ b/src/mesh/host-directory.h
@@ -38,7 +38,8 @@
   /// as serving, whatever its records say, until it has another instance or
   /// incarnation.
   void RecordLeaving(const std::string& aHost,
-                     const instance_incarnation& aInstance);
+                     const instance_incarnation& aInstance,
+                     time_point aNow);
 
   /// Marks a known host as unreachable, except this node's own.
   void MarkUnreachable(const std::string& aName, time_point aNow);
@@ -66,6 +67,17 @@
     const std::string& aService) const;
 
 private:
+  struct left_instance
+  {
+    instance_incarnation incarnation;
+    time_point recorded_at{};
+  };
+
+  /// Remembers the instance of a record that is about to be dropped, if it is
+  /// leaving or gone: a node that starts again may take it for ready.
+  void KeepIfLeft(const host_record& aDropped, time_point aNow);
+  /// Forgets the left instances of hosts that were removed long ago.
+  void ForgetLeft(time_point aNow);
   bool ReachesMajority() const;
   bool IsServing(const host_record& aRecord) const;
   void RebuildIndex() const;
@@ -74,7 +86,7 @@
   std::map<std::string, known_host> mHosts;
   std::set<std::string> mRemoved;
   /// The last instance of each host that is known to be leaving or gone.
-  std::map<std::string, instance_incarnation> mLeaving;
+  std::map<std::string, left_instance> mLeft;
   /// Serving hosts by service: read for every request, while records rarely
   /// change. Rebuilt by the first read after a change.
   mutable std::map<std::string, std::vector<const known_host*>> mServing;
--- a/src/proxy/proxied-request.cc
+++ b/src/proxy/proxied-request.cc
@@ -144,8 +144,8 @@
 proxied_request::RecordNotices(const header_fields& aFields)
 {
   if (AnnouncesLeaving(aFields, mDependencies.names)) {
-    mDependencies.directory.RecordLeaving(mHost,
-                                          { mInstance, mInstanceStarted });
+    mDependencies.directory.RecordLeaving(
+      mHost, { mInstance, mInstanceStarted }, Now());
   }
   // The last hop logs a malformed limit.
   if (result<std::optional<double>> limit =
--- a/test/unit/instance-leaving-test.cc
+++ b/test/unit/instance-leaving-test.cc
@@ -1,6 +1,7 @@
 #include <catch2/catch.hpp>
 
 #include "harness/mesh-world.h"
+#include "mesh/host-directory.h"
 
 using namespace eelgrasstrack;
 using namespace eelgrasstrack::test;
@@ -53,6 +54,40 @@
   std::size_t stayer = 0;
 };
 
+/// A directory that knows two more hosts, the second with a leaving instance.
+class left_directory_fixture
+{
+public:
+  left_directory_fixture()
+  {
+    for (const char* name : { "self", "stays", "leaves" }) {
+      directory.Merge(Record(name, 1, instance_state::ready), start);
+    }
+    directory.Merge(Record("leaves", 2, instance_state::draining), start);
+  }
+
+  static host_record Record(const std::string& aName,
+                            std::uint64_t aSequence,
+                            instance_state aState)
+  {
+    host_record record;
+    record.name = aName;
+    record.sequence = aSequence;
+    record.instance.id = "i-" + aName;
+    record.instance.service = "orders";
+    record.instance.state = aState;
+    return record;
+  }
+
+  std::size_t ServingCount() const
+  {
+    return directory.ServingHosts("orders").size();
+  }
+
+  const time_point start = time_point(std::chrono::hours(1));
+  host_directory directory{ "self" };
+};
+
 } // namespace
 
 // Guards against DRAIN: an instance that says in its answers that it is leaving
@@ -93,7 +128,7 @@
   leaving_fixture,
   "instance leaving, announced, node beside it restarts, gets no "
   "requests from hosts that know",
-  "[instance-leaving][known-red]")
+  "[instance-leaving]")
 {
   world.Store().unavailable = true;
   SECTION("drains")
@@ -124,3 +159,42 @@
   CHECK(Send(kRequests) == kRequests);
   CHECK(world.RunCount(leaver) > before);
 }
+
+TEST_CASE_METHOD(
+  left_directory_fixture,
+  "host directory, leaving instance said to be ready again, does "
+  "not serve",
+  "[instance-leaving]")
+{
+  CHECK(ServingCount() == 2);
+  directory.Merge(Record("leaves", 3, instance_state::ready), start);
+  CHECK(ServingCount() == 2);
+  directory.Merge(Record("leaves", 4, instance_state::absent), start);
+  directory.Merge(Record("leaves", 5, instance_state::ready), start);
+  CHECK(ServingCount() == 2);
+}
+
+TEST_CASE_METHOD(left_directory_fixture,
+                 "host directory, host removed and back, leaving instance does "
+                 "not serve",
+                 "[instance-leaving]")
+{
+  directory.MarkUnreachable("leaves", start);
+  (void)directory.RemoveUnreachable(std::chrono::seconds(60),
+                                    start + std::chrono::seconds(61));
+  REQUIRE(directory.Find("leaves") == nullptr);
+  directory.Merge(Record("leaves", 1, instance_state::ready),
+                  start + std::chrono::seconds(62));
+  CHECK(ServingCount() == 2);
+}
+
+TEST_CASE_METHOD(left_directory_fixture,
+                 "host directory, next incarnation of a leaving instance, "
+                 "serves",
+                 "[instance-leaving]")
+{
+  host_record next = Record("leaves", 3, instance_state::ready);
+  next.instance.started_unix_ms = 1;
+  directory.Merge(next, start);
+  CHECK(ServingCount() == 3);
+}
