--- a/test/harness/platform-store.cc
+++ b/test/harness/platform-store.cc
@@ -65,6 +65,11 @@
 platform_store::Handle(buffered_request aRequest, respond_callback aRespond)
 {
   ++mCalls;
+  aRespond = [this,
+              respond = std::move(aRespond)](buffered_response aResponse) {
+    aResponse.fields.push_back({ "Store-Era", std::to_string(mEra) });
+    respond(aResponse);
+  };
   if (mFault == fault::unavailable || mFault == fault::rate_limited) {
     aRespond(Response(mFault == fault::unavailable ? status::kUnavailable
                                                    : status::kTooManyRequests));
@@ -95,7 +100,7 @@
     return List(parts[0], QueryParameter(aRequest.target, "after"));
   }
   std::uint64_t revision = std::stoull(watch);
-  if (revision < mOldestWatchRevision) {
+  if (revision < mOldestWatchRevision || revision > mRevision) {
     return Response(status::kGone);
   }
   auto answered = std::make_shared<bool>(false);
@@ -188,6 +193,18 @@
   RecordChange(aKind, aName);
 }
 
+void
+platform_store::Restore(const copy& aCopy)
+{
+  ++mEra;
+  mObjectsByKind = aCopy.objects_by_kind;
+  mRevision = aCopy.revision;
+  for (const pending_watch& watch :
+       std::exchange(mPendingWatches, std::vector<pending_watch>())) {
+    watch.respond(Response(status::kUnavailable));
+  }
+}
+
 json
 platform_store::Find(const std::string& aKind, const std::string& aName) const
 {
--- a/test/harness/platform-store.h
+++ b/test/harness/platform-store.h
@@ -33,6 +33,19 @@
            const std::string& aName,
            const nlohmann::json& aSpec);
 
+  /// The contents at a moment.
+  struct copy
+  {
+    std::map<std::string, std::map<std::string, nlohmann::json>>
+      objects_by_kind;
+    std::uint64_t revision = 0;
+  };
+  copy Copy() const { return { mObjectsByKind, mRevision }; }
+  /// Puts back the contents of a copy, as after a loss of the store: revisions
+  /// go back and are given out again, waiting watches are cut off and the era
+  /// rises by one.
+  void Restore(const copy& aCopy);
+
   /// Drops the history of changes: watches from an older revision get 410.
   void Compact() { mOldestWatchRevision = mRevision; }
 
@@ -72,6 +85,7 @@
   std::map<std::string, std::map<std::string, nlohmann::json>> mObjectsByKind;
   std::vector<pending_watch> mPendingWatches;
   std::uint64_t mRevision = 100;
+  std::uint64_t mEra = 1;
   std::uint64_t mOldestWatchRevision = 0;
   std::size_t mPageSize = 500;
   unsigned mCalls = 0;
--- a/test/unit/store-client-test.cc
+++ b/test/unit/store-client-test.cc
@@ -9,6 +9,7 @@
 using namespace eelgrasstrack::test;
 using nlohmann::json;
 using std::chrono::milliseconds;
+using std::chrono::seconds;
 
 namespace {
 
@@ -265,3 +266,35 @@
   CHECK(done->error().kind == error_kind::conflict);
   CHECK(store.Find("rollouts", "s").at("status").is_null());
 }
+
+// Guards against a status on the wrong order: the store has gone back and given
+// the revision of the order that was read to another one.
+TEST_CASE_METHOD(store_client_fixture,
+                 "store client, store restored, progress of an order read "
+                 "before conflicts",
+                 "[store-client][known-red]")
+{
+  platform_store::copy copy = store.Copy();
+  store.Put(
+    "rollouts", "s", { { "svc", "s" }, { "to", "v2" }, { "over_s", 9 } });
+  client.SetWatching(true);
+  RunFor(milliseconds(300));
+  REQUIRE(observer.orders.size() == 1);
+  canary_order order = observer.orders[0];
+  store.Restore(copy);
+  store.Put(
+    "rollouts", "s", { { "svc", "s" }, { "to", "v3" }, { "over_s", 9 } });
+  RunFor(seconds(1)); // the client hears of the new era
+  order.phase = canary_phase::complete;
+  std::optional<result<void>> done;
+  client.RecordProgress(order, [&](result<void> aDone) {
+    done = std::move(aDone);
+    event_loop.Stop();
+  });
+  while (!done) {
+    event_loop.Run();
+  }
+  REQUIRE_FALSE(*done);
+  CHECK(done->error().kind == error_kind::conflict);
+  CHECK(store.Find("rollouts", "s").at("status").is_null());
+}
