--- a/src/mesh/control-store.h
+++ b/src/mesh/control-store.h
@@ -68,6 +68,10 @@
   /// for changes. Nodes that do not watch receive both from nodes that do.
   virtual void SetWatching(bool aWatching) = 0;
 
+  /// Era of the store as last heard, 0 before. It rises by one when the store
+  /// goes back to an older copy of its contents; revisions start again there.
+  virtual std::uint64_t Era() const = 0;
+
   /// Whether the store has answered a call since `aSince`.
   virtual bool AnsweredSince(time_point aSince) const = 0;
 
--- a/src/mesh/mesh-node.cc
+++ b/src/mesh/mesh-node.cc
@@ -726,14 +726,14 @@
 {
   std::string text;
   mCounters.AppendMetrics(text);
-  text += "eelgrasstrack_config_version " + std::to_string(ConfigVersion()) +
-          "\neelgrasstrack_hosts " + std::to_string(mDirectory.All().size()) +
-          "\neelgrasstrack_instance_busy " +
-          std::to_string(mDispatcher.Load().busy) +
-          "\neelgrasstrack_instance_waiting " +
-          std::to_string(mDispatcher.Load().waiting) +
-          "\neelgrasstrack_instance_sent_total " +
-          std::to_string(mDispatcher.SentCount()) + "\n";
+  text +=
+    "eelgrasstrack_config_version " + std::to_string(ConfigVersion()) +
+    "\neelgrasstrack_hosts " + std::to_string(mDirectory.All().size()) +
+    "\neelgrasstrack_instance_busy " + std::to_string(mDispatcher.Load().busy) +
+    "\neelgrasstrack_instance_waiting " +
+    std::to_string(mDispatcher.Load().waiting) + "\neelgrasstrack_store_era " +
+    std::to_string(mStore.Era()) + "\neelgrasstrack_instance_sent_total " +
+    std::to_string(mDispatcher.SentCount()) + "\n";
   if (const std::optional<double>& limit = mDispatcher.RequestLimit()) {
     text +=
       "eelgrasstrack_instance_request_limit " + RequestLimitText(limit) + "\n";
--- a/test/harness/mesh-world.h
+++ b/test/harness/mesh-world.h
@@ -37,6 +37,7 @@
 
   void SetObserver(control_store_observer& aObserver) override;
   void SetWatching(bool) override {}
+  std::uint64_t Era() const override { return 1; }
   bool AnsweredSince(time_point) const override { return IsReachable(); }
   result<accepted_table> ParseTable(std::string aText) override;
   void PublishHost(const host_record& aRecord, done_callback aDone) override;
