--- a/test/unit/store-restored-test.cc
+++ b/test/unit/store-restored-test.cc
@@ -185,7 +185,7 @@
 TEST_CASE_METHOD(restored_store_fixture,
                  "store restored, revisions are given out again, configuration "
                  "is in force",
-                 "[store-restored][known-red]")
+                 "[store-restored]")
 {
   platform_store::copy copy = store.Copy();
   store.Put("config", "main", TableSpec(8));
