--- a/src/mesh/canary-driver.cc
+++ b/src/mesh/canary-driver.cc
@@ -196,7 +196,7 @@
     mOpenOrders.erase(aOrder.service);
     return;
   }
-  OpenOrder(aOrder, canary.started_at);
+  OpenOrder(aOrder, known->started_at);
   open_order& open = mOpenOrders[aOrder.service];
   open.order = aOrder;
   open.from_store = true;
@@ -207,7 +207,9 @@
 {
   auto open = mOpenOrders.find(aOrder.service);
   if (open != mOpenOrders.end() &&
-      open->second.order.order_id == aOrder.order_id) {
+      (open->second.order.order_id == aOrder.order_id ||
+       IsFoundAgain(open->second.order, aOrder))) {
+    open->second.order.order_id = aOrder.order_id;
     return;
   }
   LogEvent(log_level::info,
--- a/src/proxy/version-selector.cc
+++ b/src/proxy/version-selector.cc
@@ -43,17 +43,26 @@
   return ValueIn(kPhaseNames, aName);
 }
 
+bool
+version_selector::IsEnded(canary_phase aPhase)
+{
+  return aPhase == canary_phase::complete ||
+         aPhase == canary_phase::rolled_back;
+}
+
 bool
 version_selector::Merge(const canary_rollout& aCanary)
 {
   canary_rollout& known = mCanaries[aCanary.service];
-  bool laterOrder = aCanary.order_id > known.order_id;
-  bool ended = known.phase == canary_phase::complete ||
-               known.phase == canary_phase::rolled_back;
-  bool laterPhase =
-    aCanary.order_id == known.order_id && !ended && aCanary.phase > known.phase;
+  bool foundAgain = IsFoundAgain(known, aCanary);
+  bool laterOrder = aCanary.order_id > known.order_id && !foundAgain;
+  bool laterPhase = (aCanary.order_id == known.order_id || foundAgain) &&
+                    !IsEnded(known.phase) && aCanary.phase > known.phase;
+  if (foundAgain) {
+    known.order_id = aCanary.order_id;
+  }
   if (!laterOrder && !laterPhase) {
-    return false;
+    return foundAgain;
   }
   if (laterOrder) {
     // A random start makes the nodes' first canary requests come at different
@@ -64,7 +73,9 @@
     credit.requests = start(mRandom);
     credit.updated_at = aCanary.started_at;
   }
+  time_point startedAt = foundAgain ? known.started_at : aCanary.started_at;
   known = aCanary;
+  known.started_at = startedAt;
   if (known.phase == canary_phase::complete) {
     mEstablished[aCanary.service].version = aCanary.target_version;
   }
--- a/src/proxy/version-selector.h
+++ b/src/proxy/version-selector.h
@@ -50,6 +50,18 @@
   time_point started_at{};
 };
 
+/// Whether `aOther` is the known order, found again in a store that has gone back
+/// to a copy: there the same order has another id. Both have the members
+/// `order_id`, `target_version` and `time_limit`.
+template<typename KnownOrder, typename OtherOrder>
+bool
+IsFoundAgain(const KnownOrder& aKnown, const OtherOrder& aOther)
+{
+  return aOther.order_id.era > aKnown.order_id.era &&
+         aOther.target_version == aKnown.target_version &&
+         aOther.time_limit == aKnown.time_limit;
+}
+
 /// A time in which one instance of the new version gets a short peak of all
 /// requests and then the load that it would have after the promotion.
 struct canary_burst
@@ -100,8 +112,8 @@
   }
 
   /// Stores a rollout if its order is later than the known one, or if it is a
-  /// later phase of the same order and the known phase is not final. Returns
-  /// whether it was stored.
+  /// later phase of the same order and the known phase is not final. An order
+  /// that is found again keeps its progress. Returns whether anything changed.
   bool Merge(const canary_rollout& aCanary);
 
   /// Sets the number of ready instances by service, without those of the target
@@ -133,6 +145,8 @@
                               const std::string& aVersion) const;
 
 private:
+  static bool IsEnded(canary_phase aPhase);
+
   /// The version that serves all requests if there is no rollout.
   struct established_version
   {
--- a/test/unit/store-restored-test.cc
+++ b/test/unit/store-restored-test.cc
@@ -239,7 +239,7 @@
 TEST_CASE_METHOD(restored_store_fixture,
                  "store restored, next order has a lower revision, is rolled "
                  "out",
-                 "[store-restored][known-red]")
+                 "[store-restored]")
 {
   platform_store::copy copy = store.Copy();
   WriteOthers();
@@ -256,7 +256,7 @@
 // rollout that was taken back.
 TEST_CASE_METHOD(restored_store_fixture,
                  "store restored, rollout was taken back, is recorded again",
-                 "[store-restored][known-red]")
+                 "[store-restored]")
 {
   platform_store::copy before = store.Copy();
   WriteOthers();
