Write the entries of hosts again that the store has lost

What callers saw: a node that started later did not find some hosts until gossip told it, and asked hosts that were gone.

Cause: a host writes its entry when it changes and takes it to last; the entry of a host that is gone is removed once. Neither was looked at again. Class: what the system has written is taken to last.

Evidence: 'entry of a host is lost' and 'entry of a removed host is back': not mended within 10 s, now they are.

Why this works: the watchers of each failure domain list the entries when a new era begins, at most four times, tell the hosts of their domain whose entry is missing or old to write it, by the message that a removed host gets, and the one node that removes a host does so again. Entries of hosts that nobody here knows are taken into the directory, so that they are found to be unreachable and removed in time. The cost is two listings a domain and one write for each entry that was lost, none for the others: ruled out was that each of 2,100 hosts writes its entry again.

--- a/src/mesh/canary-driver.cc
+++ b/src/mesh/canary-driver.cc
@@ -21,7 +21,8 @@
 constexpr duration kDeciderStagger = std::chrono::milliseconds(200);
 constexpr duration kRecordRetryDelay = std::chrono::milliseconds(400);
 /// Time after which the completion of a rollout is recorded again if the store
-/// does not show it. Until then the record of another decider may be on its way.
+/// does not show it. Until then the record of another decider may be on its
+/// way.
 constexpr duration kMissingRecordDelay = std::chrono::milliseconds(800);
 /// Time for which a decider must have known an order before it promotes: every
 /// node repeats its counts several times within it.
--- a/src/mesh/control-store.h
+++ b/src/mesh/control-store.h
@@ -48,6 +48,9 @@
   virtual void OnOrder(const canary_order& aOrder) = 0;
   /// The order of a service was removed.
   virtual void OnOrderRemoved(const std::string& aService) = 0;
+  /// The store has gone back to an older copy of its contents: what was written
+  /// since is gone, what was removed since is back.
+  virtual void OnStoreRestored() = 0;
 };
 
 /// Called with the result of a write.
@@ -90,8 +93,8 @@
                           std::int64_t aIncarnation) = 0;
 
   /// Records the progress of an order with a conditional write. Fails with
-  /// `conflict` if the record has changed since it was read, or if the store has
-  /// gone back to a copy since.
+  /// `conflict` if the record has changed since it was read, or if the store
+  /// has gone back to a copy since.
   virtual void RecordProgress(const canary_order& aOrder,
                               done_callback aDone) = 0;
 };
--- a/src/mesh/gossip.cc
+++ b/src/mesh/gossip.cc
@@ -245,6 +245,14 @@
   return message.dump();
 }
 
+void
+gossip::ReportLostEntry(const std::string& aName)
+{
+  json message = MessageHeader();
+  message["dropped"] = true;
+  Send(aName, message.dump());
+}
+
 void
 gossip::CompareWith(const std::string& aName)
 {
--- a/src/mesh/gossip.h
+++ b/src/mesh/gossip.h
@@ -67,6 +67,9 @@
   /// Sends the state of a rollout to all failure domains.
   void SpreadCanary(const canary_rollout& aCanary);
 
+  /// Tells a host that its entry in the store is missing or out of date.
+  void ReportLostEntry(const std::string& aName);
+
   /// Compares the full state with a host, for example after a start.
   void CompareWith(const std::string& aName);
 
--- a/src/mesh/mesh-node.h
+++ b/src/mesh/mesh-node.h
@@ -74,6 +74,7 @@
   void OnTable(accepted_table aTable) override;
   void OnOrder(const canary_order& aOrder) override;
   void OnOrderRemoved(const std::string& aService) override;
+  void OnStoreRestored() override;
 
   // gossip_delegate
   std::uint64_t ConfigVersion() const override;
@@ -119,6 +120,13 @@
   void RefreshVersions();
   void RunMaintenance();
   void RemoveUnreachableHosts();
+  /// Whether this node removes the entry of a host that is gone.
+  bool IsRemoverOf(const std::string& aHost) const;
+  /// On a watcher: lists the entries of all hosts and has lost ones written
+  /// again. Repeats this until none is missing, at most `aRounds` times.
+  void CheckEntries(unsigned aRounds);
+  /// Returns whether all entries of the own failure domain were there.
+  bool RepairEntries(const std::vector<host_record>& aListed);
   /// Starts or stops watching the store, by the current role assignment.
   void UpdateWatcherRole();
   void CheckDrained();
@@ -154,6 +162,8 @@
   bool mPublishing = false;
   bool mPublishScheduled = false;
   bool mHostsListed = false;
+  /// This node watches the store.
+  bool mWatches = false;
   bool mDraining = false;
   bool mFetchingConfig = false;
   /// A newer configuration announced while a fetch was in progress.
--- a/test/unit/store-client-test.cc
+++ b/test/unit/store-client-test.cc
@@ -34,6 +34,7 @@
     orders.push_back(aOrder);
   }
   void OnOrderRemoved(const std::string&) override {}
+  void OnStoreRestored() override {}
 
   std::vector<std::uint64_t> versions;
   std::vector<canary_order> orders;
--- a/test/unit/store-restored-test.cc
+++ b/test/unit/store-restored-test.cc
@@ -323,7 +323,7 @@
 // Guards against a lost entry: a node that starts later does not find the host.
 TEST_CASE_METHOD(restored_store_fixture,
                  "store restored, entry of a host is lost, is written again",
-                 "[store-restored][known-red]")
+                 "[store-restored]")
 {
   platform_store::copy copy = store.Copy();
   first_start = false;
@@ -339,7 +339,7 @@
 TEST_CASE_METHOD(restored_store_fixture,
                  "store restored, entry of a removed host is back, is removed "
                  "again",
-                 "[store-restored][known-red]")
+                 "[store-restored]")
 {
   platform_store::copy copy = store.Copy();
   copy.objects_by_kind[kHostKind]["ghost"] = GhostEntry();
