--- a/src/base/store-revision.h
+++ b/src/base/store-revision.h
@@ -1,20 +1,25 @@
 #ifndef EELGRASSTRACK_BASE_STORE_REVISION_H_
 #define EELGRASSTRACK_BASE_STORE_REVISION_H_
 
-#include <compare>
 #include <cstdint>
+#include <tuple>
 
 namespace eelgrasstrack {
 
-/// Revision of the platform's store; later ones are greater. When the store goes
-/// back to an older copy of its contents, a new era begins, in which numbers of
-/// the lost history are given out again.
+/// Revision of the platform's store; later ones are greater. When the store
+/// goes back to an older copy of its contents, a new era begins, in which
+/// numbers of the lost history are given out again.
 struct store_revision
 {
   std::uint64_t era = 0;
   std::uint64_t number = 0;
 
-  auto operator<=>(const store_revision&) const = default;
+  bool operator==(const store_revision&) const = default;
+  bool operator<(const store_revision& aOther) const
+  {
+    return std::tie(era, number) < std::tie(aOther.era, aOther.number);
+  }
+  bool operator>(const store_revision& aOther) const { return aOther < *this; }
 };
 
 } // namespace eelgrasstrack
--- a/src/mesh/mesh-node.cc
+++ b/src/mesh/mesh-node.cc
@@ -35,9 +35,6 @@
   std::chrono::milliseconds(100);
 /// Changes of the node's entry within this time are combined into one write.
 constexpr duration kPublishDelay = std::chrono::milliseconds(700);
-/// Time in which a host whose entry was lost writes it again.
-constexpr duration kEntryCheckPeriod = std::chrono::milliseconds(3000);
-constexpr unsigned kMaxEntryChecks = 4;
 constexpr duration kListRetryDelay = std::chrono::milliseconds(500);
 constexpr duration kConfigFetchTimeout = std::chrono::milliseconds(900);
 /// Delay before a configuration is fetched from another failure domain, so that
@@ -78,15 +75,6 @@
   return response;
 }
 
-/// Whether two records of a host need the same entry in the store.
-bool
-HaveSameEntry(const host_record& aLeft, const host_record& aRight)
-{
-  return aLeft.hop == aRight.hop && aLeft.control == aRight.control &&
-         aLeft.instance.id == aRight.instance.id &&
-         aLeft.instance.state == aRight.instance.state;
-}
-
 } // namespace
 
 mesh_node::mesh_node(loop& aLoop,
@@ -120,6 +108,7 @@
                aCounters })
   , mHopServer(aTransport, mNames, mDispatcher, mLinkPacer)
   , mGossip(aLoop, aClient, mDirectory, mVersions, aCounters, *this)
+  , mEntryRepair(aLoop, aStore, mDirectory, mGossip)
   , mCanaryDriver(aLoop,
                   aClient,
                   aStore,
@@ -197,6 +186,7 @@
   mGossip.OnUnreachable([this](const std::string& aName) {
     mHopClient.HandleUnreachableHost(aName);
   });
+  mEntryRepair.OnOwnEntryLost([this] { OnRemovedByOthers(); });
   mGossip.Start();
   mCanaryDriver.Start();
   mStore.SetObserver(*this);
@@ -479,12 +469,6 @@
   RemoveUnreachableHosts();
 }
 
-bool
-mesh_node::IsRemoverOf(const std::string& aHost) const
-{
-  return IndexOf(DecidersOf(mDirectory, aHost), mOwnRecord.name) == 0;
-}
-
 void
 mesh_node::RemoveUnreachableHosts()
 {
@@ -492,7 +476,7 @@
   for (const host_record& removed :
        mDirectory.RemoveUnreachable(kRemoveHostAfter, now)) {
     LogEvent(log_level::info, "host_dropped", { { "host", removed.name } });
-    if (IsRemoverOf(removed.name) &&
+    if (IsRemoverOf(mDirectory, removed.name) &&
         mStore.AnsweredSince(now - kStoreAnswerWindow)) {
       mStore.RemoveHost(removed.name, removed.incarnation);
     }
@@ -512,9 +496,10 @@
   auto additional = static_cast<std::size_t>(sinceWatcher / kWatcherTimeout);
   std::vector<std::string> watchers = WatchersOf(
     mDirectory, mOwnRecord.domain, kWatchersPerDomain * (1 + additional));
-  mWatches = !mDraining && IndexOf(watchers, mOwnRecord.name) >= 0;
-  mStore.SetWatching(mWatches);
-  if (mWatches && mStore.AnsweredSince(now - kStoreAnswerWindow)) {
+  bool watches = !mDraining && IndexOf(watchers, mOwnRecord.name) >= 0;
+  mStore.SetWatching(watches);
+  mEntryRepair.SetActive(watches);
+  if (watches && mStore.AnsweredSince(now - kStoreAnswerWindow)) {
     mGossip.SpreadConfigVersion(true);
   }
 }
@@ -597,66 +582,7 @@
 void
 mesh_node::OnStoreRestored()
 {
-  CheckEntries(kMaxEntryChecks);
-}
-
-void
-mesh_node::CheckEntries(unsigned aRounds)
-{
-  if (!mWatches || mDraining || aRounds == 0) {
-    return;
-  }
-  mStore.ListHosts([this, aRounds](result<std::vector<host_record>> aHosts) {
-    if (!aHosts) {
-      LogEvent(log_level::debug,
-               "listing_failed",
-               { { "reason", aHosts.error().message } });
-      mLoop.RunAfter(kListRetryDelay,
-                     [this, aRounds] { CheckEntries(aRounds); });
-      return;
-    }
-    if (!RepairEntries(*aHosts)) {
-      mLoop.RunAfter(kEntryCheckPeriod,
-                     [this, aRounds] { CheckEntries(aRounds - 1); });
-    }
-  });
-}
-
-bool
-mesh_node::RepairEntries(const std::vector<host_record>& aListed)
-{
-  std::map<std::string, const host_record*> entries;
-  for (const host_record& entry : aListed) {
-    entries[entry.name] = &entry;
-    bool removed = mDirectory.WasRemoved(entry.name);
-    if (!removed && entry.name != mOwnRecord.name) {
-      mDirectory.Merge(entry, mLoop.Now());
-    }
-    if (removed && IsRemoverOf(entry.name)) {
-      mStore.RemoveHost(entry.name, entry.incarnation);
-    }
-  }
-  std::vector<std::string> lost;
-  for (const auto& [name, host] : mDirectory.All()) {
-    if (host.record.domain != mOwnRecord.domain || host.unreachable ||
-        host.record.leaving) {
-      continue;
-    }
-    auto entry = entries.find(name);
-    if (entry == entries.end() || !HaveSameEntry(*entry->second, host.record)) {
-      lost.push_back(name);
-    }
-  }
-  for (const std::string& name : lost) {
-    LogEvent(log_level::info, "host_entry_lost", { { "host", name } });
-    if (name == mOwnRecord.name) {
-      OnRemovedByOthers();
-    } else {
-      mGossip.ReportLostEntry(name);
-    }
-  }
-  OnHostsChanged();
-  return lost.empty();
+  mEntryRepair.Start();
 }
 
 // gossip_delegate
--- a/src/mesh/mesh-node.h
+++ b/src/mesh/mesh-node.h
@@ -4,6 +4,7 @@
 #include "mesh/canary-driver.h"
 #include "mesh/control-store.h"
 #include "mesh/gossip.h"
+#include "mesh/host-entry-repair.h"
 #include "mesh/mesh-settings.h"
 #include "proxy/hop-server.h"
 #include "proxy/ingress.h"
@@ -123,13 +124,6 @@
   void RefreshVersions();
   void RunMaintenance();
   void RemoveUnreachableHosts();
-  /// Whether this node removes the entry of a host that is gone.
-  bool IsRemoverOf(const std::string& aHost) const;
-  /// On a watcher: lists the entries of all hosts and has lost ones written
-  /// again. Repeats this until none is missing, at most `aRounds` times.
-  void CheckEntries(unsigned aRounds);
-  /// Returns whether all entries of the own failure domain were there.
-  bool RepairEntries(const std::vector<host_record>& aListed);
   /// Starts or stops watching the store, by the current role assignment.
   void UpdateWatcherRole();
   void CheckDrained();
@@ -152,6 +146,7 @@
   ingress mIngress;
   hop_server mHopServer;
   gossip mGossip;
+  host_entry_repair mEntryRepair;
   canary_driver mCanaryDriver;
   host_record mOwnRecord;
   /// The compressed configuration text that is served to other nodes.
@@ -165,8 +160,6 @@
   bool mPublishing = false;
   bool mPublishScheduled = false;
   bool mHostsListed = false;
-  /// This node watches the store.
-  bool mWatches = false;
   bool mDraining = false;
   bool mFetchingConfig = false;
   /// A newer configuration announced while a fetch was in progress.
--- a/src/net/bandwidth-scheduler.cc
+++ b/src/net/bandwidth-scheduler.cc
@@ -6,8 +6,6 @@
 
 namespace {
 
-/// A message up to this size does not wait for earlier large ones.
-constexpr std::size_t kSmallMessageBytes = 16U << 10U;
 /// Bytes of one stream that are sent at a time.
 constexpr std::size_t kGrantBytes = 16U << 10U;
 /// Allowance that an idle link accumulates.
--- a/src/net/bandwidth-scheduler.h
+++ b/src/net/bandwidth-scheduler.h
@@ -9,6 +9,9 @@
 
 namespace eelgrasstrack {
 
+/// A message up to this size does not wait for the link behind larger ones.
+constexpr std::size_t kSmallMessageBytes = 16U << 10U;
+
 /// Identifies one sender of bytes.
 using stream_id = std::uint64_t;
 
--- a/src/proxy/hop-fields.h
+++ b/src/proxy/hop-fields.h
@@ -14,7 +14,7 @@
 
 /// Encodes a request as
 /// `INSTANCE ROUTE PRIORITY idempotent|once SOFT-DEADLINE DEADLINE
-/// CALLER-SERVICE`.
+/// CALLER-SERVICE REQUEST-LIMIT|none`.
 std::string
 EncodeCall(const forwarded_request& aRequest, time_point aNow);
 
@@ -25,7 +25,8 @@
            time_point aNow,
            forwarded_request& aRequest);
 
-/// Encodes a load as `BUSY WAITING SLOTS AVERAGE-DURATION`.
+/// Encodes a load as
+/// `BUSY WAITING SLOTS AVERAGE-DURATION LINK-WAIT LIMIT-WAIT`.
 std::string
 EncodeLoad(const run_load& aLoad);
 
--- a/src/proxy/instance-chooser.cc
+++ b/src/proxy/instance-chooser.cc
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <limits>
 
+#include "net/bandwidth-scheduler.h"
+
 namespace eelgrasstrack {
 
 namespace {
@@ -25,8 +27,6 @@
 constexpr double kSmallCrossDomainShare = 0.1;
 constexpr double kLargeCrossDomainShare = 0.35;
 constexpr std::size_t kLargeAnswerBytes = 64U << 10U;
-/// Answers of this size and more wait for the link behind other large ones.
-constexpr std::size_t kLinkBoundBytes = 16U << 10U;
 /// Factor for an instance that is still warming up.
 constexpr double kWarmUpPenalty = 2;
 /// Added for an unreachable host, in microseconds; exceeds any request timeout.
@@ -115,7 +115,7 @@
     expected += CrossDomainShare(aRequest.answer_bytes) *
                 static_cast<double>(left.count());
   }
-  if (aRequest.answer_bytes >= kLinkBoundBytes) {
+  if (aRequest.answer_bytes > kSmallMessageBytes) {
     duration wait = load.link_wait - (aNow - load.reported_at);
     expected += static_cast<double>(std::max(wait, duration(0)).count());
   }
--- a/src/proxy/instance-dispatcher.cc
+++ b/src/proxy/instance-dispatcher.cc
@@ -23,8 +23,6 @@
 constexpr duration kDrainReserve = std::chrono::milliseconds(500);
 /// Limit for connecting to the instance and for its acknowledgements.
 constexpr duration kUnacknowledgedTimeout = std::chrono::seconds(2);
-/// Larger answers are counted as load of the link.
-constexpr std::size_t kMinLargeAnswerBytes = 16U << 10U;
 
 } // namespace
 
@@ -45,7 +43,7 @@
     , mIncarnation(IncarnationOf(aDispatcher.mInstance))
     , mExpectedBytes(aDispatcher.mAnswerSizes.Expected(mRequest.route))
   {
-    if (mExpectedBytes < kMinLargeAnswerBytes) {
+    if (mExpectedBytes <= kSmallMessageBytes) {
       mExpectedBytes = 0;
     }
   }
@@ -445,12 +443,23 @@
 duration
 instance_dispatcher::LinkDelay(std::size_t aAnswerBytes) const
 {
-  if (aAnswerBytes < kMinLargeAnswerBytes) {
+  if (aAnswerBytes <= kSmallMessageBytes) {
     return duration(0);
   }
   return mLink.SendTime(mLink.QueuedBytes() + mExpectedBytes + aAnswerBytes);
 }
 
+run_failure
+instance_dispatcher::FullFailure(duration aRetryAfter) const
+{
+  run_failure failure;
+  failure.reason = run_failure_reason::full;
+  failure.not_run = true;
+  failure.retry_after = aRetryAfter;
+  failure.load = Load();
+  return failure;
+}
+
 run_start
 instance_dispatcher::Dispatch(forwarded_request aRequest,
                               std::shared_ptr<answer_sink> aSink)
@@ -464,12 +473,7 @@
   if (linkDelay > duration(0) &&
       now + mQueue.AverageDuration(aRequest.route) + linkDelay >
         aRequest.deadline) {
-    run_failure failure;
-    failure.reason = run_failure_reason::full;
-    failure.not_run = true;
-    failure.retry_after = linkDelay;
-    failure.load = Load();
-    return tl::unexpected<run_failure>(failure);
+    return tl::unexpected<run_failure>(FullFailure(linkDelay));
   }
   run_entry entry;
   entry.id = mNextId++;
@@ -479,12 +483,7 @@
   entry.deadline = aRequest.deadline - linkDelay;
   run_admission admission = mQueue.Admit(entry, now);
   if (admission.decision == run_decision::refuse) {
-    run_failure failure;
-    failure.reason = run_failure_reason::full;
-    failure.not_run = true;
-    failure.retry_after = admission.retry_after;
-    failure.load = Load();
-    return tl::unexpected<run_failure>(failure);
+    return tl::unexpected<run_failure>(FullFailure(admission.retry_after));
   }
   auto run = std::make_shared<instance_run>(
     *this, entry.id, std::move(aRequest), std::move(aSink));
--- a/src/proxy/run-queue.cc
+++ b/src/proxy/run-queue.cc
@@ -19,8 +19,8 @@
 /// one waiting request per this many slots. Otherwise requests that can still
 /// meet their soft deadline would keep overtaking it.
 constexpr std::size_t kSlotsPerLateRequest = 4;
-/// A request is short if others take at least this many times as long. This is
-/// less than the factor by which an answer is worth less when it is late.
+/// A request is short if others take at least this many times as long; it then
+/// delays them by a small part of their own time.
 constexpr double kShortFactor = 2.5;
 
 void
--- a/src/proxy/version-selector.h
+++ b/src/proxy/version-selector.h
@@ -50,8 +50,8 @@
   time_point started_at{};
 };
 
-/// Whether `aOther` is the known order, found again in a store that has gone back
-/// to a copy: there the same order has another id. Both have the members
+/// Whether `aOther` is the known order, found again in a store that has gone
+/// back to a copy: there the same order has another id. Both have the members
 /// `order_id`, `target_version` and `time_limit`.
 template<typename KnownOrder, typename OtherOrder>
 bool
