--- a/test/unit/store-client-test.cc
+++ b/test/unit/store-client-test.cc
@@ -97,6 +97,23 @@
     }
   }
 
+  /// Records the progress of an order of the service `s` and checks that this
+  /// conflicts and changes nothing.
+  void CheckProgressConflicts(const canary_order& aOrder)
+  {
+    std::optional<result<void>> done;
+    client.RecordProgress(aOrder, [&](result<void> aDone) {
+      done = std::move(aDone);
+      event_loop.Stop();
+    });
+    while (!done) {
+      event_loop.Run();
+    }
+    REQUIRE_FALSE(*done);
+    CHECK(done->error().kind == error_kind::conflict);
+    CHECK(store.Find("rollouts", "s").at("status").is_null());
+  }
+
   loop event_loop{ 256 };
   tcp_transport transport;
   control_client control;
@@ -255,17 +272,7 @@
   store.Put(
     "rollouts", "s", { { "svc", "s" }, { "to", "v3" }, { "over_s", 9 } });
   order.phase = canary_phase::complete;
-  std::optional<result<void>> done;
-  client.RecordProgress(order, [&](result<void> aDone) {
-    done = std::move(aDone);
-    event_loop.Stop();
-  });
-  while (!done) {
-    event_loop.Run();
-  }
-  REQUIRE_FALSE(*done);
-  CHECK(done->error().kind == error_kind::conflict);
-  CHECK(store.Find("rollouts", "s").at("status").is_null());
+  CheckProgressConflicts(order);
 }
 
 // Guards against a status on the wrong order: the store has gone back and given
@@ -287,15 +294,5 @@
     "rollouts", "s", { { "svc", "s" }, { "to", "v3" }, { "over_s", 9 } });
   RunFor(seconds(1)); // the client hears of the new era
   order.phase = canary_phase::complete;
-  std::optional<result<void>> done;
-  client.RecordProgress(order, [&](result<void> aDone) {
-    done = std::move(aDone);
-    event_loop.Stop();
-  });
-  while (!done) {
-    event_loop.Run();
-  }
-  REQUIRE_FALSE(*done);
-  CHECK(done->error().kind == error_kind::conflict);
-  CHECK(store.Find("rollouts", "s").at("status").is_null());
+  CheckProgressConflicts(order);
 }
--- a/test/unit/store-restored-test.cc
+++ b/test/unit/store-restored-test.cc
@@ -32,22 +32,17 @@
   return { { "svc", "orders" }, { "to", aVersion }, { "over_s", aSeconds } };
 }
 
-/// Nodes on a fake of the platform's store, which goes back to a copy.
-class restored_store_fixture
+/// A fake of the platform's store, and nodes on it.
+class store_world
 {
 public:
-  restored_store_fixture()
+  store_world()
     : transport(event_loop)
     , control(transport)
     , store_address(FreeAddress())
     , store(event_loop, transport, store_address)
   {
     store.Put("config", "main", TableSpec(3));
-    for (const char* name : { "node-1", "node-2" }) {
-      AddNode(name, "v1");
-    }
-    RunUntil([this] { return EntryExists("node-1") && EntryExists("node-2"); });
-    RunUntil([this] { return AllHold(3); });
   }
 
   /// A node with the instance beside it and its own client of the store.
@@ -178,6 +173,20 @@
   std::vector<std::unique_ptr<test_node>> nodes;
 };
 
+/// Two nodes that hold the configuration of the store.
+class restored_store_fixture : public store_world
+{
+public:
+  restored_store_fixture()
+  {
+    for (const char* name : { "node-1", "node-2" }) {
+      AddNode(name, "v1");
+    }
+    RunUntil([this] { return EntryExists("node-1") && EntryExists("node-2"); });
+    RunUntil([this] { return AllHold(3); });
+  }
+};
+
 } // namespace
 
 // Guards against CONFIG: a change written after the store went back has a
@@ -355,3 +364,29 @@
   REQUIRE(EntryExists("ghost"));
   CHECK(RunUntil([this] { return !EntryExists("ghost"); }));
 }
+
+TEST_CASE_METHOD(restored_store_fixture,
+                 "store restored, twice in a row, configuration is in force",
+                 "[store-restored]")
+{
+  platform_store::copy copy = store.Copy();
+  for (int version : { 8, 12 }) {
+    store.Put("config", "main", TableSpec(version));
+    CHECK(RunUntil([&] { return AllHold(version); }));
+    store.Restore(copy);
+  }
+  store.Put("config", "main", TableSpec(15));
+  CHECK(RunUntil([this] { return AllHold(15); }));
+}
+
+// Guards against a node that waits for others that are gone.
+TEST_CASE_METHOD(store_world,
+                 "node starts, the only other host is gone, is ready in time",
+                 "[store-restored]")
+{
+  store.Put(kHostKind, "ghost", GhostEntry().at("spec"));
+  first_start = false;
+  mesh_node& started = AddNode("node-1", "v1");
+  CHECK(RunUntil([&started] { return started.Ready(); }));
+  CHECK(started.ConfigVersion() == 3);
+}
