--- a/test/unit/store-client-test.cc
+++ b/test/unit/store-client-test.cc
@@ -296,3 +296,22 @@
   order.phase = canary_phase::complete;
   CheckProgressConflicts(order);
 }
+
+// Guards against a node that is cut off from its store for good: the eras of a
+// store at another address are lower.
+TEST_CASE_METHOD(store_client_fixture,
+                 "store client, address changes, store with a lower era is "
+                 "followed",
+                 "[store-client]")
+{
+  store.Restore(store.Copy());
+  client.SetWatching(true);
+  REQUIRE(WaitForVersion(3));
+  endpoint otherAddress = FreeAddress();
+  platform_store other(event_loop, transport, otherAddress);
+  other.Put("config", "main", MakeTable(5));
+  client.SetAddress(otherAddress);
+  CHECK(WaitForVersion(5));
+  other.Put("config", "main", MakeTable(6));
+  CHECK(WaitForVersion(6));
+}
