Sum the counts of a rollout once a tick; one test for phases that are final

The counts of all nodes were summed up to three times a tick, and the schedule was computed in phases that don't use it; the test for a final phase stood three times. Merging an order that is found again takes its new id first and then goes through the usual comparison, in place of a second set of conditions.

One difference: a rollout that is complete and open again, as its record was lost, is no longer judged. Before, a bad verdict would have sent 'reverted' to the other nodes, which hold complete for final and ignore it.

--- a/src/mesh/canary-driver.cc
+++ b/src/mesh/canary-driver.cc
@@ -195,8 +195,7 @@
   if (known == nullptr || known->order_id > aOrder.order_id) {
     return;
   }
-  if (aOrder.phase == canary_phase::complete ||
-      aOrder.phase == canary_phase::rolled_back) {
+  if (IsFinal(aOrder.phase)) {
     mOpenOrders.erase(aOrder.service);
     return;
   }
@@ -387,15 +386,16 @@
 }
 
 canary_exposure
-canary_driver::ExposureOf(const open_order& aOpenOrder) const
+canary_driver::ExposureOf(const version_samples& aSamples,
+                          const std::string& aTargetVersion) const
 {
   canary_exposure exposure;
   exposure.allowed_share = mBounds.canary_share;
   exposure.allowed_slack = mBounds.canary_slack;
-  for (const auto& [version, routes] : TotalSamples(aOpenOrder)) {
+  for (const auto& [version, routes] : aSamples) {
     for (const auto& [route, sample] : routes) {
       exposure.requests += sample.requests;
-      if (version == aOpenOrder.order.target_version) {
+      if (version == aTargetVersion) {
         exposure.canary_requests += sample.requests;
       }
     }
@@ -440,7 +440,8 @@
   if (canary == nullptr || deciderIndex < 0) {
     return;
   }
-  RollBackIfBad(aOpenOrder);
+  version_samples samples = TotalSamples(aOpenOrder);
+  RollBackIfBad(aOpenOrder, samples);
   if (aOpenOrder.recording || !aOpenOrder.from_store ||
       mLoop.Now() < aOpenOrder.retry_after) {
     return;
@@ -459,25 +460,12 @@
   }
   duration elapsed =
     now - aOpenOrder.started_at - deciderIndex * kDeciderStagger;
-  canary_schedule schedule = ScheduleFor(aOpenOrder.order.time_limit,
-                                         now - aOpenOrder.opened_at,
-                                         ExposureOf(aOpenOrder));
   if (!aOpenOrder.order.recorded && elapsed >= duration(0)) {
     RecordPhase(aOpenOrder, canary_phase::canary);
     return;
   }
-  if (canary->phase == canary_phase::canary &&
-      MayPromote(schedule, elapsed, now - aOpenOrder.opened_at) &&
-      IsVersionServing(aOpenOrder.order.service,
-                       aOpenOrder.order.target_version)) {
-    EnterPhase(
-      aOpenOrder,
-      canary_phase::promoted,
-      "no fault detected, " +
-        SummaryOf(TotalSamples(aOpenOrder), aOpenOrder.order.target_version));
-    return;
-  }
-  if (canary->phase != canary_phase::promoted) {
+  if (canary->phase == canary_phase::canary) {
+    PromoteIfDue(aOpenOrder, samples, elapsed);
     return;
   }
   if (!aOpenOrder.promoted_at) {
@@ -492,16 +480,33 @@
 }
 
 void
-canary_driver::RollBackIfBad(open_order& aOpenOrder)
+canary_driver::PromoteIfDue(open_order& aOpenOrder,
+                            const version_samples& aSamples,
+                            duration aElapsed)
+{
+  const canary_order& order = aOpenOrder.order;
+  duration knownFor = mLoop.Now() - aOpenOrder.opened_at;
+  canary_schedule schedule = ScheduleFor(
+    order.time_limit, knownFor, ExposureOf(aSamples, order.target_version));
+  if (MayPromote(schedule, aElapsed, knownFor) &&
+      IsVersionServing(order.service, order.target_version)) {
+    EnterPhase(aOpenOrder,
+               canary_phase::promoted,
+               "no fault detected, " +
+                 SummaryOf(aSamples, order.target_version));
+  }
+}
+
+void
+canary_driver::RollBackIfBad(open_order& aOpenOrder,
+                             const version_samples& aSamples)
 {
   const canary_rollout* canary = mVersions.CanaryOf(aOpenOrder.order.service);
-  if (canary == nullptr || canary->phase == canary_phase::rolled_back) {
+  if (canary == nullptr || IsFinal(canary->phase)) {
     return;
   }
-  version_assessment assessment =
-    CompareVersions(TotalSamples(aOpenOrder),
-                    aOpenOrder.order.target_version,
-                    CountFailingHosts(aOpenOrder));
+  version_assessment assessment = CompareVersions(
+    aSamples, aOpenOrder.order.target_version, CountFailingHosts(aOpenOrder));
   if (assessment.verdict == version_verdict::bad) {
     EnterPhase(aOpenOrder, canary_phase::rolled_back, assessment.reason);
   }
@@ -555,8 +560,7 @@
     if (order.phase == canary_phase::complete) {
       EnterPhase(open->second, canary_phase::complete, "recorded");
     }
-    if (order.phase == canary_phase::complete ||
-        order.phase == canary_phase::rolled_back) {
+    if (IsFinal(order.phase)) {
       mOpenOrders.erase(service);
     }
   });
--- a/src/mesh/canary-driver.h
+++ b/src/mesh/canary-driver.h
@@ -137,7 +137,11 @@
   /// Counts for the instance on this host, with the requests it runs now.
   version_samples OwnSamples(const std::string& aService) const;
   /// Rolls the new version back if the counts show that it is bad.
-  void RollBackIfBad(open_order& aOpenOrder);
+  void RollBackIfBad(open_order& aOpenOrder, const version_samples& aSamples);
+  /// Promotes the new version if it is time and instances of it serve.
+  void PromoteIfDue(open_order& aOpenOrder,
+                    const version_samples& aSamples,
+                    duration aElapsed);
   void DecideNextPhase(open_order& aOpenOrder);
   void EnterPhase(open_order& aOpenOrder,
                   canary_phase aPhase,
@@ -146,7 +150,8 @@
   void OpenOrder(const canary_order& aOrder, time_point aStartedAt);
   void SendReport(const std::string& aHost, const std::string& aBody);
   version_samples TotalSamples(const open_order& aOpenOrder) const;
-  canary_exposure ExposureOf(const open_order& aOpenOrder) const;
+  canary_exposure ExposureOf(const version_samples& aSamples,
+                             const std::string& aTargetVersion) const;
   /// Number of hosts on which the new version failed at least one request.
   static std::size_t CountFailingHosts(const open_order& aOpenOrder);
   bool IsVersionServing(const std::string& aService,
--- a/src/proxy/version-selector.cc
+++ b/src/proxy/version-selector.cc
@@ -31,6 +31,13 @@
 
 } // namespace
 
+bool
+IsFinal(canary_phase aPhase)
+{
+  return aPhase == canary_phase::complete ||
+         aPhase == canary_phase::rolled_back;
+}
+
 std::string_view
 NameOf(canary_phase aPhase)
 {
@@ -43,24 +50,19 @@
   return ValueIn(kPhaseNames, aName);
 }
 
-bool
-version_selector::IsEnded(canary_phase aPhase)
-{
-  return aPhase == canary_phase::complete ||
-         aPhase == canary_phase::rolled_back;
-}
-
 bool
 version_selector::Merge(const canary_rollout& aCanary)
 {
   canary_rollout& known = mCanaries[aCanary.service];
-  bool foundAgain = IsFoundAgain(known, aCanary);
-  bool laterOrder = aCanary.order_id > known.order_id && !foundAgain;
-  bool laterPhase = (aCanary.order_id == known.order_id || foundAgain) &&
-                    !IsEnded(known.phase) && aCanary.phase > known.phase;
+  canary_rollout update = aCanary;
+  bool foundAgain = IsFoundAgain(known, update);
   if (foundAgain) {
-    known.order_id = aCanary.order_id;
+    known.order_id = update.order_id;
+    update.started_at = known.started_at;
   }
+  bool laterOrder = update.order_id > known.order_id;
+  bool laterPhase = update.order_id == known.order_id &&
+                    !IsFinal(known.phase) && update.phase > known.phase;
   if (!laterOrder && !laterPhase) {
     return foundAgain;
   }
@@ -73,9 +75,7 @@
     credit.requests = start(mRandom);
     credit.updated_at = aCanary.started_at;
   }
-  time_point startedAt = foundAgain ? known.started_at : aCanary.started_at;
-  known = aCanary;
-  known.started_at = startedAt;
+  known = std::move(update);
   if (known.phase == canary_phase::complete) {
     mEstablished[aCanary.service].version = aCanary.target_version;
   }
--- a/src/proxy/version-selector.h
+++ b/src/proxy/version-selector.h
@@ -26,6 +26,10 @@
   rolled_back,
 };
 
+/// Whether a rollout in this phase has ended; no other phase follows.
+bool
+IsFinal(canary_phase aPhase);
+
 /// Name of the phase in messages between nodes, logs and the state dump.
 std::string_view
 NameOf(canary_phase aPhase);
@@ -145,8 +149,6 @@
                               const std::string& aVersion) const;
 
 private:
-  static bool IsEnded(canary_phase aPhase);
-
   /// The version that serves all requests if there is no rollout.
   struct established_version
   {
