--- a/src/mesh/gossip.cc
+++ b/src/mesh/gossip.cc
@@ -262,12 +262,15 @@
 void
 gossip::CompareAtStart()
 {
-  std::vector<std::string> ownTargets = OwnDomainTargets();
-  std::vector<std::string> otherTargets = OtherDomainTargets(1);
-  for (const auto& targets : { ownTargets, otherTargets }) {
-    if (!targets.empty()) {
-      CompareWith(targets[mRandom() % targets.size()]);
-    }
+  CompareWithOneOf(OwnDomainTargets());
+  CompareWithOneOf(OtherDomainTargets(1));
+}
+
+void
+gossip::CompareWithOneOf(const std::vector<std::string>& aNames)
+{
+  if (!aNames.empty()) {
+    CompareWith(aNames[mRandom() % aNames.size()]);
   }
 }
 
@@ -290,11 +293,8 @@
   std::vector<std::string> otherTargets = OtherDomainTargets(1);
   bool crossDomain =
     ownTargets.empty() || mRandom() % kCrossDomainCompareOneIn == 0;
-  const std::vector<std::string>& candidates =
-    crossDomain && !otherTargets.empty() ? otherTargets : ownTargets;
-  if (!candidates.empty()) {
-    CompareWith(candidates[mRandom() % candidates.size()]);
-  }
+  CompareWithOneOf(crossDomain && !otherTargets.empty() ? otherTargets
+                                                        : ownTargets);
 }
 
 void
--- a/src/mesh/gossip.h
+++ b/src/mesh/gossip.h
@@ -127,6 +127,8 @@
   /// has a digest, otherwise an empty text.
   std::string ProcessMessage(const std::string& aBody);
   void CompareWithRandomHost();
+  /// Compares the full state with a random one of these hosts, if there is one.
+  void CompareWithOneOf(const std::vector<std::string>& aNames);
   nlohmann::json EncodeCanary(const canary_rollout& aCanary) const;
   result<canary_rollout> DecodeCanary(const nlohmann::json& aJson) const;
   void ProbeUnreachable();
--- a/src/mesh/host-directory.cc
+++ b/src/mesh/host-directory.cc
@@ -6,8 +6,8 @@
 
 namespace {
 
-/// Time for which the left instance of a removed host is remembered.
-constexpr duration kRememberLeft = std::chrono::minutes(10);
+/// Time for which the leaving instance of a removed host is remembered.
+constexpr duration kRememberLeaving = std::chrono::minutes(10);
 
 } // namespace
 
@@ -24,7 +24,7 @@
   if (!IsNewer(aRecord, known->second.record)) {
     return false;
   }
-  KeepIfLeft(known->second.record, aNow);
+  RememberIfLeaving(known->second.record, aNow);
   known->second.record = aRecord;
   mIndexValid = false;
   known->second.updated_at = aNow;
@@ -37,25 +37,24 @@
                               const instance_incarnation& aInstance,
                               time_point aNow)
 {
-  mLeft.insert_or_assign(aHost, left_instance{ aInstance, aNow });
+  mLeaving.insert_or_assign(aHost, leaving_instance{ aInstance, aNow });
   mIndexValid = false;
 }
 
 void
-host_directory::KeepIfLeft(const host_record& aDropped, time_point aNow)
+host_directory::RememberIfLeaving(const host_record& aDropped, time_point aNow)
 {
-  if (aDropped.instance.state == instance_state::draining ||
-      aDropped.instance.state == instance_state::gone) {
+  if (IsLeaving(aDropped.instance.state)) {
     RecordLeaving(aDropped.name, IncarnationOf(aDropped.instance), aNow);
   }
 }
 
 void
-host_directory::ForgetLeft(time_point aNow)
+host_directory::ForgetLeaving(time_point aNow)
 {
-  std::erase_if(mLeft, [&](const auto& aEntry) {
+  std::erase_if(mLeaving, [&](const auto& aEntry) {
     return mHosts.count(aEntry.first) == 0 &&
-           aNow - aEntry.second.recorded_at > kRememberLeft;
+           aNow - aEntry.second.recorded_at > kRememberLeaving;
   });
 }
 
@@ -95,7 +94,7 @@
 host_directory::RemoveUnreachable(duration aAfter, time_point aNow)
 {
   std::vector<host_record> removed;
-  ForgetLeft(aNow);
+  ForgetLeaving(aNow);
   if (!ReachesMajority()) {
     return removed;
   }
@@ -103,7 +102,7 @@
     const known_host& host = entry->second;
     if (host.unreachable && aNow - host.unreachable_since > aAfter) {
       mRemoved.insert(entry->first);
-      KeepIfLeft(host.record, aNow);
+      RememberIfLeaving(host.record, aNow);
       removed.push_back(host.record);
       entry = mHosts.erase(entry);
       mIndexValid = false;
@@ -127,9 +126,9 @@
   if (aRecord.leaving || aRecord.instance.state != instance_state::ready) {
     return false;
   }
-  auto left = mLeft.find(aRecord.name);
-  return left == mLeft.end() ||
-         !(left->second.incarnation == IncarnationOf(aRecord.instance));
+  auto leaving = mLeaving.find(aRecord.name);
+  return leaving == mLeaving.end() ||
+         !(leaving->second.incarnation == IncarnationOf(aRecord.instance));
 }
 
 void
--- a/src/mesh/host-directory.h
+++ b/src/mesh/host-directory.h
@@ -67,7 +67,7 @@
     const std::string& aService) const;
 
 private:
-  struct left_instance
+  struct leaving_instance
   {
     instance_incarnation incarnation;
     time_point recorded_at{};
@@ -75,9 +75,9 @@
 
   /// Remembers the instance of a record that is about to be dropped, if it is
   /// leaving or gone: a node that starts again may take it for ready.
-  void KeepIfLeft(const host_record& aDropped, time_point aNow);
-  /// Forgets the left instances of hosts that were removed long ago.
-  void ForgetLeft(time_point aNow);
+  void RememberIfLeaving(const host_record& aDropped, time_point aNow);
+  /// Forgets the leaving instances of hosts that were removed long ago.
+  void ForgetLeaving(time_point aNow);
   bool ReachesMajority() const;
   bool IsServing(const host_record& aRecord) const;
   void RebuildIndex() const;
@@ -86,7 +86,7 @@
   std::map<std::string, known_host> mHosts;
   std::set<std::string> mRemoved;
   /// The last instance of each host that is known to be leaving or gone.
-  std::map<std::string, left_instance> mLeft;
+  std::map<std::string, leaving_instance> mLeaving;
   /// Serving hosts by service: read for every request, while records rarely
   /// change. Rebuilt by the first read after a change.
   mutable std::map<std::string, std::vector<const known_host*>> mServing;
--- a/src/mesh/host-record.cc
+++ b/src/mesh/host-record.cc
@@ -58,6 +58,12 @@
   return NameIn(kStateNames, aState);
 }
 
+bool
+IsLeaving(instance_state aState)
+{
+  return aState == instance_state::draining || aState == instance_state::gone;
+}
+
 instance_incarnation
 IncarnationOf(const instance_record& aInstance)
 {
--- a/src/mesh/host-record.h
+++ b/src/mesh/host-record.h
@@ -27,6 +27,11 @@
 std::string_view
 NameOf(instance_state aState);
 
+/// Whether an instance in this state is about to exit or has exited. It does
+/// not become ready again; its next incarnation may.
+bool
+IsLeaving(instance_state aState);
+
 /// The instance of an upstream on a node's host, as the node knows it.
 struct instance_record
 {
--- a/src/mesh/mesh-node.cc
+++ b/src/mesh/mesh-node.cc
@@ -360,9 +360,8 @@
                { "sequence", std::to_string(aAnnouncement.sequence) } });
     return false;
   }
-  if (sameIncarnation && (known.state == instance_state::draining ||
-                          known.state == instance_state::gone)) {
-    return true; // an instance that drains or is gone does not become ready
+  if (sameIncarnation && IsLeaving(known.state)) {
+    return true; // it does not become ready again
   }
   mAnnouncedSequence = aAnnouncement.sequence;
   mAnnouncedAt = mLoop.Now();
@@ -393,7 +392,13 @@
     return;
   }
   LogEvent(log_level::info, "instance_left", { { "instance", aId } });
-  mOwnRecord.instance.state = instance_state::gone;
+  SetInstanceState(instance_state::gone);
+}
+
+void
+mesh_node::SetInstanceState(instance_state aState)
+{
+  mOwnRecord.instance.state = aState;
   mDispatcher.SetInstance(mOwnRecord.instance);
   SpreadOwnRecord();
 }
@@ -401,16 +406,13 @@
 void
 mesh_node::HandleInstanceLeaving()
 {
-  if (mOwnRecord.instance.state == instance_state::draining ||
-      mOwnRecord.instance.state == instance_state::gone) {
+  if (IsLeaving(mOwnRecord.instance.state)) {
     return;
   }
   LogEvent(log_level::info,
            "instance_leaving",
            { { "instance", mOwnRecord.instance.id } });
-  mOwnRecord.instance.state = instance_state::draining;
-  mDispatcher.SetInstance(mOwnRecord.instance);
-  SpreadOwnRecord();
+  SetInstanceState(instance_state::draining);
 }
 
 void
@@ -425,9 +427,7 @@
              "instance_silent",
              { { "instance", mOwnRecord.instance.id },
                { "silent_ms", std::to_string(Milliseconds(sinceHeartbeat)) } });
-    mOwnRecord.instance.state = instance_state::absent;
-    mDispatcher.SetInstance(mOwnRecord.instance);
-    SpreadOwnRecord();
+    SetInstanceState(instance_state::absent);
   }
 }
 
@@ -739,14 +739,14 @@
 {
   std::string text;
   mCounters.AppendMetrics(text);
-  text +=
-    "eelgrasstrack_config_version " + std::to_string(ConfigVersion()) +
-    "\neelgrasstrack_hosts " + std::to_string(mDirectory.All().size()) +
-    "\neelgrasstrack_instance_busy " + std::to_string(mDispatcher.Load().busy) +
-    "\neelgrasstrack_instance_waiting " +
-    std::to_string(mDispatcher.Load().waiting) + "\neelgrasstrack_store_era " +
-    std::to_string(mStore.Era()) + "\neelgrasstrack_instance_sent_total " +
-    std::to_string(mDispatcher.SentCount()) + "\n";
+  run_load load = mDispatcher.Load();
+  text += "eelgrasstrack_config_version " + std::to_string(ConfigVersion()) +
+          "\neelgrasstrack_hosts " + std::to_string(mDirectory.All().size()) +
+          "\neelgrasstrack_instance_busy " + std::to_string(load.busy) +
+          "\neelgrasstrack_instance_waiting " + std::to_string(load.waiting) +
+          "\neelgrasstrack_store_era " + std::to_string(mStore.Era()) +
+          "\neelgrasstrack_instance_sent_total " +
+          std::to_string(mDispatcher.SentCount()) + "\n";
   if (const std::optional<double>& limit = mDispatcher.RequestLimit()) {
     text +=
       "eelgrasstrack_instance_request_limit " + RequestLimitText(limit) + "\n";
--- a/src/mesh/mesh-node.h
+++ b/src/mesh/mesh-node.h
@@ -117,6 +117,8 @@
   /// Sends this node's changed record to other nodes with a new sequence
   /// number.
   void SpreadOwnRecord();
+  /// Changes the state of the instance on this host and tells the other nodes.
+  void SetInstanceState(instance_state aState);
   /// Handles an answer in which the instance says that it is leaving.
   void HandleInstanceLeaving();
   /// Marks the instance as absent if its heartbeats stopped.
--- a/src/proxy/instance-chooser.cc
+++ b/src/proxy/instance-chooser.cc
@@ -53,6 +53,14 @@
          size * (kLargeCrossDomainShare - kSmallCrossDomainShare);
 }
 
+/// The part of a reported wait that is left after the time since the report.
+double
+RemainingMicroseconds(duration aWait, duration aSinceReport)
+{
+  return static_cast<double>(
+    std::max(aWait - aSinceReport, duration(0)).count());
+}
+
 double
 Seconds(duration aTime)
 {
@@ -116,11 +124,9 @@
                 static_cast<double>(left.count());
   }
   if (aRequest.answer_bytes > kSmallMessageBytes) {
-    duration wait = load.link_wait - (aNow - load.reported_at);
-    expected += static_cast<double>(std::max(wait, duration(0)).count());
+    expected += RemainingMicroseconds(load.link_wait, aNow - load.reported_at);
   }
-  duration limitWait = load.limit_wait - (aNow - load.reported_at);
-  expected += static_cast<double>(std::max(limitWait, duration(0)).count());
+  expected += RemainingMicroseconds(load.limit_wait, aNow - load.reported_at);
   std::uniform_real_distribution<double> jitter(1, 1 + kJitter);
   return expected * jitter(mRandom);
 }
--- a/src/proxy/instance-dispatcher.cc
+++ b/src/proxy/instance-dispatcher.cc
@@ -415,18 +415,12 @@
 std::optional<run_failure>
 instance_dispatcher::RefusalOf(const forwarded_request& aRequest) const
 {
-  run_failure failure;
-  failure.not_run = true;
-  failure.load = Load();
-  if (mLeaving || mInstance.state == instance_state::draining ||
-      mInstance.state == instance_state::gone) {
-    failure.reason = run_failure_reason::leaving;
-    return failure;
+  if (mLeaving || IsLeaving(mInstance.state)) {
+    return RefusalWith(run_failure_reason::leaving, duration(0));
   }
   if (mInstance.state != instance_state::ready ||
       mInstance.id != aRequest.instance) {
-    failure.reason = run_failure_reason::wrong_instance;
-    return failure;
+    return RefusalWith(run_failure_reason::wrong_instance, duration(0));
   }
   return std::nullopt;
 }
@@ -450,10 +444,11 @@
 }
 
 run_failure
-instance_dispatcher::FullFailure(duration aRetryAfter) const
+instance_dispatcher::RefusalWith(run_failure_reason aReason,
+                                 duration aRetryAfter) const
 {
   run_failure failure;
-  failure.reason = run_failure_reason::full;
+  failure.reason = aReason;
   failure.not_run = true;
   failure.retry_after = aRetryAfter;
   failure.load = Load();
@@ -473,7 +468,8 @@
   if (linkDelay > duration(0) &&
       now + mQueue.AverageDuration(aRequest.route) + linkDelay >
         aRequest.deadline) {
-    return tl::unexpected<run_failure>(FullFailure(linkDelay));
+    return tl::unexpected<run_failure>(
+      RefusalWith(run_failure_reason::full, linkDelay));
   }
   run_entry entry;
   entry.id = mNextId++;
@@ -483,7 +479,8 @@
   entry.deadline = aRequest.deadline - linkDelay;
   run_admission admission = mQueue.Admit(entry, now);
   if (admission.decision == run_decision::refuse) {
-    return tl::unexpected<run_failure>(FullFailure(admission.retry_after));
+    return tl::unexpected<run_failure>(
+      RefusalWith(run_failure_reason::full, admission.retry_after));
   }
   auto run = std::make_shared<instance_run>(
     *this, entry.id, std::move(aRequest), std::move(aSink));
--- a/src/proxy/instance-dispatcher.h
+++ b/src/proxy/instance-dispatcher.h
@@ -89,8 +89,9 @@
   duration LinkDelay(std::size_t aAnswerBytes) const;
   /// Why a new request must be refused, if it must.
   std::optional<run_failure> RefusalOf(const forwarded_request& aRequest) const;
-  /// Refusal of a request for which there is no room before `aRetryAfter`.
-  run_failure FullFailure(duration aRetryAfter) const;
+  /// Failure of a request that is refused here, so that it has not run.
+  run_failure RefusalWith(run_failure_reason aReason,
+                          duration aRetryAfter) const;
   /// Returns an idle or new connection, only a new one if `aNewOnly`; null if
   /// the process has no descriptor left.
   std::shared_ptr<client_channel> AcquireChannel(bool aNewOnly);
--- a/src/proxy/request-limit-table.cc
+++ b/src/proxy/request-limit-table.cc
@@ -15,7 +15,7 @@
 {
   if (aLimit) {
     mLimits.insert_or_assign(aInstance, named_limit{ *aLimit, aNow });
-  } else if (!mLimits.empty()) {
+  } else {
     mLimits.erase(aInstance);
   }
 }
