--- a/src/base/store-revision.h
+++ b/src/base/store-revision.h
@@ -6,9 +6,9 @@
 
 namespace eelgrasstrack {
 
-/// Revision of the platform's store; later ones are greater. When the store
-/// goes back to an older copy of its contents, a new era begins, in which
-/// numbers of the lost history are given out again.
+/// Revision of the platform's store; later ones are greater. When the store is
+/// restored from a backup, a new era begins, in which the numbers of the lost
+/// history are reused.
 struct store_revision
 {
   std::uint64_t era = 0;
--- a/src/mesh/canary-driver.cc
+++ b/src/mesh/canary-driver.cc
@@ -211,7 +211,7 @@
   auto open = mOpenOrders.find(aOrder.service);
   if (open != mOpenOrders.end() &&
       (open->second.order.order_id == aOrder.order_id ||
-       IsFoundAgain(open->second.order, aOrder))) {
+       IsKnownOrderRestored(open->second.order, aOrder))) {
     open->second.order.order_id = aOrder.order_id;
     return;
   }
--- a/src/mesh/control-store.h
+++ b/src/mesh/control-store.h
@@ -48,8 +48,8 @@
   virtual void OnOrder(const canary_order& aOrder) = 0;
   /// The order of a service was removed.
   virtual void OnOrderRemoved(const std::string& aService) = 0;
-  /// The store has gone back to an older copy of its contents: what was written
-  /// since is gone, what was removed since is back.
+  /// The store was restored from a backup: what was written after the backup is
+  /// gone, what was removed after it is back.
   virtual void OnStoreRestored() = 0;
 };
 
@@ -71,8 +71,9 @@
   /// for changes. Nodes that do not watch receive both from nodes that do.
   virtual void SetWatching(bool aWatching) = 0;
 
-  /// Era of the store as last heard, 0 before. It rises by one when the store
-  /// goes back to an older copy of its contents; revisions start again there.
+  /// Era of the store as last received, 0 before. It rises by one when the
+  /// store is restored from a backup; revisions continue from that of the
+  /// backup.
   virtual std::uint64_t Era() const = 0;
 
   /// Whether the store has answered a call since `aSince`.
@@ -93,8 +94,8 @@
                           std::int64_t aIncarnation) = 0;
 
   /// Records the progress of an order with a conditional write. Fails with
-  /// `conflict` if the record has changed since it was read, or if the store
-  /// has gone back to a copy since.
+  /// `conflict` if the record has changed, or the store was restored from a
+  /// backup, since the order was read.
   virtual void RecordProgress(const canary_order& aOrder,
                               done_callback aDone) = 0;
 };
--- a/src/mesh/gossip.h
+++ b/src/mesh/gossip.h
@@ -73,8 +73,8 @@
   /// Compares the full state after a start: with a random host of the own
   /// failure domain and one of another.
   void CompareAtStart();
-  /// Latest configuration version that another host has named, 0 if it holds
-  /// none; nothing before the first message.
+  /// Latest configuration version that another host has announced, 0 if it
+  /// holds none; nothing before the first message.
   std::optional<std::uint64_t> LatestPeerConfig() const
   {
     return mLatestPeerConfig;
--- a/src/mesh/host-entry-repair.h
+++ b/src/mesh/host-entry-repair.h
@@ -14,10 +14,10 @@
 bool
 IsRemoverOf(const host_directory& aDirectory, const std::string& aHost);
 
-/// Mends the entries of hosts after the store has gone back to an older copy:
-/// hosts whose entry was lost are told to write it, entries that were removed
-/// are removed again. Runs on the nodes that watch the store; each one looks
-/// after the entries of its own failure domain.
+/// Repairs the entries of hosts after the store was restored from a backup:
+/// hosts whose entry was lost are asked to write it, entries that were removed
+/// are removed again. Runs on the nodes that watch the store; each one repairs
+/// the entries of its own failure domain.
 class host_entry_repair
 {
 public:
@@ -29,12 +29,11 @@
   /// Sets the function that is called when this node's own entry was lost.
   void OnOwnEntryLost(std::function<void()> aHandler);
 
-  /// Sets whether this node looks after entries. Checks in progress end when it
-  /// no longer does.
+  /// Sets whether this node repairs entries. Checks in progress end when it no
+  /// longer does.
   void SetActive(bool aActive) { mActive = aActive; }
 
-  /// Lists the entries and mends them. Repeats this a few times until none is
-  /// missing.
+  /// Lists and repairs the entries, a few times until none is missing.
   void Start();
 
 private:
--- a/src/mesh/mesh-node.h
+++ b/src/mesh/mesh-node.h
@@ -107,7 +107,7 @@
   void ListOtherHosts();
   void RestoreOwnEntry(const host_record& aEntry);
   /// Whether this node, after a restart, holds the latest configuration that
-  /// another node has named, or none has answered.
+  /// another node has announced, or none has answered.
   bool HasCaughtUp() const;
   /// Writes this node's entry to the store if an address or the instance
   /// changed.
--- a/src/proxy/forwarded-request.h
+++ b/src/proxy/forwarded-request.h
@@ -26,8 +26,8 @@
   std::string server_stamp;
   /// Set in an answer if the instance did not run the request.
   std::string not_executed;
-  /// Requests per second that the instance takes from all hosts together, while
-  /// it is in need.
+  /// Requests per second that an overloaded instance accepts from all hosts
+  /// together.
   std::string request_limit;
   /// Set to `1` in the answers of an instance that is about to exit.
   std::string leaving;
@@ -55,8 +55,8 @@
   time_point soft_deadline{};
   /// The caller does not wait for an answer after this time.
   time_point deadline{};
-  /// Limit of the instance in requests per second, as the first hop last heard
-  /// it; nothing if it heard of none.
+  /// Limit of the instance in requests per second, as the first hop last
+  /// received it; nothing if it received none.
   std::optional<double> request_limit;
 };
 
--- a/src/proxy/instance-chooser.h
+++ b/src/proxy/instance-chooser.h
@@ -92,8 +92,8 @@
     /// Time that a large answer waits for the link of the host, as last
     /// reported.
     duration link_wait{ 0 };
-    /// Time until the limit of the instance lets one more request through, as
-    /// last reported.
+    /// Time until the limit of the instance allows one more request, as last
+    /// reported.
     duration limit_wait{ 0 };
     /// Average duration of a request, as last reported; 0 if unknown.
     double average_microseconds = 0;
--- a/src/proxy/instance-dispatcher.h
+++ b/src/proxy/instance-dispatcher.h
@@ -62,8 +62,8 @@
   /// The requests that the instance runs now, each unanswered.
   std::vector<run_result> RunningRequests() const;
 
-  /// Limit that the instance named in its last answer, in requests per second;
-  /// before its first one, the limit that other nodes have heard.
+  /// Limit that the instance announced in its last answer, in requests per
+  /// second; before its first one, the limit that other nodes have received.
   const std::optional<double>& RequestLimit() const { return mRequestLimit; }
   /// Requests sent to the instance since this process started.
   std::uint64_t SentCount() const { return mSentCount; }
@@ -110,9 +110,8 @@
   /// earlier incarnation says nothing about the present one.
   void RecordNotices(const header_fields& aFields,
                      const instance_incarnation& aFrom);
-  /// Takes over the limit that another node has heard, until the instance
-  /// itself has answered this process: the process that knew the limit may have
-  /// ended.
+  /// Applies the limit that another node has received, until the instance has
+  /// answered this process: it may have announced the limit to an earlier one.
   void AdoptLimit(const std::optional<double>& aLimit);
   void SetRequestLimit(const std::optional<double>& aLimit);
 
--- a/src/proxy/instance-notices.h
+++ b/src/proxy/instance-notices.h
@@ -7,12 +7,12 @@
 
 namespace eelgrasstrack {
 
-/// Whether an instance says in its answer that it is about to exit.
+/// Whether an instance announces in its answer that it is about to exit.
 bool
 AnnouncesLeaving(const header_fields& aFields, const header_names& aNames);
 
-/// The number of requests per second that an instance names in its answer as
-/// the most that it takes from all hosts together; nothing if it names none.
+/// The greatest number of requests per second that an instance announces in its
+/// answer to accept from all hosts together; nothing if it announces none.
 /// Fails with `invalid_argument` if the field is not a number of 0 or more.
 result<std::optional<double>>
 RequestLimitOf(const header_fields& aFields, const header_names& aNames);
--- a/src/proxy/proxied-request.h
+++ b/src/proxy/proxied-request.h
@@ -79,7 +79,7 @@
              mIngress.AnswerSizes().Expected(mRoute->name) };
   }
 
-  /// Keeps what an answer says about its instance.
+  /// Records what an answer announces about its instance.
   void RecordNotices(const header_fields& aFields);
   void SendTo(const instance_candidate& aCandidate);
   run_start Dispatch();
--- a/src/proxy/request-limit-table.cc
+++ b/src/proxy/request-limit-table.cc
@@ -14,7 +14,7 @@
                             time_point aNow)
 {
   if (aLimit) {
-    mLimits.insert_or_assign(aInstance, named_limit{ *aLimit, aNow });
+    mLimits.insert_or_assign(aInstance, announced_limit{ *aLimit, aNow });
   } else {
     mLimits.erase(aInstance);
   }
--- a/src/proxy/request-limit-table.h
+++ b/src/proxy/request-limit-table.h
@@ -9,13 +9,13 @@
 
 namespace eelgrasstrack {
 
-/// The limits that instances named in answers which this node passed on. They
-/// go with each request to the node beside the instance, which may have been
-/// started since and not know them.
+/// The limits that instances announced in answers which this node forwarded.
+/// Each request carries the limit of its instance to the last hop, which may
+/// have restarted since and not know it.
 class request_limit_table
 {
 public:
-  /// Records the limit in an answer of an instance, or that it named none.
+  /// Records the limit in an answer of an instance, or that it announced none.
   void Record(const std::string& aInstance,
               std::optional<double> aLimit,
               time_point aNow);
@@ -27,13 +27,13 @@
   void RemoveUnconfirmed(time_point aNow);
 
 private:
-  struct named_limit
+  struct announced_limit
   {
     double limit = 0;
     time_point confirmed_at{};
   };
 
-  std::map<std::string, named_limit> mLimits;
+  std::map<std::string, announced_limit> mLimits;
 };
 
 } // namespace eelgrasstrack
--- a/src/proxy/request-rate-limiter.cc
+++ b/src/proxy/request-rate-limiter.cc
@@ -32,16 +32,15 @@
   if (interval == mInterval) {
     return;
   }
-  // What was sent under the earlier limit takes as many intervals of the new
-  // one.
-  double owed = 0;
+  // The wait that is left is the same number of intervals as before.
+  double intervalsLeft = 0;
   if (mInterval > duration(0) && mNextAt > aNow) {
-    owed = static_cast<double>((mNextAt - aNow).count()) /
-           static_cast<double>(mInterval.count());
+    intervalsLeft = static_cast<double>((mNextAt - aNow).count()) /
+                    static_cast<double>(mInterval.count());
   }
   mInterval = interval;
   mNextAt = aNow + duration(static_cast<std::int64_t>(
-                     owed * static_cast<double>(interval.count())));
+                     intervalsLeft * static_cast<double>(interval.count())));
 }
 
 time_point
--- a/src/proxy/run-queue.h
+++ b/src/proxy/run-queue.h
@@ -58,8 +58,7 @@
   /// Time until the host's link has sent the large answers that are waiting or
   /// expected.
   duration link_wait{ 0 };
-  /// Time until the limit that the instance has named lets one more request
-  /// through.
+  /// Time until the limit that the instance announced allows one more request.
   duration limit_wait{ 0 };
 };
 
@@ -82,10 +81,10 @@
 
   void SetSlots(unsigned aSlots);
 
-  /// Sets the limit that the instance has named, in requests per second;
-  /// nothing if it names none. Requests start no faster.
+  /// Sets the limit that the instance announced, in requests per second;
+  /// nothing if it announced none. Requests start no faster.
   void SetRequestLimit(std::optional<double> aLimit, time_point aNow);
-  /// Time until the limit lets a request through that waits behind all others.
+  /// Time until the limit allows a request that waits behind all others.
   duration LimitWait(time_point aNow) const;
 
   /// Takes a free slot for a new request, queues it or refuses it.
@@ -135,7 +134,7 @@
   double ExpectedWaitBehind(std::size_t aCount,
                             double aMicroseconds,
                             time_point aNow) const;
-  /// Whether a slot is free and the limit lets a request start now.
+  /// Whether a slot is free and the limit allows a request to start now.
   bool MayStart(time_point aNow) const;
   /// Whether a request that waits `aWait` microseconds is expected to finish by
   /// its soft deadline, or by its deadline with some time in reserve.
--- a/src/proxy/version-selector.cc
+++ b/src/proxy/version-selector.cc
@@ -55,8 +55,8 @@
 {
   canary_rollout& known = mCanaries[aCanary.service];
   canary_rollout update = aCanary;
-  bool foundAgain = IsFoundAgain(known, update);
-  if (foundAgain) {
+  bool restored = IsKnownOrderRestored(known, update);
+  if (restored) {
     known.order_id = update.order_id;
     update.started_at = known.started_at;
   }
@@ -64,7 +64,7 @@
   bool laterPhase = update.order_id == known.order_id &&
                     !IsFinal(known.phase) && update.phase > known.phase;
   if (!laterOrder && !laterPhase) {
-    return foundAgain;
+    return restored;
   }
   if (laterOrder) {
     // A random start makes the nodes' first canary requests come at different
--- a/src/proxy/version-selector.h
+++ b/src/proxy/version-selector.h
@@ -54,12 +54,12 @@
   time_point started_at{};
 };
 
-/// Whether `aOther` is the known order, found again in a store that has gone
-/// back to a copy: there the same order has another id. Both have the members
-/// `order_id`, `target_version` and `time_limit`.
+/// Whether `aOther` is the known order, read again after the store was restored
+/// from a backup, where it has another id. Both have the members `order_id`,
+/// `target_version` and `time_limit`.
 template<typename KnownOrder, typename OtherOrder>
 bool
-IsFoundAgain(const KnownOrder& aKnown, const OtherOrder& aOther)
+IsKnownOrderRestored(const KnownOrder& aKnown, const OtherOrder& aOther)
 {
   return aOther.order_id.era > aKnown.order_id.era &&
          aOther.target_version == aKnown.target_version &&
@@ -117,7 +117,8 @@
 
   /// Stores a rollout if its order is later than the known one, or if it is a
   /// later phase of the same order and the known phase is not final. An order
-  /// that is found again keeps its progress. Returns whether anything changed.
+  /// that was restored with the store keeps its progress. Returns whether
+  /// anything changed.
   bool Merge(const canary_rollout& aCanary);
 
   /// Sets the number of ready instances by service, without those of the target
