One parser for whole numbers; one place for the id of an order in messages

The id of an order with its era was written in three messages and read in two. No change of behaviour; the order of keys in these JSON objects is alphabetic as before.

--- a/src/call/first-hop.cc
+++ b/src/call/first-hop.cc
@@ -1,10 +1,10 @@
 #include "call/first-hop.h"
 
 #include <algorithm>
-#include <charconv>
 
 #include "base/hash.h"
 #include "base/invariant.h"
+#include "base/parse-number.h"
 #include "http/error-response.h"
 #include "routing/route-table.h"
 
@@ -37,12 +37,9 @@
 TimeoutOf(const route_declaration& aRoute, const http_headers& aHeaders)
 {
   std::string_view text = HeaderValue(aHeaders, "x-timeout-ms");
-  std::uint32_t requested = 0;
-  auto [end, code] =
-    std::from_chars(text.data(), text.data() + text.size(), requested);
-  bool valid = code == std::errc() && end == text.data() + text.size();
-  return valid && requested > 0 ? std::min(requested, aRoute.timeout_ms)
-                                : aRoute.timeout_ms;
+  std::uint32_t requested = ParseNumber<std::uint32_t>(text).value_or(0);
+  return requested > 0 ? std::min(requested, aRoute.timeout_ms)
+                       : aRoute.timeout_ms;
 }
 
 call_outcome
--- a/src/http/header-reader.cc
+++ b/src/http/header-reader.cc
@@ -1,8 +1,10 @@
 #include "http/header-reader.h"
 
-#include <charconv>
+#include <algorithm>
 #include <libwebsockets.h>
 
+#include "base/parse-number.h"
+
 namespace eelgrasstrack::detail {
 
 namespace {
@@ -84,11 +86,8 @@
     return -1;
   }
   std::string text = KnownValue(aConnection, WSI_TOKEN_HTTP_CONTENT_LENGTH);
-  std::int64_t length = -1;
-  auto [end, code] =
-    std::from_chars(text.data(), text.data() + text.size(), length);
-  bool valid = code == std::errc() && end == text.data() + text.size();
-  return valid && length >= 0 ? length : -1;
+  return std::max<std::int64_t>(ParseNumber<std::int64_t>(text).value_or(-1),
+                                -1);
 }
 
 } // namespace eelgrasstrack::detail
--- a/src/http/message.cc
+++ b/src/http/message.cc
@@ -1,7 +1,8 @@
 #include "http/message.h"
 
 #include <arpa/inet.h>
-#include <charconv>
+
+#include "base/parse-number.h"
 
 namespace eelgrasstrack {
 
@@ -50,18 +51,15 @@
   endpoint parsed;
   parsed.address = std::string(aText.substr(0, colon));
   std::string_view port = aText.substr(colon + 1);
-  unsigned value = 0;
-  auto [end, code] =
-    std::from_chars(port.data(), port.data() + port.size(), value);
+  std::optional<std::uint16_t> value = ParseNumber<std::uint16_t>(port);
   in_addr v4{};
   in6_addr v6{};
   bool address = inet_pton(AF_INET, parsed.address.c_str(), &v4) == 1 ||
                  inet_pton(AF_INET6, parsed.address.c_str(), &v6) == 1;
-  if (code != std::errc() || end != port.data() + port.size() ||
-      value > 65535U || !address) {
+  if (!value || !address) {
     return {};
   }
-  parsed.port = static_cast<std::uint16_t>(value);
+  parsed.port = *value;
   return parsed;
 }
 
--- a/src/mesh/canary-driver.cc
+++ b/src/mesh/canary-driver.cc
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 
 #include "base/log.h"
+#include "mesh/order-id-json.h"
 #include "mesh/role-assignment.h"
 
 namespace eelgrasstrack {
@@ -314,12 +315,11 @@
   if (own.empty()) {
     return;
   }
-  std::string body = json({ { "service", aService },
-                            { "order", aOpenOrder.order.order_id.number },
-                            { "era", aOpenOrder.order.order_id.era },
-                            { "from", mDirectory.Self() },
-                            { "samples", EncodeSamples(own) } })
-                       .dump();
+  json report = { { "service", aService },
+                  { "from", mDirectory.Self() },
+                  { "samples", EncodeSamples(own) } };
+  AddOrderId(report, aOpenOrder.order.order_id);
+  std::string body = report.dump();
   for (const std::string& decider : DecidersOf(mDirectory, aService)) {
     if (decider == mDirectory.Self()) {
       aOpenOrder.reports[decider] = own;
@@ -357,9 +357,8 @@
   try {
     json message = json::parse(aBody);
     auto open = mOpenOrders.find(message.at("service").get<std::string>());
-    store_revision order_id{ message.value("era", std::uint64_t{ 0 }),
-                             message.at("order").get<std::uint64_t>() };
-    if (open == mOpenOrders.end() || open->second.order.order_id != order_id) {
+    if (open == mOpenOrders.end() ||
+        open->second.order.order_id != OrderIdOf(message)) {
       return {}; // another order, or one not yet known here
     }
     open->second.reports[message.at("from").get<std::string>()] =
--- a/src/mesh/gossip.cc
+++ b/src/mesh/gossip.cc
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 
 #include "base/log.h"
+#include "mesh/order-id-json.h"
 #include "wire/status.h"
 
 namespace eelgrasstrack {
@@ -143,15 +144,17 @@
 json
 gossip::EncodeCanary(const canary_rollout& aCanary) const
 {
-  return { { "service", aCanary.service },
-           { "to", aCanary.target_version },
-           { "order", aCanary.order_id.number },
-           { "era", aCanary.order_id.era },
-           { "phase", NameOf(aCanary.phase) },
-           { "share", aCanary.share },
-           { "over_ms", Milliseconds(aCanary.time_limit) },
-           // An age rather than a time, since clocks differ between hosts.
-           { "age_ms", Milliseconds(mLoop.Now() - aCanary.started_at) } };
+  json encoded = {
+    { "service", aCanary.service },
+    { "to", aCanary.target_version },
+    { "phase", NameOf(aCanary.phase) },
+    { "share", aCanary.share },
+    { "over_ms", Milliseconds(aCanary.time_limit) },
+    // An age rather than a time, since clocks differ between hosts.
+    { "age_ms", Milliseconds(mLoop.Now() - aCanary.started_at) }
+  };
+  AddOrderId(encoded, aCanary.order_id);
+  return encoded;
 }
 
 result<canary_rollout>
@@ -165,9 +168,7 @@
   canary_rollout canary;
   canary.service = aJson.at("service").get<std::string>();
   canary.target_version = aJson.at("to").get<std::string>();
-  canary.order_id.number = aJson.at("order").get<std::uint64_t>();
-  // Nodes of earlier versions do not send the era.
-  canary.order_id.era = aJson.value("era", std::uint64_t{ 0 });
+  canary.order_id = OrderIdOf(aJson);
   canary.phase = *phase;
   canary.share = aJson.at("share").get<double>();
   canary.time_limit =
--- a/src/mesh/mesh-node.cc
+++ b/src/mesh/mesh-node.cc
@@ -6,6 +6,7 @@
 
 #include "base/invariant.h"
 #include "base/log.h"
+#include "mesh/order-id-json.h"
 #include "mesh/role-assignment.h"
 #include "proxy/instance-notices.h"
 #include "wire/compression.h"
@@ -765,11 +766,11 @@
   }
   json canaries = json::array();
   for (const auto& [service, canary] : mVersions.Canaries()) {
-    canaries.push_back({ { "service", service },
-                         { "to", canary.target_version },
-                         { "order", canary.order_id.number },
-                         { "era", canary.order_id.era },
-                         { "phase", NameOf(canary.phase) } });
+    json entry = { { "service", service },
+                   { "to", canary.target_version },
+                   { "phase", NameOf(canary.phase) } };
+    AddOrderId(entry, canary.order_id);
+    canaries.push_back(std::move(entry));
   }
   run_load load = mDispatcher.Load();
   return json({ { "name", mOwnRecord.name },
--- a/src/proxy/hop-fields.cc
+++ b/src/proxy/hop-fields.cc
@@ -1,7 +1,6 @@
 #include "proxy/hop-fields.h"
 
-#include <charconv>
-
+#include "base/parse-number.h"
 #include "proxy/instance-notices.h"
 
 namespace eelgrasstrack {
@@ -40,13 +39,9 @@
   template<typename T>
   T ReadNumber()
   {
-    std::string_view word = ReadWord();
-    T number{};
-    auto parsed =
-      std::from_chars(word.data(), word.data() + word.size(), number);
-    mValid = mValid && parsed.ec == std::errc() &&
-             parsed.ptr == word.data() + word.size();
-    return number;
+    std::optional<T> number = ParseNumber<T>(ReadWord());
+    mValid = mValid && number;
+    return number.value_or(T{});
   }
 
   /// Returns true for the first word and false for the second; any other word
--- a/src/proxy/instance-notices.cc
+++ b/src/proxy/instance-notices.cc
@@ -4,6 +4,8 @@
 #include <charconv>
 #include <cmath>
 
+#include "base/parse-number.h"
+
 namespace eelgrasstrack {
 
 namespace {
@@ -11,18 +13,15 @@
 constexpr std::string_view kNoLimit = "none";
 
 result<std::optional<double>>
-ParseNumber(std::string_view aText)
+ParseLimit(std::string_view aText)
 {
-  double limit = 0;
-  const char* end = aText.data() + aText.size();
-  auto parsed = std::from_chars(aText.data(), end, limit);
-  if (parsed.ec != std::errc() || parsed.ptr != end || !std::isfinite(limit) ||
-      limit < 0) {
+  std::optional<double> limit = ParseNumber<double>(aText);
+  if (!limit || !std::isfinite(*limit) || *limit < 0) {
     return Fail(error_kind::invalid_argument,
                 "request limit '" + std::string(aText) +
                   "' is not a number of 0 or more");
   }
-  return std::optional<double>(limit);
+  return limit;
 }
 
 } // namespace
@@ -41,7 +40,7 @@
   if (text == nullptr) {
     return std::optional<double>();
   }
-  return ParseNumber(*text);
+  return ParseLimit(*text);
 }
 
 std::string
@@ -59,7 +58,7 @@
 result<std::optional<double>>
 ParseRequestLimit(std::string_view aText)
 {
-  return aText == kNoLimit ? std::optional<double>() : ParseNumber(aText);
+  return aText == kNoLimit ? std::optional<double>() : ParseLimit(aText);
 }
 
 } // namespace eelgrasstrack
--- a/src/settings/settings.cc
+++ b/src/settings/settings.cc
@@ -1,10 +1,11 @@
 #include "settings/settings.h"
 
 #include <algorithm>
-#include <charconv>
 #include <cstdlib>
 #include <cxxopts.hpp>
 
+#include "base/parse-number.h"
+
 namespace eelgrasstrack {
 
 namespace {
@@ -278,11 +279,9 @@
       return std::find(choices.begin(), choices.end(), aValue) != choices.end();
     }
     case value_kind::number: {
-      long number = 0;
-      auto [end, code] =
-        std::from_chars(aValue.data(), aValue.data() + aValue.size(), number);
-      return code == std::errc() && end == aValue.data() + aValue.size() &&
-             number >= aSetting.min_value && number <= aSetting.max_value;
+      std::optional<long> number = ParseNumber<long>(aValue);
+      return number && *number >= aSetting.min_value &&
+             *number <= aSetting.max_value;
     }
   }
   return false;
--- a/src/wire/message.cc
+++ b/src/wire/message.cc
@@ -1,7 +1,8 @@
 #include "wire/message.h"
 
 #include <array>
-#include <charconv>
+
+#include "base/parse-number.h"
 
 namespace eelgrasstrack {
 
@@ -79,16 +80,7 @@
 NumberField(const header_fields& aFields, std::string_view aName)
 {
   const std::string* value = FindField(aFields, aName);
-  if (value == nullptr) {
-    return std::nullopt;
-  }
-  std::int64_t number = 0;
-  const char* end = value->data() + value->size();
-  auto parsed = std::from_chars(value->data(), end, number);
-  if (parsed.ec != std::errc() || parsed.ptr != end) {
-    return std::nullopt;
-  }
-  return number;
+  return value == nullptr ? std::nullopt : ParseNumber<std::int64_t>(*value);
 }
 
 bool
