Tests: one mesh fixture and one run entry; no accessors of the node for tests only

Two test files had the same four hosts and the same loop of requests (service_mesh), two the same queue entry (MakeRunEntry). mesh_node::Directory and Rollout served one test each: the repair of entries is now tested on host_entry_repair itself, with the same checks, and the id of an order is read from the state dump. Two test comments told what had happened; they now give the reason.

--- a/src/mesh/mesh-node.h
+++ b/src/mesh/mesh-node.h
@@ -57,14 +57,6 @@
   /// Handles the exit notice of the instance on this host.
   void HandleInstanceExit(const std::string& aId);
 
-  /// The hosts that this node knows.
-  host_directory& Directory() { return mDirectory; }
-  /// The rollout of a service, or null.
-  const canary_rollout* Rollout(const std::string& aService) const
-  {
-    return mVersions.CanaryOf(aService);
-  }
-
   /// Metrics in the text exposition format.
   std::string Metrics() const;
 
--- a/test/unit/bandwidth-scheduler-test.cc
+++ b/test/unit/bandwidth-scheduler-test.cc
@@ -52,8 +52,7 @@
   "bandwidth scheduler, small message beside large ones, goes at once",
   "[net]")
 {
-  // Urgent answers of a few hundred bytes waited behind downloads that filled
-  // the link of a small host.
+  // An urgent small answer must not wait behind downloads that fill the link.
   for (stream_id stream = 2; stream < 12; ++stream) {
     scheduler.Queue(stream, kLargeBytes);
   }
--- a/test/unit/instance-leaving-test.cc
+++ b/test/unit/instance-leaving-test.cc
@@ -1,6 +1,6 @@
 #include <catch2/catch.hpp>
 
-#include "harness/mesh-world.h"
+#include "harness/service-mesh.h"
 #include "mesh/host-directory.h"
 
 using namespace eelgrasstrack;
@@ -9,35 +9,12 @@
 
 namespace {
 
-/// Two hosts without an instance of the service, and two with one, the first of
-/// which is about to leave.
-class leaving_fixture
+/// The first of two instances is about to leave.
+class leaving_fixture : public service_mesh
 {
 public:
-  leaving_fixture()
-  {
-    fronts = { world.AddHost("front", "v1"), world.AddHost("front", "v1") };
-    leaver = world.AddHost("orders", "v1");
-    stayer = world.AddHost("orders", "v1");
-    world.SetRoute(1, "/orders/", "orders", true);
-    world.RunUntilInstancesKnown();
-  }
-
-  /// Sends requests through all front hosts in turn. Returns how many were
-  /// served.
-  int Send(int aCount)
-  {
-    int served = 0;
-    for (int i = 0; i < aCount; ++i) {
-      result<buffered_response> answer =
-        world.SendRequest(fronts[i % fronts.size()], "GET", "/orders/1");
-      served += answer && answer->status == 200 ? 1 : 0;
-    }
-    return served;
-  }
-
-  /// Lets every front host pass on an answer of the leaving instance.
-  void LetAllHear()
+  /// Lets every front host forward an answer of the leaving instance.
+  void LetAllFrontsLearn()
   {
     world.Behaviour(leaver).leaving = true;
     unsigned before = world.RunCount(leaver);
@@ -48,17 +25,14 @@
   static constexpr int kRequests = 100;
   /// Time for which a leaving instance may still get requests.
   const duration drain_time = mesh_bounds{}.drain_time;
-  mesh_world world;
-  std::vector<std::size_t> fronts;
-  std::size_t leaver = 0;
-  std::size_t stayer = 0;
+  const std::size_t leaver = first;
 };
 
 /// A directory that knows two more hosts, the second with a leaving instance.
-class left_directory_fixture
+class leaving_directory_fixture
 {
 public:
-  left_directory_fixture()
+  leaving_directory_fixture()
   {
     for (const char* name : { "self", "stays", "leaves" }) {
       directory.Merge(Record(name, 1, instance_state::ready), start);
@@ -97,7 +71,7 @@
                  "after the drain time",
                  "[instance-leaving]")
 {
-  LetAllHear();
+  LetAllFrontsLearn();
   world.RunFor(drain_time);
   unsigned before = world.RunCount(leaver);
   CHECK(Send(kRequests) == kRequests);
@@ -112,7 +86,7 @@
                  "[instance-leaving]")
 {
   world.Store().unavailable = true; // its entry stays as it was: ready
-  LetAllHear();
+  LetAllFrontsLearn();
   world.RunFor(drain_time);
   world.RestartNode(leaver);
   world.Announce(leaver, instance_state::ready);
@@ -151,7 +125,7 @@
                  "instance leaving, starts again with its id, gets requests",
                  "[instance-leaving]")
 {
-  LetAllHear();
+  LetAllFrontsLearn();
   world.RunFor(milliseconds(100));
   world.RestartInstance(leaver);
   world.RunFor(milliseconds(300));
@@ -161,7 +135,7 @@
 }
 
 TEST_CASE_METHOD(
-  left_directory_fixture,
+  leaving_directory_fixture,
   "host directory, leaving instance said to be ready again, does "
   "not serve",
   "[instance-leaving]")
@@ -174,7 +148,7 @@
   CHECK(ServingCount() == 2);
 }
 
-TEST_CASE_METHOD(left_directory_fixture,
+TEST_CASE_METHOD(leaving_directory_fixture,
                  "host directory, host removed and back, leaving instance does "
                  "not serve",
                  "[instance-leaving]")
@@ -188,7 +162,7 @@
   CHECK(ServingCount() == 2);
 }
 
-TEST_CASE_METHOD(left_directory_fixture,
+TEST_CASE_METHOD(leaving_directory_fixture,
                  "host directory, next incarnation of a leaving instance, "
                  "serves",
                  "[instance-leaving]")
--- a/test/unit/instance-limit-test.cc
+++ b/test/unit/instance-limit-test.cc
@@ -1,6 +1,6 @@
 #include <catch2/catch.hpp>
 
-#include "harness/mesh-world.h"
+#include "harness/service-mesh.h"
 
 using namespace eelgrasstrack;
 using namespace eelgrasstrack::test;
@@ -23,37 +23,20 @@
   return kAllowedFactor * kLimit * seconds + kAllowedExtra;
 }
 
-/// Two hosts without an instance of the service, and two with one.
-class limit_fixture
+class limit_fixture : public service_mesh
 {
 public:
-  limit_fixture()
-  {
-    fronts = { world.AddHost("front", "v1"), world.AddHost("front", "v1") };
-    first = world.AddHost("orders", "v1");
-    second = world.AddHost("orders", "v1");
-    world.SetRoute(1, "/orders/", "orders", true);
-    world.RunUntilInstancesKnown();
-  }
-
-  /// Sends requests through all front hosts in turn for this time. Returns the
-  /// number of those that were served.
+  /// Sends requests for this time. Returns the number of those that were
+  /// served.
   unsigned SendFor(duration aTime)
   {
     unsigned served = 0;
     time_point end = world.Loop().Now() + aTime;
-    for (std::size_t i = 0; world.Loop().Now() < end; ++i) {
-      result<buffered_response> answer =
-        world.SendRequest(fronts[i % fronts.size()], "GET", "/orders/1");
-      served += answer && answer->status == 200 ? 1 : 0;
+    while (world.Loop().Now() < end) {
+      served += SendNext() ? 1 : 0;
     }
     return served;
   }
-
-  mesh_world world;
-  std::vector<std::size_t> fronts;
-  std::size_t first = 0;
-  std::size_t second = 0;
 };
 
 } // namespace
@@ -122,13 +105,7 @@
   (void)SendFor(milliseconds(100));
   unsigned before = world.RunCount(first);
   constexpr int kRequests = 200;
-  int served = 0;
-  for (int i = 0; i < kRequests; ++i) {
-    result<buffered_response> answer =
-      world.SendRequest(fronts[0], "GET", "/orders/1");
-    served += answer && answer->status == 200 ? 1 : 0;
-  }
-  CHECK(served == kRequests);
+  CHECK(Send(kRequests) == kRequests);
   CHECK(world.RunCount(first) - before < kRequests / 2);
 }
 
--- a/test/unit/proxy-test.cc
+++ b/test/unit/proxy-test.cc
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 
+#include "harness/run-entries.h"
 #include "proxy/caller-wait-estimator.h"
 #include "proxy/hop-fields.h"
 #include "proxy/instance-chooser.h"
@@ -8,6 +9,7 @@
 #include "proxy/version-selector.h"
 
 using namespace eelgrasstrack;
+using namespace eelgrasstrack::test;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
@@ -30,11 +32,7 @@
 
   static run_entry Entry(run_id aId, unsigned aPriority, duration aSoftDeadline)
   {
-    return { aId,
-             "route",
-             aPriority,
-             kStart + aSoftDeadline,
-             kStart + aSoftDeadline * 2 };
+    return MakeRunEntry(kStart, aId, aPriority, aSoftDeadline);
   }
 
   void Fill()
@@ -129,9 +127,8 @@
                  "place",
                  "[proxy]")
 {
-  // Under overload, calls of other services' requests were refused once their
-  // short soft deadline had passed, and their callers failed after they had
-  // held a slot for most of their time.
+  // A refused call fails its caller, which holds a slot of another instance
+  // meanwhile.
   Fill();
   for (int i = 0; i < 30; ++i) {
     queue.Finish("call", milliseconds(15));
--- a/test/unit/request-limit-test.cc
+++ b/test/unit/request-limit-test.cc
@@ -3,6 +3,7 @@
 #include <deque>
 #include <random>
 
+#include "harness/run-entries.h"
 #include "proxy/hop-fields.h"
 #include "proxy/instance-chooser.h"
 #include "proxy/instance-notices.h"
@@ -10,6 +11,7 @@
 #include "proxy/run-queue.h"
 
 using namespace eelgrasstrack;
+using namespace eelgrasstrack::test;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
@@ -69,11 +71,7 @@
 
   static run_entry Entry(run_id aId, unsigned aPriority, duration aSoftDeadline)
   {
-    return { aId,
-             "route",
-             aPriority,
-             kStart + aSoftDeadline,
-             kStart + aSoftDeadline * 2 };
+    return MakeRunEntry(kStart, aId, aPriority, aSoftDeadline);
   }
 };
 
--- a/test/unit/store-restored-test.cc
+++ b/test/unit/store-restored-test.cc
@@ -3,6 +3,7 @@
 #include "harness/free-address.h"
 #include "harness/platform-store.h"
 #include "mesh/mesh-node.h"
+#include "mesh/order-id-json.h"
 #include "platform/heartbeats.h"
 #include "platform/store-client.h"
 
@@ -155,10 +156,15 @@
              : object.at("status").at("state").get<std::string>();
   }
 
+  static json RolloutsOf(const mesh_node& aNode)
+  {
+    return json::parse(aNode.Dump()).at("moves");
+  }
+
   /// Version that a node rolls the service out to, and its phase.
   static std::string RolloutAt(const mesh_node& aNode)
   {
-    json moves = json::parse(aNode.Dump()).at("moves");
+    json moves = RolloutsOf(aNode);
     return moves.empty() ? ""
                          : moves.at(0).at("to").get<std::string>() + " " +
                              moves.at(0).at("phase").get<std::string>();
@@ -187,6 +193,49 @@
   }
 };
 
+/// A node's view of the mesh for a gossip that is not used.
+class unused_delegate final : public gossip_delegate
+{
+public:
+  std::uint64_t ConfigVersion() const override { return 0; }
+  void OnNewerConfig(const host_record&, std::uint64_t) override {}
+  void OnHostsChanged() override {}
+  void OnRemovedByOthers() override {}
+  void OnCanaryUpdates(const std::vector<canary_rollout>&) override {}
+};
+
+/// The repair of host entries on the only node that has tasks.
+class entry_repair_fixture : public store_world
+{
+public:
+  entry_repair_fixture()
+    : client(control, event_loop, counters)
+    , peers(event_loop, control, directory, versions, counters, delegate)
+    , repair(event_loop, client, directory, peers)
+  {
+    client.SetAddress(store_address);
+    host_record self;
+    self.name = directory.Self();
+    self.domain = "a";
+    directory.Merge(self, event_loop.Now());
+    // A node removes hosts only while it reaches a majority. One that is
+    // stopping counts for that and has no tasks.
+    host_record stopping = self;
+    stopping.name = "node-2";
+    stopping.leaving = true;
+    directory.Merge(stopping, event_loop.Now());
+    repair.SetActive(true);
+  }
+
+  proxy_counters counters;
+  version_selector versions;
+  unused_delegate delegate;
+  host_directory directory{ "node-1" };
+  store_client client;
+  gossip peers;
+  host_entry_repair repair;
+};
+
 } // namespace
 
 // Guards against CONFIG: a change written after the store went back has a
@@ -272,7 +321,11 @@
   store.Put("rollouts", "orders", OrderSpec("v2", 60));
   platform_store::copy ordered = store.Copy();
   REQUIRE(RunUntil([this] { return RecordedState() == "running"; }));
-  canary_rollout ended = *nodes[0]->node->Rollout("orders");
+  canary_rollout ended;
+  ended.service = "orders";
+  ended.target_version = "v2";
+  ended.order_id = OrderIdOf(RolloutsOf(*nodes[0]->node).at(0));
+  ended.time_limit = seconds(60);
   ended.phase = canary_phase::rolled_back;
   for (const auto& node : nodes) {
     node->node->OnCanaryUpdates({ ended });
@@ -345,7 +398,7 @@
 
 // Guards against a leftover: the entry of a host that was removed comes back
 // and stays for ever, and each node that starts later asks that host.
-TEST_CASE_METHOD(restored_store_fixture,
+TEST_CASE_METHOD(entry_repair_fixture,
                  "store restored, entry of a removed host is back, is removed "
                  "again",
                  "[store-restored]")
@@ -354,14 +407,13 @@
   copy.objects_by_kind[kHostKind]["ghost"] = GhostEntry();
   result<host_record> ghost = DecodeHostRecord(GhostEntry().at("spec"));
   REQUIRE(ghost);
-  for (const auto& node : nodes) {
-    node->node->Directory().Merge(*ghost, event_loop.Now());
-    node->node->Directory().MarkUnreachable("ghost", event_loop.Now());
-    (void)node->node->Directory().RemoveUnreachable(
-      duration(0), event_loop.Now() + seconds(1));
-  }
+  directory.Merge(*ghost, event_loop.Now());
+  directory.MarkUnreachable("ghost", event_loop.Now());
+  (void)directory.RemoveUnreachable(duration(0), event_loop.Now() + seconds(1));
+  REQUIRE(directory.WasRemoved("ghost"));
   store.Restore(copy);
   REQUIRE(EntryExists("ghost"));
+  repair.Start();
   CHECK(RunUntil([this] { return !EntryExists("ghost"); }));
 }
 
