Log which requests were running when an instance crashed

Nodes could not tell a crash from a lost answer. After connections with running requests end, the node beside the instance tries to connect; a refusal with no request left running is a crash. A connection that is refused at once (loopback) is now reported like one refused later.

--- a/src/net/socket.cc
+++ b/src/net/socket.cc
@@ -479,6 +479,16 @@
   }
 }
 
+std::shared_ptr<connection>
+tcp_transport::RefusedConnection()
+{
+  constexpr int kNoDescriptor = -1;
+  auto refused = std::make_shared<connection>(*this, kNoDescriptor, false);
+  mLoop.RunAfter(duration(0),
+                 [refused] { refused->End(close_reason::connect_failed); });
+  return refused;
+}
+
 std::shared_ptr<connection>
 tcp_transport::Connect(const endpoint& aEndpoint,
                        const connect_options& aOptions)
@@ -500,6 +510,10 @@
   SetOption(descriptor, IPPROTO_TCP, TCP_KEEPCNT, kKeepAliveProbes);
   int outcome = connect(
     descriptor, reinterpret_cast<const sockaddr*>(&address), sizeof address);
+  if (outcome != 0 && errno == ECONNREFUSED) {
+    close(descriptor);
+    return RefusedConnection();
+  }
   if (outcome != 0 && errno != EINPROGRESS) {
     close(descriptor);
     return nullptr;
--- a/src/net/socket.h
+++ b/src/net/socket.h
@@ -133,9 +133,9 @@
   /// listen there.
   result<void> Listen(const endpoint& aEndpoint, accept_handler aHandler);
 
-  /// Starts to connect; a later failure is reported to the observer. Returns
-  /// null if the attempt fails at once, for example because the process has no
-  /// file descriptor left.
+  /// Starts to connect; a refusal or a later failure is reported to the
+  /// observer. Returns null if the attempt can't be made, for example because
+  /// the process has no file descriptor left.
   std::shared_ptr<connection> Connect(const endpoint& aEndpoint,
                                       const connect_options& aOptions);
 
@@ -150,6 +150,8 @@
   };
 
   void AcceptAll(listener& aListener);
+  /// A connection that was refused at once; reports it asynchronously.
+  std::shared_ptr<connection> RefusedConnection();
 
   loop& mLoop;
   lws_vhost* mVhost = nullptr;
--- a/src/proxy/instance-dispatcher.cc
+++ b/src/proxy/instance-dispatcher.cc
@@ -1,10 +1,13 @@
 #include "proxy/instance-dispatcher.h"
 
 #include <algorithm>
+#include <utility>
 
+#include "base/hash.h"
 #include "base/invariant.h"
 #include "base/log.h"
 #include "proxy/channel-run.h"
+#include "proxy/crash-check.h"
 #include "proxy/instance-notices.h"
 #include "wire/status.h"
 
@@ -23,6 +26,8 @@
 constexpr duration kDrainReserve = std::chrono::milliseconds(500);
 /// Limit for connecting to the instance and for its acknowledgements.
 constexpr duration kUnacknowledgedTimeout = std::chrono::seconds(2);
+/// Time in which the ends of all connections to a crashed instance are read.
+constexpr duration kCrashSettleTime = std::chrono::milliseconds(10);
 
 } // namespace
 
@@ -99,7 +104,19 @@
     return mChannel ? channel_run::Unsent() : mRequest.body.size();
   }
 
+  /// Ends the request after its connection ended without an answer.
+  void FailInterrupted()
+  {
+    if (!mEnded) {
+      FailWithBrokenAnswer(mInterruption);
+    }
+  }
+
   bool Started() const { return mStarted; }
+  /// Whether the connection ended and its cause is not known yet.
+  bool Interrupted() const { return !mInterruption.empty(); }
+  time_point DispatchedAt() const { return mDispatchedAt; }
+  request_fingerprint Fingerprint() const { return FingerprintOf(mRequest); }
 
   /// The result of a request that has no answer yet.
   run_result UnansweredResult() const
@@ -177,6 +194,11 @@
       Refuse(run_failure_reason::unreachable, duration(0));
       return;
     }
+    if (aFailure.connection_ended) {
+      mInterruption = aFailure.reason;
+      mDispatcher.HandleInterruption(shared_from_this());
+      return;
+    }
     FailWithBrokenAnswer(aFailure.reason);
   }
 
@@ -282,6 +304,9 @@
   std::size_t mExpectedBytes;
   std::size_t mAnswerBytes = 0;
   time_point mDispatchedAt{};
+  /// How the connection ended before the answer was complete; empty if it did
+  /// not.
+  std::string mInterruption;
   int mStatus = 0;
   int mRefusedStatus = 0;
   /// A success response had no server stamp, so no instance made it.
@@ -346,6 +371,63 @@
   mOnInstanceLeaving = std::move(aObserver);
 }
 
+void
+instance_dispatcher::HandleInterruption(std::shared_ptr<instance_run> aRun)
+{
+  mInterrupted.push_back(std::move(aRun));
+  if (mInterrupted.size() > 1) {
+    return; // the check is in progress
+  }
+  time_point since = mTransport.Loop().Now();
+  crash_check::Start(
+    mTransport, mInstance.address, [this, since](bool aRefuses) {
+      if (!aRefuses || !HasRunSince(since)) {
+        EndInterrupted(aRefuses);
+        return;
+      }
+      // The ends of other connections may not have been read yet.
+      mTransport.Loop().RunAfter(kCrashSettleTime, [this, since] {
+        EndInterrupted(!HasRunSince(since));
+      });
+    });
+}
+
+bool
+instance_dispatcher::HasRunSince(time_point aTime) const
+{
+  return std::any_of(mRuns.begin(), mRuns.end(), [aTime](const auto& aEntry) {
+    const instance_run& run = *aEntry.second;
+    return run.Started() && !run.Interrupted() && run.DispatchedAt() <= aTime;
+  });
+}
+
+void
+instance_dispatcher::EndInterrupted(bool aCrashed)
+{
+  std::vector<std::shared_ptr<instance_run>> runs =
+    std::exchange(mInterrupted, {});
+  if (aCrashed) {
+    LogCrash(runs);
+  }
+  for (const auto& run : runs) {
+    run->FailInterrupted();
+  }
+}
+
+void
+instance_dispatcher::LogCrash(
+  const std::vector<std::shared_ptr<instance_run>>& aRuns) const
+{
+  std::string running;
+  for (const auto& run : aRuns) {
+    running += running.empty() ? "" : " ";
+    running += HexOf(run->Fingerprint());
+  }
+  LogEvent(log_level::warning,
+           "instance_crashed",
+           { { "instance", mInstance.id }, { "running", running } });
+}
+
 void
 instance_dispatcher::Report(const run_result& aResult)
 {
--- a/src/proxy/instance-dispatcher.h
+++ b/src/proxy/instance-dispatcher.h
@@ -7,7 +7,7 @@
 #include "mesh/host-record.h"
 #include "net/bandwidth-scheduler.h"
 #include "proxy/answer-size-estimator.h"
-#include "proxy/forwarded-request.h"
+#include "proxy/request-fingerprint.h"
 #include "wire/channel-pool.h"
 
 namespace eelgrasstrack {
@@ -103,6 +103,15 @@
   void StartWaiting();
   void RefuseWaiting(const std::vector<run_id>& aIds,
                      run_failure_reason aReason);
+  /// Finds out whether the instance has crashed, after the connection of a
+  /// request ended without an answer.
+  void HandleInterruption(std::shared_ptr<class instance_run> aRun);
+  /// Whether a request that was sent by `aTime` still has its connection.
+  bool HasRunSince(time_point aTime) const;
+  /// Fails the requests whose connections ended.
+  void EndInterrupted(bool aCrashed);
+  void LogCrash(
+    const std::vector<std::shared_ptr<class instance_run>>& aRuns) const;
   /// Checks the queue periodically while requests wait.
   void ScheduleSweep();
   void Report(const run_result& aResult);
@@ -133,6 +142,8 @@
   run_id mNextId = 1;
   std::unordered_map<run_id, std::shared_ptr<class instance_run>> mRuns;
   channel_pool mIdleChannels{ kMaxIdle };
+  /// Requests whose connections ended, until the cause is known.
+  std::vector<std::shared_ptr<class instance_run>> mInterrupted;
   std::function<void(const run_result&)> mOnResult;
   std::function<void()> mOnInstanceLeaving;
 };
--- a/src/wire/client-channel.cc
+++ b/src/wire/client-channel.cc
@@ -112,7 +112,7 @@
   result<void> fed = mParser.Feed(aBytes);
   ReadAnswers();
   if (!fed && mInExchange) {
-    Fail(close_reason::broken, "invalid answer: " + fed.error().message);
+    FailInvalid(fed.error());
   }
 }
 
@@ -147,7 +147,7 @@
       mParser.ExpectNoBody();
     }
     if (!next) {
-      Fail(close_reason::broken, "invalid answer: " + next.error().message);
+      FailInvalid(next.error());
       return false;
     }
     return true;
@@ -237,17 +237,26 @@
     FinishExchange();
     return;
   }
-  Fail(aEnd, "connection ended before the answer was complete");
+  channel_failure failure;
+  failure.end = aEnd;
+  failure.connection_ended = true;
+  failure.reason = "connection ended before the answer was complete";
+  Fail(std::move(failure));
 }
 
 void
-client_channel::Fail(close_reason aEnd, std::string aReason)
+client_channel::FailInvalid(const error& aProblem)
 {
   channel_failure failure;
-  failure.end = aEnd;
-  failure.sent = mConnection && mConnection->HasSentBytes();
-  failure.answered = mHeadDelivered;
-  failure.reason = std::move(aReason);
+  failure.reason = "invalid answer: " + aProblem.message;
+  Fail(std::move(failure));
+}
+
+void
+client_channel::Fail(channel_failure aFailure)
+{
+  aFailure.sent = mConnection && mConnection->HasSentBytes();
+  aFailure.answered = mHeadDelivered;
   mInExchange = false;
   mKeepOpen = false;
   std::shared_ptr<observer> target = std::move(mObserver);
@@ -256,7 +265,7 @@
     mConnection->Close();
   }
   if (target) {
-    target->OnChannelFailed(failure);
+    target->OnChannelFailed(aFailure);
   }
 }
 
--- a/src/wire/client-channel.h
+++ b/src/wire/client-channel.h
@@ -14,6 +14,9 @@
   bool sent = false;
   /// The head of the answer, at least, was delivered to the observer.
   bool answered = false;
+  /// The connection ended by itself. Otherwise it was closed here because the
+  /// answer was invalid.
+  bool connection_ended = false;
   std::string reason;
 };
 
@@ -107,7 +110,9 @@
   /// to an earlier request. Returns whether the exchange goes on.
   bool ProcessHead();
   void FinishExchange();
-  void Fail(close_reason aEnd, std::string aReason);
+  void FailInvalid(const error& aProblem);
+  /// Ends the exchange and the connection. Sets `sent` and `answered`.
+  void Fail(channel_failure aFailure);
   /// Reads the idle timeout that the server announces in `Keep-Alive`.
   void RecordIdleTimeout(const header_fields& aFields);
 
