--- a/src/net/socket.cc
+++ b/src/net/socket.cc
@@ -426,6 +426,9 @@
   for (connection* each : open) {
     each->Close();
   }
+  for (const auto& each : mListeners) {
+    lws_set_timeout(each->session, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_SYNC);
+  }
 }
 
 result<void>
@@ -453,8 +456,8 @@
     return Fail(error_kind::internal,
                 "cannot register a listening socket with the event loop");
   }
-  mListeners.push_back(
-    std::make_unique<listener>(listener{ descriptor, std::move(aHandler) }));
+  mListeners.push_back(std::make_unique<listener>(
+    listener{ descriptor, std::move(aHandler), session }));
   lws_set_opaque_user_data(
     session,
     new socket_dispatch::listener_entry{ this, mListeners.back().get() });
--- a/src/net/socket.h
+++ b/src/net/socket.h
@@ -122,7 +122,8 @@
 {
 public:
   explicit tcp_transport(loop& aLoop);
-  /// Closes all connections without notifying their observers.
+  /// Stops listening and closes all connections without notifying their
+  /// observers.
   ~tcp_transport();
   tcp_transport(const tcp_transport&) = delete;
   tcp_transport& operator=(const tcp_transport&) = delete;
@@ -147,6 +148,7 @@
   {
     int descriptor;
     accept_handler handler;
+    lws* session;
   };
 
   void AcceptAll(listener& aListener);
--- a/test/harness/mesh-world.cc
+++ b/test/harness/mesh-world.cc
@@ -208,42 +208,68 @@
 void
 mesh_world::ServeInstance(world_host& aHost)
 {
-  REQUIRE(ServeAt(
-    mSockets,
-    aHost.instance.address,
-    [this, &aHost](const buffered_request& aRequest,
-                   const respond_callback& aRespond) {
-      const instance_behaviour behaviour = aHost.behaviour;
-      buffered_response response;
-      response.status = behaviour.status;
-      if (const std::string* id =
-            FindField(aRequest.fields, mNames.request_id)) {
-        response.fields.push_back({ mNames.request_id, *id });
-      }
-      if (!behaviour.request_limit.empty()) {
-        response.fields.push_back(
-          { mNames.request_limit, behaviour.request_limit });
-      }
-      if (behaviour.leaving) {
-        response.fields.push_back({ mNames.leaving, "1" });
-      }
-      if (behaviour.refuses) {
-        response.status = 503;
-        response.fields.push_back({ mNames.not_executed, "1" });
-        aRespond(response);
-        return;
-      }
-      ++aHost.run_count;
-      response.fields.push_back({ mNames.server_stamp, aHost.instance.id });
-      if (behaviour.sends_invalid_answer) {
-        // A field name that is not valid HTTP.
-        response.fields.push_back({ "Broken\r\n\x01", "x" });
-      }
-      response.body =
-        aRequest.method + " " + aRequest.target + " " + aRequest.body;
-      mLoop.RunAfter(behaviour.delay,
-                     [aRespond, response] { aRespond(response); });
-    }));
+  aHost.instance_sockets = std::make_unique<tcp_transport>(mLoop);
+  REQUIRE(ServeAt(*aHost.instance_sockets,
+                  aHost.instance.address,
+                  [this, &aHost](const buffered_request& aRequest,
+                                 const respond_callback& aRespond) {
+                    HandleInstanceRequest(aHost, aRequest, aRespond);
+                  }));
+}
+
+void
+mesh_world::HandleInstanceRequest(world_host& aHost,
+                                  const buffered_request& aRequest,
+                                  const respond_callback& aRespond)
+{
+  const instance_behaviour behaviour = aHost.behaviour;
+  buffered_response response;
+  response.status = behaviour.status;
+  if (const std::string* id = FindField(aRequest.fields, mNames.request_id)) {
+    response.fields.push_back({ mNames.request_id, *id });
+  }
+  if (!behaviour.request_limit.empty()) {
+    response.fields.push_back(
+      { mNames.request_limit, behaviour.request_limit });
+  }
+  if (behaviour.leaving) {
+    response.fields.push_back({ mNames.leaving, "1" });
+  }
+  if (behaviour.refuses) {
+    response.status = 503;
+    response.fields.push_back({ mNames.not_executed, "1" });
+    aRespond(response);
+    return;
+  }
+  ++aHost.run_count;
+  if (!behaviour.crash_target.empty() &&
+      aRequest.target == behaviour.crash_target) {
+    ++aHost.crash_count;
+    mLoop.RunAfter(behaviour.delay, [this, &aHost] { CrashInstance(aHost); });
+    return;
+  }
+  response.fields.push_back({ mNames.server_stamp, aHost.instance.id });
+  if (behaviour.sends_invalid_answer) {
+    // A field name that is not valid HTTP.
+    response.fields.push_back({ "Broken\r\n\x01", "x" });
+  }
+  response.body = aRequest.method + " " + aRequest.target + " " + aRequest.body;
+  mLoop.RunAfter(behaviour.delay, [aRespond, response] { aRespond(response); });
+}
+
+void
+mesh_world::CrashInstance(world_host& aHost)
+{
+  if (!aHost.instance_sockets) {
+    return; // another request has crashed it
+  }
+  aHost.instance_sockets.reset();
+  mLoop.RunAfter(aHost.behaviour.restart_time, [this, &aHost] {
+    ServeInstance(aHost);
+    ++aHost.instance.started_unix_ms;
+    aHost.sequence = 0;
+    aHost.node->HandleAnnouncement({ aHost.instance, ++aHost.sequence });
+  });
 }
 
 result<buffered_response>
@@ -251,6 +277,17 @@
                         const std::string& aMethod,
                         const std::string& aTarget,
                         const std::string& aBody)
+{
+  pending_answer answer = StartRequest(aHost, aMethod, aTarget, aBody);
+  WaitFor(answer);
+  return **answer;
+}
+
+pending_answer
+mesh_world::StartRequest(std::size_t aHost,
+                         const std::string& aMethod,
+                         const std::string& aTarget,
+                         const std::string& aBody)
 {
   static int sNextId = 0;
   buffered_request request;
@@ -260,18 +297,31 @@
   request.fields = { { "X-Route-Host", kHostName },
                      { mNames.request_id, "q-" + std::to_string(++sNextId) },
                      { mNames.timeout_ms, "2000" } };
-  std::optional<result<buffered_response>> answer;
+  auto answer = std::make_shared<std::optional<result<buffered_response>>>();
   mCaller.Call(mHosts[aHost]->settings.caller_listen,
                request,
                kRequestTimeout,
-               [this, &answer](result<buffered_response> aAnswer) {
-                 answer = std::move(aAnswer);
+               [this, answer](result<buffered_response> aAnswer) {
+                 *answer = std::move(aAnswer);
                  mLoop.Stop();
                });
-  while (!answer) {
+  return answer;
+}
+
+void
+mesh_world::WaitFor(const pending_answer& aAnswer)
+{
+  while (!*aAnswer) {
     mLoop.Run();
   }
-  return *answer;
+}
+
+int
+mesh_world::StatusOf(const pending_answer& aAnswer)
+{
+  WaitFor(aAnswer);
+  const result<buffered_response>& answer = **aAnswer;
+  return answer ? answer->status : 0;
 }
 
 void
--- a/test/harness/mesh-world.h
+++ b/test/harness/mesh-world.h
@@ -68,8 +68,16 @@
   std::string request_limit;
   /// Its answers say that it is leaving.
   bool leaving = false;
+  /// A request to this target crashes it after the delay; empty for none.
+  std::string crash_target;
+  /// A crashed instance starts again, as a new incarnation, after this time.
+  duration restart_time{ std::chrono::milliseconds(20) };
 };
 
+/// A request of a caller in progress.
+using pending_answer =
+  std::shared_ptr<std::optional<result<buffered_response>>>;
+
 /// Nodes and instances on loopback addresses that share one event loop.
 class mesh_world
 {
@@ -101,6 +109,15 @@
                                         const std::string& aTarget,
                                         const std::string& aBody = "");
 
+  /// Sends a request without waiting for the answer.
+  pending_answer StartRequest(std::size_t aHost,
+                              const std::string& aMethod,
+                              const std::string& aTarget,
+                              const std::string& aBody = "");
+
+  /// Waits for an answer and returns its status, 0 if there was none.
+  int StatusOf(const pending_answer& aAnswer);
+
   /// Runs the loop for this time.
   void RunFor(duration aTime);
 
@@ -131,6 +148,12 @@
   {
     return mHosts[aHost]->run_count;
   }
+  /// Number of requests to the crash target that the instance of a host has
+  /// begun to run.
+  unsigned CrashCount(std::size_t aHost) const
+  {
+    return mHosts[aHost]->crash_count;
+  }
 
 private:
   /// A node, its instance and their dependencies.
@@ -147,12 +170,21 @@
     instance_behaviour behaviour;
     proxy_counters counters;
     std::unique_ptr<mesh_node> node;
+    /// Connections of the instance; null while it is down.
+    std::unique_ptr<tcp_transport> instance_sockets;
     unsigned run_count = 0;
+    unsigned crash_count = 0;
     std::int64_t sequence = 0;
   };
 
   void ServeInstance(world_host& aHost);
+  void HandleInstanceRequest(world_host& aHost,
+                             const buffered_request& aRequest,
+                             const respond_callback& aRespond);
+  /// Ends all connections of the instance, and starts it again later.
+  void CrashInstance(world_host& aHost);
   void StartNode(world_host& aHost);
+  void WaitFor(const pending_answer& aAnswer);
   bool KnowsAll(const mesh_node& aNode) const;
 
   loop mLoop;
