Don't send on a request that has crashed three instances

Callers saw 502 and 503 for a quarter of all requests: one request, sent again and again at any node, crashed all instances of a service in turn (20 crashes in 20 s). Cause: nothing remembers which request was running when an instance crashed; each attempt is judged by itself.

Each node keeps a table of requests, by a fingerprint of method, host, path, caller and body, with the crashes in a row that they were running at. The node beside the instance records; first hops record what comes back to them and send what they know along with the request; the others learn by the existing gossip, a restarted node when it first compares its state. After three crashes no node sends the request on.

Against refusing a request that merely ran beside the fatal one: an answer of any instance voids the count; crashes at the same moment count once (a crash counts only for a run that started when the one before was known); suspects run one at a time at an instance, so that a further crash shows which it was. 512 requests at most, ten minutes.

Ruled out: counting crashes by time (clocks and delays between nodes differ); ignoring requests answered shortly before (a request may become fatal); fewer retries after a crash (the caller comes back anyway).

--- a/src/diagnosis/request-explanation.cc
+++ b/src/diagnosis/request-explanation.cc
@@ -23,13 +23,16 @@
 };
 
 /// Events that end a request, and their meaning.
-constexpr std::array<terminal_event, 9> kTerminalEvents{ {
+constexpr std::array<terminal_event, 10> kTerminalEvents{ {
   { "refused_full",
     "refused, not run: no instance had capacity in time; the answer stated "
     "when to retry" },
   { "no_instance", "refused, not run: no instance of the service is known" },
   { "refused_by_instance",
     "refused, not run: the instances that were attempted refused it" },
+  { "refused_quarantined",
+    "refused, not run: the same request (path, caller and body) was running at "
+    "three crashes of instances in a row" },
   { "node_stopping", "refused, not run: the node was shutting down" },
   { "no_configuration", "refused, not run: the node had no configuration yet" },
   { "no_route",
@@ -43,12 +46,13 @@
 
 /// Events that change the state of a node, or what it knows about hosts,
 /// instances, the configuration, rollouts and the store.
-constexpr std::array<std::string_view, 15> kContextEvents{
-  "host_lost",        "host_regained",  "host_dropped",
-  "store_lost",       "store_regained", "configuration_taken",
-  "instance_changed", "instance_left",  "instance_silent",
-  "move_begins",      "move_step",      "move_step_learned",
-  "node_started",     "node_stopping",  "configuration_refused",
+constexpr std::array<std::string_view, 17> kContextEvents{
+  "host_lost",        "host_regained",       "host_dropped",
+  "store_lost",       "store_regained",      "configuration_taken",
+  "instance_changed", "instance_left",       "instance_silent",
+  "move_begins",      "move_step",           "move_step_learned",
+  "node_started",     "node_stopping",       "configuration_refused",
+  "instance_crashed", "request_quarantined",
 };
 
 std::string
--- a/src/mesh/gossip.cc
+++ b/src/mesh/gossip.cc
@@ -37,12 +37,14 @@
                control_client& aClient,
                host_directory& aDirectory,
                const version_selector& aVersions,
+               crash_table& aCrashes,
                proxy_counters& aCounters,
                gossip_delegate& aDelegate)
   : mLoop(aLoop)
   , mClient(aClient)
   , mDirectory(aDirectory)
   , mVersions(aVersions)
+  , mCrashes(aCrashes)
   , mCounters(aCounters)
   , mDelegate(aDelegate)
 {
@@ -225,6 +227,46 @@
   Broadcast(message);
 }
 
+void
+gossip::SpreadCrashes(const std::vector<crash_record>& aRecords)
+{
+  json message = MessageHeader();
+  message["crashes"] = EncodeCrashes(aRecords);
+  Broadcast(message);
+}
+
+json
+gossip::EncodeCrashes(const std::vector<crash_record>& aRecords) const
+{
+  json encoded = json::array();
+  for (const crash_record& record : aRecords) {
+    // An age rather than a time, since clocks differ between hosts.
+    encoded.push_back({ record.fingerprint,
+                        record.count.epoch,
+                        record.count.crashes,
+                        Milliseconds(mLoop.Now() - record.changed) });
+  }
+  return encoded;
+}
+
+std::vector<crash_record>
+gossip::MergeCrashes(const json& aMessage)
+{
+  std::vector<crash_record> updates;
+  for (const json& entry : aMessage.value("crashes", json::array())) {
+    crash_record record;
+    record.fingerprint = entry.at(0).get<request_fingerprint>();
+    record.count.epoch = entry.at(1).get<std::uint32_t>();
+    record.count.crashes = entry.at(2).get<std::uint32_t>();
+    record.changed =
+      mLoop.Now() - std::chrono::milliseconds(entry.at(3).get<std::int64_t>());
+    if (mCrashes.Merge(record, mLoop.Now())) {
+      updates.push_back(record);
+    }
+  }
+  return updates;
+}
+
 std::string
 gossip::EncodeMessage(bool aWithDigest) const
 {
@@ -242,6 +284,7 @@
       known[name] = { host.record.incarnation, host.record.sequence };
     }
     message["known"] = std::move(known);
+    message["known_crashes"] = mCrashes.Digest();
   }
   return message.dump();
 }
@@ -460,7 +503,8 @@
   if (changed || !hosts.empty()) {
     mDelegate.OnHostsChanged();
   }
-  if (!hosts.empty() || !canaries.empty()) {
+  std::vector<crash_record> crashes = MergeCrashes(message);
+  if (!hosts.empty() || !canaries.empty() || !crashes.empty()) {
     json updates = MessageHeader();
     for (const host_record& record : hosts) {
       updates["hosts"].push_back(EncodeHostRecord(record));
@@ -468,6 +512,9 @@
     for (const canary_rollout& canary : canaries) {
       updates["moves"].push_back(EncodeCanary(canary));
     }
+    if (!crashes.empty()) {
+      updates["crashes"] = EncodeCrashes(crashes);
+    }
     Forward(updates, from);
   }
   if (message.value("watcher", false)) {
@@ -482,14 +529,13 @@
   if (message.value("dropped", false)) {
     mDelegate.OnRemovedByOthers();
   }
-  return message.contains("known")
-           ? AnswerToDigest(message.at("known"), wasRemoved)
-           : "";
+  return message.contains("known") ? AnswerToDigest(message, wasRemoved) : "";
 }
 
 std::string
-gossip::AnswerToDigest(const json& aDigest, bool aWasRemoved) const
+gossip::AnswerToDigest(const json& aMessage, bool aWasRemoved) const
 {
+  const json& digest = aMessage.at("known");
   json answer = MessageHeader();
   if (aWasRemoved) {
     answer["dropped"] = true;
@@ -498,10 +544,10 @@
     if (host.unreachable) {
       continue; // the record may be out of date
     }
-    if (aDigest.contains(name)) {
+    if (digest.contains(name)) {
       host_record theirs;
-      theirs.incarnation = aDigest.at(name).at(0).get<std::int64_t>();
-      theirs.sequence = aDigest.at(name).at(1).get<std::uint64_t>();
+      theirs.incarnation = digest.at(name).at(0).get<std::int64_t>();
+      theirs.sequence = digest.at(name).at(1).get<std::uint64_t>();
       if (!IsNewer(host.record, theirs)) {
         continue;
       }
@@ -511,6 +557,10 @@
   for (const auto& [service, canary] : mVersions.Canaries()) {
     answer["moves"].push_back(EncodeCanary(canary));
   }
+  std::uint64_t crashes = mCrashes.Digest();
+  if (aMessage.value("known_crashes", crashes) != crashes) {
+    answer["crashes"] = EncodeCrashes(mCrashes.Records());
+  }
   return answer.dump();
 }
 
--- a/src/mesh/gossip.h
+++ b/src/mesh/gossip.h
@@ -7,6 +7,7 @@
 #include <set>
 
 #include "mesh/host-directory.h"
+#include "proxy/crash-table.h"
 #include "proxy/proxy-counters.h"
 #include "proxy/version-selector.h"
 #include "wire/control-client.h"
@@ -46,6 +47,7 @@
          control_client& aClient,
          host_directory& aDirectory,
          const version_selector& aVersions,
+         crash_table& aCrashes,
          proxy_counters& aCounters,
          gossip_delegate& aDelegate);
 
@@ -67,6 +69,9 @@
   /// Sends the state of a rollout to all failure domains.
   void SpreadCanary(const canary_rollout& aCanary);
 
+  /// Sends evidence on requests that crash instances to all failure domains.
+  void SpreadCrashes(const std::vector<crash_record>& aRecords);
+
   /// Tells a host that its entry in the store is missing or out of date.
   void ReportLostEntry(const std::string& aName);
 
@@ -117,10 +122,15 @@
   /// Passes the rollout states that are newer than the known ones to the
   /// delegate and returns them.
   std::vector<canary_rollout> MergeCanaries(const nlohmann::json& aMessage);
+  /// Merges the evidence on requests that crash instances and returns what was
+  /// news.
+  std::vector<crash_record> MergeCrashes(const nlohmann::json& aMessage);
+  nlohmann::json EncodeCrashes(const std::vector<crash_record>& aRecords) const;
   nlohmann::json MessageHeader() const;
   /// Encodes the records that are newer than those in the digest, which maps
-  /// host names to incarnation and sequence.
-  std::string AnswerToDigest(const nlohmann::json& aDigest,
+  /// host names to incarnation and sequence, and the evidence on crashes if its
+  /// digest is another.
+  std::string AnswerToDigest(const nlohmann::json& aMessage,
                              bool aWasRemoved) const;
   std::string EncodeMessage(bool aWithDigest) const;
   /// Merges a message. Returns the records that the sender lacks if the message
@@ -138,6 +148,7 @@
   control_client& mClient;
   host_directory& mDirectory;
   const version_selector& mVersions;
+  crash_table& mCrashes;
   proxy_counters& mCounters;
   gossip_delegate& mDelegate;
   std::function<void(const std::string&)> mOnUnreachable;
--- a/src/mesh/mesh-node.cc
+++ b/src/mesh/mesh-node.cc
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "base/hash.h"
 #include "base/invariant.h"
 #include "base/log.h"
 #include "mesh/order-id-json.h"
@@ -96,7 +97,7 @@
   , mChooser(mSettings.domain, std::random_device{}())
   , mVersions(std::random_device{}())
   , mLinkPacer(aLoop)
-  , mDispatcher(aTransport, mNames, mLinkPacer.Scheduler())
+  , mDispatcher(aTransport, mNames, mLinkPacer.Scheduler(), mCrashes)
   , mHopClient(aTransport, mNames)
   , mIngress({ aTransport,
                mNames,
@@ -106,9 +107,10 @@
                mChooser,
                mRetries,
                mVersions,
-               aCounters })
+               aCounters,
+               mCrashes })
   , mHopServer(aTransport, mNames, mDispatcher, mLinkPacer)
-  , mGossip(aLoop, aClient, mDirectory, mVersions, aCounters, *this)
+  , mGossip(aLoop, aClient, mDirectory, mVersions, mCrashes, aCounters, *this)
   , mEntryRepair(aLoop, aStore, mDirectory, mGossip)
   , mCanaryDriver(aLoop,
                   aClient,
@@ -187,6 +189,9 @@
   mGossip.OnUnreachable([this](const std::string& aName) {
     mHopClient.HandleUnreachableHost(aName);
   });
+  mCrashes.OnChange([this](const std::vector<crash_record>& aRecords) {
+    mGossip.SpreadCrashes(aRecords);
+  });
   mEntryRepair.OnOwnEntryLost([this] { OnRemovedByOthers(); });
   mGossip.Start();
   mCanaryDriver.Start();
@@ -466,6 +471,7 @@
   mDispatcher.CloseIdle(now);
   mClient.CloseIdle(kIdleConnectionTimeout);
   mChooser.RemoveUnused(now);
+  mCrashes.RemoveExpired(now);
   CheckHeartbeat();
   RemoveUnreachableHosts();
 }
@@ -747,7 +753,9 @@
           "\neelgrasstrack_instance_waiting " + std::to_string(load.waiting) +
           "\neelgrasstrack_store_era " + std::to_string(mStore.Era()) +
           "\neelgrasstrack_instance_sent_total " +
-          std::to_string(mDispatcher.SentCount()) + "\n";
+          std::to_string(mDispatcher.SentCount()) +
+          "\neelgrasstrack_quarantined_requests " +
+          std::to_string(mCrashes.QuarantinedCount()) + "\n";
   if (const std::optional<double>& limit = mDispatcher.RequestLimit()) {
     text +=
       "eelgrasstrack_instance_request_limit " + RequestLimitText(limit) + "\n";
@@ -772,12 +780,20 @@
     AddOrderId(entry, canary.order_id);
     canaries.push_back(std::move(entry));
   }
+  json crashes = json::array();
+  for (const crash_record& record : mCrashes.Records()) {
+    duration age = mLoop.Now() - record.changed;
+    crashes.push_back({ { "fingerprint", HexOf(record.fingerprint) },
+                        { "crashes", record.count.crashes },
+                        { "age_ms", Milliseconds(age) } });
+  }
   run_load load = mDispatcher.Load();
   return json({ { "name", mOwnRecord.name },
                 { "ready", Ready() },
                 { "config_version", ConfigVersion() },
                 { "hosts", std::move(hosts) },
                 { "moves", std::move(canaries) },
+                { "crashing_requests", std::move(crashes) },
                 { "busy", load.busy },
                 { "waiting", load.waiting } })
     .dump();
--- a/src/mesh/mesh-node.h
+++ b/src/mesh/mesh-node.h
@@ -135,6 +135,7 @@
   shared_retry_budget mRetries;
   version_selector mVersions;
   link_pacer mLinkPacer;
+  crash_table mCrashes;
   instance_dispatcher mDispatcher;
   hop_client mHopClient;
   ingress mIngress;
--- /dev/null
+++ b/src/proxy/crash-count.h
@@ -0,0 +1,26 @@
+#ifndef EELGRASSTRACK_PROXY_CRASH_COUNT_H_
+#define EELGRASSTRACK_PROXY_CRASH_COUNT_H_
+
+#include <compare>
+#include <cstdint>
+
+namespace eelgrasstrack {
+
+/// Evidence that a request crashes instances.
+struct crash_count
+{
+  /// Rises with each answer of an instance to the request; such an answer voids
+  /// the crashes that were counted before.
+  std::uint32_t epoch = 0;
+  /// Crashes in a row: each of them ended a run of the request that had started
+  /// when the one before was already known. Instances that stop at the same
+  /// moment therefore count once.
+  std::uint32_t crashes = 0;
+
+  /// The later evidence of two nodes is the greater one.
+  auto operator<=>(const crash_count&) const = default;
+};
+
+} // namespace eelgrasstrack
+
+#endif // EELGRASSTRACK_PROXY_CRASH_COUNT_H_
--- a/src/proxy/forwarded-request.cc
+++ b/src/proxy/forwarded-request.cc
@@ -9,7 +9,7 @@
 namespace {
 
 /// These names are sent between nodes and must not change.
-constexpr name_table<run_failure_reason, 7> kReasonNames{ {
+constexpr name_table<run_failure_reason, 9> kReasonNames{ {
   { run_failure_reason::full, "full" },
   { run_failure_reason::leaving, "leaving" },
   { run_failure_reason::wrong_instance, "wrong_instance" },
@@ -17,6 +17,8 @@
   { run_failure_reason::refused_by_instance, "refused_by_instance" },
   { run_failure_reason::broken, "broken" },
   { run_failure_reason::host_unresponsive, "silent_host" },
+  { run_failure_reason::crashed, "crashed" },
+  { run_failure_reason::quarantined, "quarantined" },
 } };
 
 bool
--- a/src/proxy/forwarded-request.h
+++ b/src/proxy/forwarded-request.h
@@ -5,6 +5,7 @@
 #include <tl/expected.hpp>
 
 #include "base/error.h"
+#include "proxy/crash-count.h"
 #include "proxy/run-queue.h"
 #include "wire/message.h"
 
@@ -58,6 +59,8 @@
   /// Limit of the instance in requests per second, as the first hop last
   /// received it; nothing if it received none.
   std::optional<double> request_limit;
+  /// What the first hop knows of crashes beside the request.
+  crash_count crashes;
 };
 
 /// Why a request was not answered.
@@ -77,6 +80,10 @@
   broken,
   /// The host of the instance stopped responding.
   host_unresponsive,
+  /// The instance crashed while it was running the request.
+  crashed,
+  /// The request has crashed too many instances to be sent to another.
+  quarantined,
 };
 
 std::string_view
--- a/src/proxy/hop-fields.cc
+++ b/src/proxy/hop-fields.cc
@@ -99,7 +99,9 @@
                      MillisecondsText(aRequest.soft_deadline - aNow),
                      MillisecondsText(aRequest.deadline - aNow),
                      aRequest.caller_service,
-                     RequestLimitText(aRequest.request_limit) });
+                     RequestLimitText(aRequest.request_limit),
+                     std::to_string(aRequest.crashes.epoch),
+                     std::to_string(aRequest.crashes.crashes) });
 }
 
 result<void>
@@ -121,6 +123,10 @@
     }
     aRequest.request_limit = *limit;
   }
+  if (words.HasMore()) {
+    aRequest.crashes.epoch = words.ReadNumber<std::uint32_t>();
+    aRequest.crashes.crashes = words.ReadNumber<std::uint32_t>();
+  }
   if (!words.IsValid()) {
     return Fail(error_kind::invalid_argument,
                 "hop request: Mesh-Call field missing or malformed");
--- a/src/proxy/ingress.h
+++ b/src/proxy/ingress.h
@@ -3,6 +3,7 @@
 
 #include "mesh/host-directory.h"
 #include "proxy/caller-wait-estimator.h"
+#include "proxy/crash-table.h"
 #include "proxy/hop-client.h"
 #include "proxy/instance-chooser.h"
 #include "proxy/instance-dispatcher.h"
@@ -26,6 +27,7 @@
   shared_retry_budget& retries;
   version_selector& versions;
   proxy_counters& counters;
+  crash_table& crashes;
 };
 
 /// The first hop: accepts requests of callers on this host, matches each to a
--- a/src/proxy/instance-dispatcher.cc
+++ b/src/proxy/instance-dispatcher.cc
@@ -60,6 +60,13 @@
   void Start()
   {
     mStarted = true;
+    if (const crash_table& crashes = mDispatcher.mCrashes; !crashes.Empty()) {
+      mKnownCrashes = crashes.Find(Fingerprint());
+      if (crashes.IsQuarantined(Fingerprint())) {
+        RefuseLater(run_failure_reason::quarantined);
+        return;
+      }
+    }
     Dispatch();
   }
 
@@ -105,10 +112,12 @@
   }
 
   /// Ends the request after its connection ended without an answer.
-  void FailInterrupted()
+  void FailInterrupted(bool aCrashed)
   {
     if (!mEnded) {
-      FailWithBrokenAnswer(mInterruption);
+      FailWithoutAnswer(aCrashed ? run_failure_reason::crashed
+                                 : run_failure_reason::broken,
+                        mInterruption);
     }
   }
 
@@ -116,7 +125,10 @@
   /// Whether the connection ended and its cause is not known yet.
   bool Interrupted() const { return !mInterruption.empty(); }
   time_point DispatchedAt() const { return mDispatchedAt; }
+  const forwarded_request& Request() const { return mRequest; }
   request_fingerprint Fingerprint() const { return FingerprintOf(mRequest); }
+  /// What was known of crashes beside the request when it was sent.
+  const crash_count& KnownCrashes() const { return mKnownCrashes; }
 
   /// The result of a request that has no answer yet.
   run_result UnansweredResult() const
@@ -172,9 +184,11 @@
       return;
     }
     if (mMissingStamp) {
-      FailWithBrokenAnswer("success response without the server stamp field");
+      FailWithoutAnswer(run_failure_reason::broken,
+                        "success response without the server stamp field");
       return;
     }
+    RecordSurvival();
     ReportResult(status::IsServerError(mStatus));
     if (status::IsSuccess(mStatus)) {
       mDispatcher.mAnswerSizes.Record(mRequest.route, mAnswerBytes);
@@ -199,7 +213,7 @@
       mDispatcher.HandleInterruption(shared_from_this());
       return;
     }
-    FailWithBrokenAnswer(aFailure.reason);
+    FailWithoutAnswer(run_failure_reason::broken, aFailure.reason);
   }
 
 private:
@@ -214,12 +228,7 @@
       channel = mDispatcher.AcquireChannel(true);
     }
     if (!channel) {
-      // No descriptor is left. Fail asynchronously, because the caller of
-      // `instance_dispatcher::Dispatch` does not have the handle yet.
-      mDispatcher.mTransport.Loop().RunAfter(
-        duration(0), [self = shared_from_this()] {
-          self->Refuse(run_failure_reason::unreachable, duration(0));
-        });
+      RefuseLater(run_failure_reason::unreachable); // no descriptor is left
       return;
     }
     mChannel = channel;
@@ -230,6 +239,26 @@
                    { mRequest.head.method == "HEAD", mRequest.body_complete });
   }
 
+  /// Refuses asynchronously, because the caller of
+  /// `instance_dispatcher::Dispatch` does not have the handle yet.
+  void RefuseLater(run_failure_reason aReason)
+  {
+    mDispatcher.mTransport.Loop().RunAfter(
+      duration(0), [self = shared_from_this(), aReason] {
+        self->Refuse(aReason, duration(0));
+      });
+  }
+
+  /// Records that the instance has answered the request and not crashed. An
+  /// instance that answers at the deadline may still be running it.
+  void RecordSurvival()
+  {
+    crash_table& crashes = mDispatcher.mCrashes;
+    if (!crashes.Empty() && mStatus != status::kGatewayTimeout) {
+      crashes.RecordAnswer(Fingerprint(), mDispatcher.mTransport.Loop().Now());
+    }
+  }
+
   /// The head of the request and the first part of its body.
   std::string RequestText(time_point aNow)
   {
@@ -256,17 +285,17 @@
     mDispatcher.Report({ mRequest.route, mVersion, aFailed, false, Elapsed() });
   }
 
-  void FailWithBrokenAnswer(const std::string& aReason)
+  void FailWithoutAnswer(run_failure_reason aReason, const std::string& aDetail)
   {
     LogEvent(log_level::info,
              "instance_answer_broken",
              { { "request", mRequest.request_id },
                { "instance", mRequest.instance },
-               { "reason", aReason },
+               { "reason", aDetail },
                { "after_ms", std::to_string(Milliseconds(Elapsed())) } });
     ReportResult(true);
     run_failure failure;
-    failure.reason = run_failure_reason::broken;
+    failure.reason = aReason;
     failure.reached_instance = true;
     FailWith(failure);
   }
@@ -307,6 +336,7 @@
   /// How the connection ended before the answer was complete; empty if it did
   /// not.
   std::string mInterruption;
+  crash_count mKnownCrashes;
   int mStatus = 0;
   int mRefusedStatus = 0;
   /// A success response had no server stamp, so no instance made it.
@@ -317,10 +347,12 @@
 
 instance_dispatcher::instance_dispatcher(tcp_transport& aTransport,
                                          const header_names& aNames,
-                                         const bandwidth_scheduler& aLink)
+                                         const bandwidth_scheduler& aLink,
+                                         crash_table& aCrashes)
   : mTransport(aTransport)
   , mNames(aNames)
   , mLink(aLink)
+  , mCrashes(aCrashes)
 {
 }
 
@@ -407,25 +439,72 @@
   std::vector<std::shared_ptr<instance_run>> runs =
     std::exchange(mInterrupted, {});
   if (aCrashed) {
-    LogCrash(runs);
+    RecordCrash(runs);
   }
   for (const auto& run : runs) {
-    run->FailInterrupted();
+    run->FailInterrupted(aCrashed);
   }
 }
 
 void
-instance_dispatcher::LogCrash(
-  const std::vector<std::shared_ptr<instance_run>>& aRuns) const
+instance_dispatcher::RecordCrash(
+  const std::vector<std::shared_ptr<instance_run>>& aRuns)
 {
   std::string running;
+  std::vector<crash_table::interrupted_run> interrupted;
   for (const auto& run : aRuns) {
+    interrupted.push_back({ run->Fingerprint(), run->KnownCrashes() });
     running += running.empty() ? "" : " ";
     running += HexOf(run->Fingerprint());
   }
   LogEvent(log_level::warning,
            "instance_crashed",
            { { "instance", mInstance.id }, { "running", running } });
+  mCrashes.RecordCrash(interrupted, mTransport.Loop().Now());
+  for (const auto& run : aRuns) {
+    LogIfQuarantined(*run);
+  }
+}
+
+void
+instance_dispatcher::LogIfQuarantined(const instance_run& aRun) const
+{
+  if (!mCrashes.IsQuarantined(aRun.Fingerprint())) {
+    return;
+  }
+  const forwarded_request& request = aRun.Request();
+  LogEvent(log_level::warning,
+           "request_quarantined",
+           { { "request", request.request_id },
+             { "fingerprint", HexOf(aRun.Fingerprint()) },
+             { "route", request.route },
+             { "target", request.head.target },
+             { "caller", request.caller_service } });
+}
+
+std::optional<run_failure>
+instance_dispatcher::SuspectRefusalOf(const forwarded_request& aRequest) const
+{
+  if (mCrashes.Empty()) {
+    return std::nullopt;
+  }
+  request_fingerprint fingerprint = FingerprintOf(aRequest);
+  if (mCrashes.IsQuarantined(fingerprint)) {
+    return RefusalWith(run_failure_reason::quarantined, duration(0));
+  }
+  if (!mCrashes.IsSuspect(fingerprint)) {
+    return std::nullopt;
+  }
+  bool occupied =
+    std::any_of(mRuns.begin(), mRuns.end(), [&](const auto& aEntry) {
+      request_fingerprint other = aEntry.second->Fingerprint();
+      return other != fingerprint && mCrashes.IsSuspect(other);
+    });
+  if (!occupied) {
+    return std::nullopt;
+  }
+  return RefusalWith(run_failure_reason::full,
+                     mQueue.AverageDuration(aRequest.route));
 }
 
 void
@@ -546,6 +625,12 @@
   }
   AdoptLimit(aRequest.request_limit);
   time_point now = mTransport.Loop().Now();
+  if (aRequest.crashes.crashes > 0) {
+    mCrashes.Merge({ FingerprintOf(aRequest), aRequest.crashes, now }, now);
+  }
+  if (std::optional<run_failure> refusal = SuspectRefusalOf(aRequest)) {
+    return tl::unexpected<run_failure>(*refusal);
+  }
   duration linkDelay = LinkDelay(mAnswerSizes.Expected(aRequest.route));
   if (linkDelay > duration(0) &&
       now + mQueue.AverageDuration(aRequest.route) + linkDelay >
--- a/src/proxy/instance-dispatcher.h
+++ b/src/proxy/instance-dispatcher.h
@@ -7,7 +7,7 @@
 #include "mesh/host-record.h"
 #include "net/bandwidth-scheduler.h"
 #include "proxy/answer-size-estimator.h"
-#include "proxy/request-fingerprint.h"
+#include "proxy/crash-table.h"
 #include "wire/channel-pool.h"
 
 namespace eelgrasstrack {
@@ -31,10 +31,12 @@
 class instance_dispatcher
 {
 public:
-  /// `aLink` schedules the answers to other nodes.
+  /// `aLink` schedules the answers to other nodes. What the instance's crashes
+  /// and answers show is recorded in `aCrashes`.
   instance_dispatcher(tcp_transport& aTransport,
                       const header_names& aNames,
-                      const bandwidth_scheduler& aLink);
+                      const bandwidth_scheduler& aLink,
+                      crash_table& aCrashes);
 
   /// Applies the instance's announcement. If it is another instance or a new
   /// incarnation, idle connections are closed and waiting requests are refused.
@@ -110,8 +112,13 @@
   bool HasRunSince(time_point aTime) const;
   /// Fails the requests whose connections ended.
   void EndInterrupted(bool aCrashed);
-  void LogCrash(
-    const std::vector<std::shared_ptr<class instance_run>>& aRuns) const;
+  void RecordCrash(
+    const std::vector<std::shared_ptr<class instance_run>>& aRuns);
+  void LogIfQuarantined(const class instance_run& aRun) const;
+  /// Why a request that instances crashed beside must not run here now, if so.
+  /// Suspects run one at a time, so that a further crash shows which it was.
+  std::optional<run_failure> SuspectRefusalOf(
+    const forwarded_request& aRequest) const;
   /// Checks the queue periodically while requests wait.
   void ScheduleSweep();
   void Report(const run_result& aResult);
@@ -127,6 +134,7 @@
   tcp_transport& mTransport;
   const header_names& mNames;
   const bandwidth_scheduler& mLink;
+  crash_table& mCrashes;
   answer_size_estimator mAnswerSizes;
   /// Bytes of the large answers that running and waiting requests will have.
   std::size_t mExpectedBytes = 0;
--- a/src/proxy/proxied-request.cc
+++ b/src/proxy/proxied-request.cc
@@ -89,6 +89,10 @@
     AnswerLocally(status::kNotFound, {});
     return;
   }
+  if (IsQuarantined()) {
+    RefuseQuarantined();
+    return;
+  }
   SetDeadlines();
   mService = mIngress.SelectTarget(*mRoute);
   mCanary = mDependencies.versions.DecideCanary(mService, Now());
@@ -241,9 +245,45 @@
   mDeadline = mReceived.received + limit;
 }
 
+request_fingerprint
+proxied_request::Fingerprint()
+{
+  if (!mFingerprint) {
+    mFingerprint =
+      FingerprintOf(mReceived.head, mIngress.CallerService(), mReceived.body);
+  }
+  return *mFingerprint;
+}
+
+crash_count
+proxied_request::KnownCrashes()
+{
+  const crash_table& crashes = mDependencies.crashes;
+  return crashes.Empty() ? crash_count{} : crashes.Find(Fingerprint());
+}
+
+bool
+proxied_request::IsQuarantined()
+{
+  const crash_table& crashes = mDependencies.crashes;
+  return !crashes.Empty() && crashes.IsQuarantined(Fingerprint());
+}
+
+void
+proxied_request::RecordCrash()
+{
+  crash_count count = mKnownCrashes;
+  ++count.crashes;
+  mDependencies.crashes.Merge({ Fingerprint(), count, Now() }, Now());
+}
+
 void
 proxied_request::Attempt()
 {
+  if (IsQuarantined()) {
+    HandleQuarantine();
+    return;
+  }
   std::vector<instance_candidate> candidates =
     mIngress.Candidates(mService, mCanary);
   std::optional<std::size_t> chosen = Choose(candidates);
@@ -306,6 +346,8 @@
   request.soft_deadline = mSoftDeadline;
   request.deadline = mDeadline;
   request.request_limit = mIngress.RequestLimits().Find(mInstance);
+  mKnownCrashes = KnownCrashes();
+  request.crashes = mKnownCrashes;
   if (mHost == mDependencies.directory.Self()) {
     return mDependencies.local.Dispatch(std::move(request), shared_from_this());
   }
@@ -347,10 +389,17 @@
         ? aFailure.retry_after
         : std::min(mAttempts.retry_after, aFailure.retry_after);
   }
+  if (aFailure.reason == run_failure_reason::crashed) {
+    RecordCrash();
+  }
   if (mAnswerBegun) {
     AbortAnswer();
     return;
   }
+  if (aFailure.reason == run_failure_reason::quarantined || IsQuarantined()) {
+    HandleQuarantine();
+    return;
+  }
   if (!aFailure.reached_instance && aFailure.not_run && !mStreamedBody) {
     Attempt();
     return;
@@ -436,15 +485,39 @@
 
 void
 proxied_request::Refuse(proxy_event aEvent, duration aRetryAfter)
+{
+  RefuseWith(aEvent, RetryAfterText(aRetryAfter, Random()));
+}
+
+void
+proxied_request::RefuseWith(proxy_event aEvent,
+                            const std::string& aRetryAfterText)
 {
   CheckInvariant(invariant::not_run_is_true, !mAttempts.may_have_run);
   mDependencies.counters.Add(aEvent);
-  std::string retryAfter = RetryAfterText(aRetryAfter, Random());
   Log(NameOf(aEvent),
       { { "service", mService },
         { "asked", std::to_string(mAttempts.attempted_instances.size()) },
-        { "retry_after_s", retryAfter } });
-  AnswerLocally(status::kUnavailable, { { "Retry-After", retryAfter } });
+        { "retry_after_s", aRetryAfterText } });
+  AnswerLocally(status::kUnavailable, { { "Retry-After", aRetryAfterText } });
+}
+
+void
+proxied_request::RefuseQuarantined()
+{
+  duration left = mDependencies.crashes.QuarantineLeft(Fingerprint(), Now());
+  auto seconds = std::chrono::ceil<std::chrono::seconds>(left).count();
+  RefuseWith(proxy_event::refused_quarantined, std::to_string(seconds));
+}
+
+void
+proxied_request::HandleQuarantine()
+{
+  if (mAttempts.may_have_run) {
+    AnswerFailure(status::kBadGateway, proxy_event::answer_broken);
+    return;
+  }
+  RefuseQuarantined();
 }
 
 void
--- a/src/proxy/proxied-request.h
+++ b/src/proxy/proxied-request.h
@@ -83,10 +83,16 @@
   void RecordNotices(const header_fields& aFields);
   void SendTo(const instance_candidate& aCandidate);
   run_start Dispatch();
+  request_fingerprint Fingerprint();
   static instance_chooser::outcome OutcomeOf(const run_failure& aFailure);
   /// Starts another attempt if that is allowed; otherwise answers the caller.
   void HandleFailure(const run_failure& aFailure);
 
+  /// What this node knows of crashes beside the request.
+  crash_count KnownCrashes();
+  bool IsQuarantined();
+  /// Records that the instance crashed while it was running the request.
+  void RecordCrash();
   /// Returns whether the request may be sent to another instance. If so, one
   /// retry has been taken from the budget.
   bool TryAcquireRetry();
@@ -105,6 +111,11 @@
 
   /// Answers that the request has not run, with a Retry-After field.
   void Refuse(proxy_event aEvent, duration aRetryAfter);
+  void RefuseWith(proxy_event aEvent, const std::string& aRetryAfterText);
+  /// Answers that the request, which crashes instances, is not sent on.
+  void RefuseQuarantined();
+  /// Same if an attempt was made.
+  void HandleQuarantine();
   /// Answers with an instance's own failure answer if there is one, otherwise
   /// with `aStatus`.
   void AnswerFailure(int aStatus, proxy_event aEvent);
@@ -145,6 +156,10 @@
   /// An attempt was reported to the chooser as started and not yet as ended.
   bool mRunning = false;
   canary_decision mCanary;
+  /// Computed when it is first needed.
+  std::optional<request_fingerprint> mFingerprint;
+  /// What was known of crashes when the current attempt was sent.
+  crash_count mKnownCrashes;
   /// The body is only partly buffered, so the request can't be sent again.
   bool mStreamedBody = false;
   /// The head of the answer was passed to the exchange, so the answer can't be
--- a/src/proxy/proxy-counters.cc
+++ b/src/proxy/proxy-counters.cc
@@ -18,7 +18,7 @@
     "retry_denied",     "hop_refused",
     "hop_failed",       "store_call",
     "store_failed",     "peer_message",
-    "peer_failed",
+    "peer_failed",      "refused_quarantined",
   };
 
 } // namespace
--- a/src/proxy/proxy-counters.h
+++ b/src/proxy/proxy-counters.h
@@ -34,6 +34,7 @@
   store_failed,
   peer_message,
   peer_failed,
+  refused_quarantined,
   count,
 };
 
--- a/test/unit/crashing-request-test.cc
+++ b/test/unit/crashing-request-test.cc
@@ -80,7 +80,7 @@
 // further ones.
 TEST_CASE_METHOD(crash_fixture,
                  "crashing request, repeated, crashes three instances at most",
-                 "[crashing-request][known-red]")
+                 "[crashing-request]")
 {
   for (int i = 0; i < 8; ++i) {
     (void)SendFatal(0);
@@ -93,7 +93,7 @@
 TEST_CASE_METHOD(crash_fixture,
                  "crashing request, at a first hop that saw no crash, is "
                  "refused",
-                 "[crashing-request][known-red]")
+                 "[crashing-request]")
 {
   Crash();
   CHECK(SendFatal(1) == 503);
@@ -103,7 +103,7 @@
 // Guards against BUDGET after a restart: the node forgets what it has seen.
 TEST_CASE_METHOD(crash_fixture,
                  "crashing request, first hop restarts, is refused",
-                 "[crashing-request][known-red]")
+                 "[crashing-request]")
 {
   Crash();
   world.RestartNode(fronts[0]);
@@ -116,7 +116,7 @@
 TEST_CASE_METHOD(crash_fixture,
                  "crashing request, nodes beside the instances restart, is "
                  "refused",
-                 "[crashing-request][known-red]")
+                 "[crashing-request]")
 {
   Crash();
   for (std::size_t host : instances) {
@@ -133,7 +133,7 @@
 TEST_CASE_METHOD(crash_fixture,
                  "crashing request, not idempotent, crashes three instances "
                  "at most",
-                 "[crashing-request][known-red]")
+                 "[crashing-request]")
 {
   world.SetRoute(2, "/orders/", "orders", false);
   for (unsigned i = 1; i <= kAllowedCrashes; ++i) {
--- a/test/unit/hop-test.cc
+++ b/test/unit/hop-test.cc
@@ -96,7 +96,7 @@
   hop_fixture()
     : sockets(events)
     , pacer(events)
-    , dispatcher(sockets, names, pacer.Scheduler())
+    , dispatcher(sockets, names, pacer.Scheduler(), crashes)
     , server(sockets, names, dispatcher, pacer)
     , client(sockets, names)
     , address(FreeAddress())
@@ -162,6 +162,7 @@
   loop events{ 256 };
   tcp_transport sockets;
   link_pacer pacer;
+  crash_table crashes;
   instance_dispatcher dispatcher;
   hop_server server;
   hop_client client;
--- a/test/unit/proxy-test.cc
+++ b/test/unit/proxy-test.cc
@@ -481,6 +481,7 @@
   sent.soft_deadline = kStart + milliseconds(300);
   sent.deadline = kStart + milliseconds(2000);
   sent.caller_service = "orders";
+  sent.crashes = { 3, 2 };
   forwarded_request received;
   REQUIRE(DecodeCall(EncodeCall(sent, kStart), kStart, received));
   CHECK(received.instance == sent.instance);
@@ -490,16 +491,27 @@
   CHECK(received.soft_deadline == sent.soft_deadline);
   CHECK(received.deadline == sent.deadline);
   CHECK(received.caller_service == sent.caller_service);
+  CHECK(received.crashes == sent.crashes);
   sent.caller_service.clear();
   REQUIRE(DecodeCall(EncodeCall(sent, kStart), kStart, received));
   CHECK(received.caller_service.empty());
 }
 
+TEST_CASE("hop fields, call of an earlier version, has no evidence of crashes",
+          "[proxy]")
+{
+  forwarded_request received;
+  REQUIRE(DecodeCall("i r 1 idempotent 1 2 s none", kStart, received));
+  CHECK(received.crashes == crash_count{});
+}
+
 TEST_CASE("hop fields, malformed values, are rejected", "[proxy]")
 {
   forwarded_request received;
   CHECK_FALSE(DecodeCall("", kStart, received));
   CHECK_FALSE(DecodeCall("i r x idempotent 1 2 s", kStart, received));
+  CHECK_FALSE(DecodeCall("i r 1 idempotent 1 2 s none 0", kStart, received));
+  CHECK_FALSE(DecodeCall("i r 1 idempotent 1 2 s none 0 x", kStart, received));
   CHECK_FALSE(DecodeCall("i r 1 perhaps 1 2 s", kStart, received));
   CHECK_FALSE(DecodeLoad("1 2 0 4"));
   CHECK_FALSE(DecodeFailure("no_such_reason not_run reached 0"));
--- a/test/unit/request-explanation-test.cc
+++ b/test/unit/request-explanation-test.cc
@@ -71,6 +71,9 @@
 {
   CHECK(Explain("q2").cause.find("no instance had capacity") !=
         std::string::npos);
+  Add(
+    R"({"event":"refused_quarantined","node":"b","request":"q4","time_ms":1})");
+  CHECK(Explain("q4").cause.find("crashes of instances") != std::string::npos);
 }
 
 TEST_CASE_METHOD(
--- a/test/unit/store-restored-test.cc
+++ b/test/unit/store-restored-test.cc
@@ -210,7 +210,13 @@
 public:
   entry_repair_fixture()
     : client(control, event_loop, counters)
-    , peers(event_loop, control, directory, versions, counters, delegate)
+    , peers(event_loop,
+            control,
+            directory,
+            versions,
+            crashes,
+            counters,
+            delegate)
     , repair(event_loop, client, directory, peers)
   {
     client.SetAddress(store_address);
@@ -229,6 +235,7 @@
 
   proxy_counters counters;
   version_selector versions;
+  crash_table crashes;
   unused_delegate delegate;
   host_directory directory{ "node-1" };
   store_client client;
