Don't choose an instance that refuses connections

The node beside the instance knew from the first refused connection and told no one. It now marks the instance absent, which the others learn like any change; the next heartbeat makes it ready again.

--- a/src/mesh/mesh-node.cc
+++ b/src/mesh/mesh-node.cc
@@ -177,6 +177,7 @@
     mCanaryDriver.OnResult(mDispatcher.Instance().service, aResult);
   });
   mDispatcher.OnInstanceLeaving([this] { HandleInstanceLeaving(); });
+  mDispatcher.OnInstanceDown([this] { HandleInstanceDown(); });
   mCanaryDriver.SetRunningRequests([this](const std::string& aService) {
     return mDispatcher.Instance().service == aService
              ? mDispatcher.RunningRequests()
@@ -421,6 +422,18 @@
   SetInstanceState(instance_state::draining);
 }
 
+void
+mesh_node::HandleInstanceDown()
+{
+  if (mOwnRecord.instance.state != instance_state::ready) {
+    return;
+  }
+  LogEvent(log_level::warning,
+           "instance_down",
+           { { "instance", mOwnRecord.instance.id } });
+  SetInstanceState(instance_state::absent);
+}
+
 void
 mesh_node::CheckHeartbeat()
 {
--- a/src/mesh/mesh-node.h
+++ b/src/mesh/mesh-node.h
@@ -113,6 +113,9 @@
   void SetInstanceState(instance_state aState);
   /// Handles an answer in which the instance says that it is leaving.
   void HandleInstanceLeaving();
+  /// Marks an instance that refuses connections as absent. Its next heartbeat
+  /// makes it ready again.
+  void HandleInstanceDown();
   /// Marks the instance as absent if its heartbeats stopped.
   void CheckHeartbeat();
   void RefreshVersions();
--- a/src/proxy/instance-dispatcher.cc
+++ b/src/proxy/instance-dispatcher.cc
@@ -122,8 +122,8 @@
   }
 
   bool Started() const { return mStarted; }
-  /// Whether the connection ended and its cause is not known yet.
-  bool Interrupted() const { return !mInterruption.empty(); }
+  /// Whether the request was sent and its connection has not ended.
+  bool IsConnected() const { return mChannel && mChannel->Sent(); }
   time_point DispatchedAt() const { return mDispatchedAt; }
   const forwarded_request& Request() const { return mRequest; }
   request_fingerprint Fingerprint() const { return FingerprintOf(mRequest); }
@@ -205,6 +205,7 @@
   {
     mChannel.reset();
     if (!aFailure.sent && aFailure.end == close_reason::connect_failed) {
+      mDispatcher.HandleRefusal();
       Refuse(run_failure_reason::unreachable, duration(0));
       return;
     }
@@ -429,7 +430,7 @@
 {
   return std::any_of(mRuns.begin(), mRuns.end(), [aTime](const auto& aEntry) {
     const instance_run& run = *aEntry.second;
-    return run.Started() && !run.Interrupted() && run.DispatchedAt() <= aTime;
+    return run.IsConnected() && run.DispatchedAt() <= aTime;
   });
 }
 
@@ -440,12 +441,21 @@
     std::exchange(mInterrupted, {});
   if (aCrashed) {
     RecordCrash(runs);
+    HandleRefusal();
   }
   for (const auto& run : runs) {
     run->FailInterrupted(aCrashed);
   }
 }
 
+void
+instance_dispatcher::HandleRefusal()
+{
+  if (mOnInstanceDown && !HasRunSince(mTransport.Loop().Now())) {
+    mOnInstanceDown();
+  }
+}
+
 void
 instance_dispatcher::RecordCrash(
   const std::vector<std::shared_ptr<instance_run>>& aRuns)
@@ -507,6 +517,12 @@
                      mQueue.AverageDuration(aRequest.route));
 }
 
+void
+instance_dispatcher::OnInstanceDown(std::function<void()> aObserver)
+{
+  mOnInstanceDown = std::move(aObserver);
+}
+
 void
 instance_dispatcher::Report(const run_result& aResult)
 {
--- a/src/proxy/instance-dispatcher.h
+++ b/src/proxy/instance-dispatcher.h
@@ -57,6 +57,10 @@
   /// it is leaving.
   void OnInstanceLeaving(std::function<void()> aObserver);
 
+  /// Sets the function that is called when the instance refuses connections
+  /// and runs no request, so that it has ended without notice.
+  void OnInstanceDown(std::function<void()> aObserver);
+
   /// Runs or queues a request, or returns why it is refused.
   run_start Dispatch(forwarded_request aRequest,
                      std::shared_ptr<answer_sink> aSink);
@@ -110,6 +114,8 @@
   void HandleInterruption(std::shared_ptr<class instance_run> aRun);
   /// Whether a request that was sent by `aTime` still has its connection.
   bool HasRunSince(time_point aTime) const;
+  /// Handles a refused connection.
+  void HandleRefusal();
   /// Fails the requests whose connections ended.
   void EndInterrupted(bool aCrashed);
   void RecordCrash(
@@ -154,6 +160,7 @@
   std::vector<std::shared_ptr<class instance_run>> mInterrupted;
   std::function<void(const run_result&)> mOnResult;
   std::function<void()> mOnInstanceLeaving;
+  std::function<void()> mOnInstanceDown;
 };
 
 } // namespace eelgrasstrack
--- a/test/harness/mesh-world.cc
+++ b/test/harness/mesh-world.cc
@@ -337,15 +337,15 @@
   }
 }
 
-bool
-mesh_world::KnowsAll(const mesh_node& aNode) const
+std::size_t
+mesh_world::KnownInstances(std::size_t aHost) const
 {
-  nlohmann::json dump = nlohmann::json::parse(aNode.Dump());
+  nlohmann::json dump = nlohmann::json::parse(mHosts[aHost]->node->Dump());
   std::size_t known = 0;
   for (const nlohmann::json& host : dump.at("hosts")) {
     known += host.contains("instance") ? 1 : 0;
   }
-  return known == mHosts.size();
+  return known;
 }
 
 void
@@ -354,11 +354,11 @@
   constexpr duration kStep = std::chrono::milliseconds(20);
   constexpr int kMaxSteps = 500;
   for (int step = 0; step < kMaxSteps; ++step) {
-    bool all =
-      std::all_of(mHosts.begin(), mHosts.end(), [this](const auto& aHost) {
-        return KnowsAll(*aHost->node);
-      });
-    if (all) {
+    std::size_t complete = 0;
+    for (std::size_t host = 0; host < mHosts.size(); ++host) {
+      complete += KnownInstances(host) == mHosts.size() ? 1 : 0;
+    }
+    if (complete == mHosts.size()) {
       return;
     }
     RunFor(kStep);
--- a/test/harness/mesh-world.h
+++ b/test/harness/mesh-world.h
@@ -148,6 +148,8 @@
   {
     return mHosts[aHost]->run_count;
   }
+  /// Number of instances that the node of a host knows to be there.
+  std::size_t KnownInstances(std::size_t aHost) const;
   /// Number of requests to the crash target that the instance of a host has
   /// begun to run.
   unsigned CrashCount(std::size_t aHost) const
@@ -185,7 +187,6 @@
   void CrashInstance(world_host& aHost);
   void StartNode(world_host& aHost);
   void WaitFor(const pending_answer& aAnswer);
-  bool KnowsAll(const mesh_node& aNode) const;
 
   loop mLoop;
   tcp_transport mSockets;
--- a/test/unit/crashing-request-test.cc
+++ b/test/unit/crashing-request-test.cc
@@ -145,6 +145,23 @@
   CHECK(Crashes() == kAllowedCrashes);
 }
 
+// Guards against lost time and retries while an instance is down: first hops go
+// on choosing an instance that has crashed until it is back.
+TEST_CASE_METHOD(crash_fixture,
+                 "crashed instance, until it is back, is not offered to first "
+                 "hops",
+                 "[crashing-request]")
+{
+  for (std::size_t host : instances) {
+    world.Behaviour(host).restart_time = milliseconds(300);
+  }
+  std::size_t all = world.KnownInstances(fronts[1]);
+  (void)SendFatal(0);
+  CHECK(world.KnownInstances(fronts[1]) == all - Crashes());
+  world.RunUntilInstancesKnown();
+  CHECK(world.StatusOf(world.StartRequest(fronts[1], "GET", kHarmless)) == 200);
+}
+
 // Guards against a refusal of requests that are only similar.
 TEST_CASE_METHOD(crash_fixture,
                  "crashing request, refused, others with the same path or "
