Keep quarantined requests in the entries of hosts

After all nodes were killed at once nobody knew the request that crashes instances, and it crashed three or four more. The node that sees the last crash now writes the request into its entry in the store, with the write that tells of the instance's end; a starting node reads it with the listing that it makes anyway. At most 32 requests a host, gone when the quarantine ends.

Ruled out: a kind of object of their own (a further listing at each start, and somebody has to remove them).

The test failed before (forwarded instead of refused).

--- a/src/mesh/host-entry-repair.cc
+++ b/src/mesh/host-entry-repair.cc
@@ -21,7 +21,8 @@
 {
   return aLeft.hop == aRight.hop && aLeft.control == aRight.control &&
          aLeft.instance.id == aRight.instance.id &&
-         aLeft.instance.state == aRight.instance.state;
+         aLeft.instance.state == aRight.instance.state &&
+         aLeft.quarantined == aRight.quarantined;
 }
 
 bool
--- a/src/mesh/host-record.cc
+++ b/src/mesh/host-record.cc
@@ -90,6 +90,12 @@
   if (aRecord.instance.state != instance_state::absent) {
     json["instance"] = EncodeInstance(aRecord.instance);
   }
+  for (const quarantined_request& request : aRecord.quarantined) {
+    json["quarantined"].push_back({ request.fingerprint,
+                                    request.count.epoch,
+                                    request.count.crashes,
+                                    request.changed_unix_ms });
+  }
   return json;
 }
 
@@ -116,6 +122,13 @@
       }
       record.instance = std::move(*instance);
     }
+    for (const nlohmann::json& entry :
+         aJson.value("quarantined", nlohmann::json::array())) {
+      record.quarantined.push_back({ entry.at(0).get<std::uint64_t>(),
+                                     { entry.at(1).get<std::uint32_t>(),
+                                       entry.at(2).get<std::uint32_t>() },
+                                     entry.at(3).get<std::int64_t>() });
+    }
     return record;
   } catch (const nlohmann::json::exception& problem) {
     return Fail(error_kind::invalid_argument,
--- a/src/mesh/host-record.h
+++ b/src/mesh/host-record.h
@@ -7,6 +7,7 @@
 #include "base/clock.h"
 #include "base/error.h"
 #include "http/message.h"
+#include "proxy/crash-count.h"
 
 namespace eelgrasstrack {
 
@@ -63,6 +64,18 @@
 instance_incarnation
 IncarnationOf(const instance_record& aInstance);
 
+/// A request that is not sent on because it crashes instances.
+struct quarantined_request
+{
+  /// See `FingerprintOf`.
+  std::uint64_t fingerprint = 0;
+  crash_count count;
+  /// Time of the last crash, in Unix milliseconds.
+  std::int64_t changed_unix_ms = 0;
+
+  bool operator==(const quarantined_request&) const = default;
+};
+
 /// A node's description of itself, sent to all other nodes.
 struct host_record
 {
@@ -79,6 +92,8 @@
   /// Whether the node is stopping and accepts no new requests.
   bool leaving = false;
   instance_record instance;
+  /// Requests that this node has seen crash the last of several instances.
+  std::vector<quarantined_request> quarantined;
 
   bool operator==(const host_record&) const = default;
 };
--- a/src/mesh/mesh-node.cc
+++ b/src/mesh/mesh-node.cc
@@ -110,6 +110,7 @@
                aCounters,
                mCrashes })
   , mHopServer(aTransport, mNames, mDispatcher, mLinkPacer)
+  , mQuarantine(aLoop, mCrashes)
   , mGossip(aLoop, aClient, mDirectory, mVersions, mCrashes, aCounters, *this)
   , mEntryRepair(aLoop, aStore, mDirectory, mGossip)
   , mCanaryDriver(aLoop,
@@ -192,6 +193,9 @@
   });
   mCrashes.OnChange([this](const std::vector<crash_record>& aRecords) {
     mGossip.SpreadCrashes(aRecords);
+    if (mQuarantine.AddTo(mOwnRecord, aRecords)) {
+      SpreadOwnRecord();
+    }
   });
   mEntryRepair.OnOwnEntryLost([this] { OnRemovedByOthers(); });
   mGossip.Start();
@@ -301,6 +305,7 @@
       return;
     }
     for (const host_record& record : *aHosts) {
+      mQuarantine.Learn(record);
       if (record.name == mOwnRecord.name) {
         RestoreOwnEntry(record);
       } else {
@@ -322,6 +327,7 @@
 {
   if (!mPublished) {
     mPublished = aEntry;
+    mOwnRecord.quarantined = aEntry.quarantined;
   }
   // The instance kept running while this process was down. If it has been
   // replaced since, the new instance refuses requests addressed to the old one.
@@ -485,6 +491,9 @@
   mClient.CloseIdle(kIdleConnectionTimeout);
   mChooser.RemoveUnused(now);
   mCrashes.RemoveExpired(now);
+  if (mQuarantine.RemoveEndedFrom(mOwnRecord)) {
+    SpreadOwnRecord();
+  }
   CheckHeartbeat();
   RemoveUnreachableHosts();
 }
--- a/src/mesh/mesh-node.h
+++ b/src/mesh/mesh-node.h
@@ -6,6 +6,7 @@
 #include "mesh/gossip.h"
 #include "mesh/host-entry-repair.h"
 #include "mesh/mesh-settings.h"
+#include "mesh/quarantine-entries.h"
 #include "proxy/hop-server.h"
 #include "proxy/ingress.h"
 #include "wire/service-port.h"
@@ -143,6 +144,7 @@
   hop_client mHopClient;
   ingress mIngress;
   hop_server mHopServer;
+  quarantine_entries mQuarantine;
   gossip mGossip;
   host_entry_repair mEntryRepair;
   canary_driver mCanaryDriver;
--- a/test/unit/crashing-request-test.cc
+++ b/test/unit/crashing-request-test.cc
@@ -19,13 +19,27 @@
 {
 public:
   crash_fixture()
+    : crash_fixture(std::map<std::string, host_record>{})
   {
+  }
+
+  /// `aEntries` is what nodes that were all killed have left in the store.
+  explicit crash_fixture(const std::map<std::string, host_record>& aEntries)
+  {
+    if (!aEntries.empty()) {
+      world.EndFirstStart();
+      world.Store().hosts = aEntries;
+    }
     fronts = { world.AddHost("front", "v1"), world.AddHost("front", "v1") };
     constexpr int kInstances = 4;
     for (int i = 0; i < kInstances; ++i) {
       instances.push_back(world.AddHost("orders", "v1"));
       world.Behaviour(instances.back()).crash_target = kFatal;
     }
+    for (std::size_t host = 0; !aEntries.empty() && host < aEntries.size();
+         ++host) {
+      world.Announce(host, instance_state::ready);
+    }
     world.SetRoute(1, "/orders/", "orders", true);
     world.RunUntilInstancesKnown();
   }
@@ -128,6 +142,22 @@
   CHECK(Crashes() == kAllowedCrashes);
 }
 
+// Guards against BUDGET after all nodes were killed at once: only the store has
+// kept what they knew.
+TEST_CASE_METHOD(crash_fixture,
+                 "crashing request, all nodes are killed and start again, is "
+                 "refused",
+                 "[crashing-request]")
+{
+  Crash();
+  world.RunFor(
+    milliseconds(1000)); // changes of entries are written after 0.7 s
+  crash_fixture restarted(world.Store().hosts);
+  CHECK(restarted.SendFatal(0) == 503);
+  CHECK(restarted.SendFatal(1) == 503);
+  CHECK(restarted.Crashes() == 0);
+}
+
 // Guards against BUDGET for requests that may not be repeated: each attempt of
 // the caller runs once, and the third is the last.
 TEST_CASE_METHOD(crash_fixture,
