--- a/test/harness/mesh-world.cc
+++ b/test/harness/mesh-world.cc
@@ -169,6 +169,13 @@
   Announce(aHost, instance_state::ready);
 }
 
+void
+mesh_world::ReplaceInstance(std::size_t aHost, const endpoint& aAddress)
+{
+  mHosts[aHost]->instance.address = aAddress;
+  RestartInstance(aHost);
+}
+
 void
 mesh_world::StartNode(world_host& aHost)
 {
--- a/test/harness/mesh-world.h
+++ b/test/harness/mesh-world.h
@@ -100,6 +100,10 @@
   /// Starts the instance of a host again with its former id and announces it.
   void RestartInstance(std::size_t aHost);
 
+  /// Replaces the instance of a host by one at another address, which the test
+  /// serves itself.
+  void ReplaceInstance(std::size_t aHost, const endpoint& aAddress);
+
   /// Announces the instance of a host in a state to its node.
   void Announce(std::size_t aHost, instance_state aState);
 
@@ -132,6 +136,7 @@
                 bool aIdempotent);
 
   loop& Loop() { return mLoop; }
+  tcp_transport& Sockets() { return mSockets; }
   memory_store& Store() { return mStore; }
   /// Sets whether the store rejects a node.
   void SetStoreRejects(std::size_t aHost, bool aRejected)
