Don't match an answer without the request's id on a used connection

Callers were told 503 (not run) for requests that the instance ran, or the request ran at a second instance, after a faulty instance had written an earlier refusal once more without an id. Cause: an answer without an id was taken for that of the present request; the class is answers matched by their place on the connection alone. On a connection that was used before, such an answer now fails as broken and the connection is closed; the same holds for answers other than refusals.

The test with a second instance told connections apart by address, which is used again after a connection is freed, so it also replayed refusals on new connections; it now marks each connection.

--- a/src/proxy/instance-dispatcher.cc
+++ b/src/proxy/instance-dispatcher.cc
@@ -140,6 +140,10 @@
                     std::optional<std::uint64_t> aLength) override
   {
     const header_names& names = mDispatcher.mNames;
+    if (!IsMatched(aHead)) {
+      mUnmatched = true;
+      return;
+    }
     bool refused = FindField(aHead.fields, names.not_executed) != nullptr ||
                    aHead.status == status::kMisdirected;
     bool stamped = FindField(aHead.fields, names.server_stamp) != nullptr;
@@ -165,13 +169,20 @@
   void OnAnswerBody(std::string_view aBytes) override
   {
     mAnswerBytes += aBytes.size();
-    if (mSink && mRefusedStatus == 0 && !mMissingStamp) {
+    if (mSink && mRefusedStatus == 0 && !mMissingStamp && !mUnmatched) {
       mSink->OnAnswerBody(aBytes);
     }
   }
 
   void OnAnswerEnd() override
   {
+    if (mUnmatched) {
+      mChannel->Abort();
+      mChannel.reset();
+      FailWithoutAnswer(run_failure_reason::broken,
+                        "answer without the request's id on a used connection");
+      return;
+    }
     mDispatcher.mIdleChannels.Release(std::move(mChannel),
                                       mDispatcher.mTransport.Loop().Now());
     mChannel.reset();
@@ -240,6 +251,14 @@
                    { mRequest.head.method == "HEAD", mRequest.body_complete });
   }
 
+  /// Whether the answer belongs to this request. Without an id, it may be the
+  /// copy of an answer to an earlier request on the connection.
+  bool IsMatched(const message_head& aHead) const
+  {
+    return mRequest.request_id.empty() || !mChannel->UsedBefore() ||
+           FindField(aHead.fields, mDispatcher.mNames.request_id) != nullptr;
+  }
+
   /// Refuses asynchronously, because the caller of
   /// `instance_dispatcher::Dispatch` does not have the handle yet.
   void RefuseLater(run_failure_reason aReason)
@@ -342,6 +361,8 @@
   int mRefusedStatus = 0;
   /// A success response had no server stamp, so no instance made it.
   bool mMissingStamp = false;
+  /// The answer may belong to another request.
+  bool mUnmatched = false;
   bool mStarted = false;
   bool mEnded = false;
 };
--- a/test/unit/faulty-instance-test.cc
+++ b/test/unit/faulty-instance-test.cc
@@ -49,6 +49,9 @@
     mConnection->CloseAfterSending();
   }
 
+  /// Id of the first request on the connection, for the test to set.
+  std::string first_id;
+
 private:
   std::shared_ptr<connection> mConnection;
   const request_handler& mHandler;
@@ -166,7 +169,7 @@
 TEST_CASE_METHOD(faulty_instance_fixture,
                  "faulty instance, writes a refusal again without an id, "
                  "caller is not told that the request has not run",
-                 "[faulty-instance][known-red]")
+                 "[faulty-instance]")
 {
   bool refused = false;
   on_request = [&](raw_connection& aInstance, const std::string& aId) {
@@ -193,20 +196,19 @@
 TEST_CASE_METHOD(faulty_instance_fixture,
                  "faulty instance, writes refusals again, no request runs at a "
                  "second instance",
-                 "[faulty-instance][known-red]")
+                 "[faulty-instance]")
 {
   std::size_t sound = world.AddHost("orders", "v1");
   world.RunFor(milliseconds(50));
-  std::string refused;
   unsigned runs = 0;
   on_request = [&](raw_connection& aInstance, const std::string& aId) {
-    if (refused.empty()) {
-      refused = aId;
+    if (aInstance.first_id.empty()) {
+      aInstance.first_id = aId;
       aInstance.Send(RefusalOf(aId));
       return;
     }
     ++runs;
-    aInstance.Send(RefusalOf(runs % 2 == 0 ? "" : refused));
+    aInstance.Send(RefusalOf(runs % 2 == 0 ? "" : aInstance.first_id));
     aInstance.Send(AnswerTo(aId, "done"));
   };
   constexpr unsigned kRequests = 60;
