--- a/test/harness/mesh-world.cc
+++ b/test/harness/mesh-world.cc
@@ -176,6 +176,14 @@
   RestartInstance(aHost);
 }
 
+void
+mesh_world::SetShutdownGrace(std::size_t aHost, duration aGrace)
+{
+  world_host& host = *mHosts[aHost];
+  host.settings.bounds.shutdown_grace = aGrace;
+  host.node->Reload(host.settings);
+}
+
 void
 mesh_world::StartNode(world_host& aHost)
 {
@@ -249,6 +257,8 @@
     return;
   }
   ++aHost.run_count;
+  aHost.last_timeout = std::chrono::milliseconds(
+    NumberField(aRequest.fields, mNames.timeout_ms).value_or(0));
   if (!behaviour.crash_target.empty() &&
       aRequest.target == behaviour.crash_target) {
     ++aHost.crash_count;
--- a/test/harness/mesh-world.h
+++ b/test/harness/mesh-world.h
@@ -148,6 +148,13 @@
   {
     return mHosts[aHost]->behaviour;
   }
+  /// Sets the time from the stop of a node until its process is killed.
+  void SetShutdownGrace(std::size_t aHost, duration aGrace);
+  /// Time that the last request to the instance of a host said it would wait.
+  duration LastTimeout(std::size_t aHost) const
+  {
+    return mHosts[aHost]->last_timeout;
+  }
   /// Number of requests that the instance of a host has run.
   unsigned RunCount(std::size_t aHost) const
   {
@@ -181,6 +188,7 @@
     std::unique_ptr<tcp_transport> instance_sockets;
     unsigned run_count = 0;
     unsigned crash_count = 0;
+    duration last_timeout{ 0 };
     std::int64_t sequence = 0;
   };
 
