Give up a request on a silent host only for an attempt that can be made

A saturated host that missed one probe got its running requests cancelled, though no other instance of the service could take them; the caller was told 502. A stopping node did the same and had no time left for another attempt. Now a request on a silent host goes on unless another instance can be chosen, and always on a stopping node; a dead host still ends it when its connection breaks (1.5 s).

--- a/src/proxy/proxied-request.cc
+++ b/src/proxy/proxied-request.cc
@@ -126,10 +126,14 @@
 bool
 proxied_request::ShouldCancelOnUnresponsiveHost()
 {
-  // The request may have reached the instance.
+  // The request may be running there, so it is given up only for an attempt
+  // that can be made. A stopping node has no time for one.
+  if (!mRoute->idempotent || mAnswerBegun || mIngress.IsClosing() ||
+      !HasAlternative()) {
+    return false;
+  }
   ++mAttempts.reached_instance_count;
-  mAttempts.retry_acquired =
-    mRoute->idempotent && !mAnswerBegun && TryAcquireRetry();
+  mAttempts.retry_acquired = TryAcquireRetry();
   if (!mAttempts.retry_acquired) {
     --mAttempts.reached_instance_count;
   }
@@ -312,6 +316,13 @@
   SendTo(candidates[*chosen]);
 }
 
+bool
+proxied_request::HasAlternative()
+{
+  return Choose(mIngress.Candidates(mService, mCanary)) ||
+         Choose(mIngress.Candidates(mService, {}));
+}
+
 std::optional<std::size_t>
 proxied_request::Choose(const std::vector<instance_candidate>& aCandidates)
 {
--- a/src/proxy/proxied-request.h
+++ b/src/proxy/proxied-request.h
@@ -73,6 +73,8 @@
   void Attempt();
   std::optional<std::size_t> Choose(
     const std::vector<instance_candidate>& aCandidates);
+  /// Whether an instance can be chosen that was not attempted yet.
+  bool HasAlternative();
   /// Urgency of the request, for the choice of an instance.
   request_urgency Urgency()
   {
