--- a/test/unit/crashing-request-test.cc
+++ b/test/unit/crashing-request-test.cc
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 
+#include "harness/free-address.h"
 #include "harness/mesh-world.h"
 
 using namespace eelgrasstrack;
@@ -232,3 +233,206 @@
     CHECK(world.StatusOf(world.StartRequest(fronts[0], "GET", target)) == 200);
   }
 }
+
+namespace {
+
+/// Counts what becomes of a request at the last hop.
+class counting_sink final : public answer_sink
+{
+public:
+  void OnAnswer(message_head,
+                std::optional<std::uint64_t>,
+                const run_load&) override
+  {
+  }
+  void OnAnswerBody(std::string_view) override {}
+  void OnAnswerEnd() override { answered = true; }
+  void OnRunFailed(const run_failure& aFailure) override { failure = aFailure; }
+
+  bool answered = false;
+  std::optional<run_failure> failure;
+};
+
+/// Holds the connections of an instance that receives and does not answer.
+class quiet_connection final : public connection::observer
+{
+public:
+  void OnReceived(std::string_view) override {}
+  void OnEnded(close_reason) override {}
+};
+
+/// The node beside an instance whose connections the test ends.
+class last_hop_fixture
+{
+public:
+  last_hop_fixture()
+    : sockets(events)
+    , instance_sockets(std::make_unique<tcp_transport>(events))
+    , pacer(events)
+    , dispatcher(sockets, names, pacer.Scheduler(), crashes)
+  {
+    instance_record instance;
+    instance.id = "i-1";
+    instance.state = instance_state::ready;
+    instance.address = FreeAddress();
+    instance.slots = 4;
+    REQUIRE(instance_sockets->Listen(
+      instance.address, [this](std::shared_ptr<connection> aConnection) {
+        aConnection->SetObserver(std::make_shared<quiet_connection>());
+        connections.push_back(aConnection);
+      }));
+    dispatcher.SetInstance(instance);
+  }
+
+  forwarded_request Request(const std::string& aTarget)
+  {
+    forwarded_request request;
+    request.head.method = "GET";
+    request.head.target = aTarget;
+    request.instance = "i-1";
+    request.route = "route";
+    request.idempotent = true;
+    request.soft_deadline = events.Now() + std::chrono::seconds(1);
+    request.deadline = events.Now() + std::chrono::seconds(2);
+    return request;
+  }
+
+  std::shared_ptr<counting_sink> Dispatch(const std::string& aTarget)
+  {
+    auto sink = std::make_shared<counting_sink>();
+    run_start started = dispatcher.Dispatch(Request(aTarget), sink);
+    if (!started) {
+      sink->failure = started.error();
+    }
+    Wait(milliseconds(20));
+    return sink;
+  }
+
+  /// Records that an instance has crashed beside this request.
+  void Suspect(const std::string& aTarget)
+  {
+    request_fingerprint request = FingerprintOf(Request(aTarget));
+    crashes.RecordCrash({ { request, crashes.Find(request) } }, events.Now());
+  }
+
+  void Wait(duration aTime)
+  {
+    events.RunAfter(aTime, [this] { events.Stop(); });
+    events.Run();
+  }
+
+  header_names names{ "X-Id",     "X-Timeout", "X-Target",
+                      "X-Caller", "X-Stamp",   "X-Not" };
+  loop events{ 256 };
+  tcp_transport sockets;
+  std::unique_ptr<tcp_transport> instance_sockets;
+  link_pacer pacer;
+  crash_table crashes;
+  instance_dispatcher dispatcher;
+  std::vector<std::shared_ptr<connection>> connections;
+};
+
+} // namespace
+
+TEST_CASE_METHOD(last_hop_fixture,
+                 "last hop, instance crashes, all running requests are "
+                 "suspects",
+                 "[crashing-request]")
+{
+  auto first = Dispatch("/1");
+  auto second = Dispatch("/2");
+  instance_sockets.reset();
+  Wait(milliseconds(100));
+  REQUIRE(first->failure);
+  CHECK(first->failure->reason == run_failure_reason::crashed);
+  CHECK_FALSE(first->failure->not_run);
+  REQUIRE(second->failure);
+  CHECK(second->failure->reason == run_failure_reason::crashed);
+  CHECK(crashes.IsSuspect(FingerprintOf(Request("/1"))));
+  CHECK(crashes.IsSuspect(FingerprintOf(Request("/2"))));
+}
+
+// Guards against taking a lost answer or reset connections for a crash.
+TEST_CASE_METHOD(last_hop_fixture,
+                 "last hop, connections end and the instance accepts new ones, "
+                 "no request is a suspect",
+                 "[crashing-request]")
+{
+  auto first = Dispatch("/1");
+  auto second = Dispatch("/2");
+  for (const auto& each : connections) {
+    each->Close();
+  }
+  Wait(milliseconds(100));
+  REQUIRE(first->failure);
+  CHECK(first->failure->reason == run_failure_reason::broken);
+  REQUIRE(second->failure);
+  CHECK(crashes.Empty());
+}
+
+// Guards against a refusal of requests that ran beside the cause: two suspects
+// on one instance can't be told apart by its next crash.
+TEST_CASE_METHOD(
+  last_hop_fixture,
+  "last hop, one suspect runs, another one is refused and others "
+  "run",
+  "[crashing-request]")
+{
+  Suspect("/1");
+  Suspect("/2");
+  auto first = Dispatch("/1");
+  auto copy = Dispatch("/1");
+  auto other = Dispatch("/2");
+  auto harmless = Dispatch("/3");
+  CHECK_FALSE(first->failure);
+  CHECK_FALSE(copy->failure);
+  CHECK_FALSE(harmless->failure);
+  REQUIRE(other->failure);
+  CHECK(other->failure->reason == run_failure_reason::full);
+  CHECK(other->failure->not_run);
+  CHECK(connections.size() == 3);
+}
+
+// Guards against BUDGET through a first hop that has not heard of the crashes.
+TEST_CASE_METHOD(last_hop_fixture,
+                 "last hop, quarantined request, is refused and not sent",
+                 "[crashing-request]")
+{
+  for (unsigned i = 0; i < kAllowedCrashes; ++i) {
+    Suspect("/1");
+  }
+  auto request = Dispatch("/1");
+  REQUIRE(request->failure);
+  CHECK(request->failure->reason == run_failure_reason::quarantined);
+  CHECK(request->failure->not_run);
+  CHECK(connections.empty());
+}
+
+// Guards against BUDGET through the queue: the request was waiting when it
+// crashed its third instance elsewhere.
+TEST_CASE_METHOD(last_hop_fixture,
+                 "last hop, request becomes quarantined while it waits, is not "
+                 "sent",
+                 "[crashing-request]")
+{
+  constexpr std::size_t kSlots = 4;
+  std::vector<std::shared_ptr<counting_sink>> running;
+  std::vector<run_start> runs;
+  for (std::size_t i = 0; i < kSlots; ++i) {
+    running.push_back(std::make_shared<counting_sink>());
+    runs.push_back(
+      dispatcher.Dispatch(Request("/" + std::to_string(i)), running.back()));
+    REQUIRE(runs.back());
+  }
+  auto waiting = Dispatch("/fatal");
+  REQUIRE(dispatcher.Load().waiting == 1);
+  for (unsigned i = 0; i < kAllowedCrashes; ++i) {
+    Suspect("/fatal");
+  }
+  (*runs.front())->Cancel();
+  Wait(milliseconds(20));
+  REQUIRE(waiting->failure);
+  CHECK(waiting->failure->reason == run_failure_reason::quarantined);
+  CHECK(waiting->failure->not_run);
+  CHECK(connections.size() == kSlots);
+}
