--- a/src/proxy/crash-count.h
+++ b/src/proxy/crash-count.h
@@ -1,8 +1,8 @@
 #ifndef EELGRASSTRACK_PROXY_CRASH_COUNT_H_
 #define EELGRASSTRACK_PROXY_CRASH_COUNT_H_
 
-#include <compare>
 #include <cstdint>
+#include <tuple>
 
 namespace eelgrasstrack {
 
@@ -17,8 +17,12 @@
   /// moment therefore count once.
   std::uint32_t crashes = 0;
 
-  /// The later evidence of two nodes is the greater one.
-  auto operator<=>(const crash_count&) const = default;
+  bool operator==(const crash_count&) const = default;
+  /// Of the evidence of two nodes, the greater one is the later.
+  bool operator<(const crash_count& aOther) const
+  {
+    return std::tie(epoch, crashes) < std::tie(aOther.epoch, aOther.crashes);
+  }
 };
 
 } // namespace eelgrasstrack
--- a/src/proxy/crash-table.cc
+++ b/src/proxy/crash-table.cc
@@ -82,7 +82,7 @@
 crash_table::Merge(const crash_record& aRecord, time_point aNow)
 {
   if (aRecord.changed + kMemory <= aNow ||
-      aRecord.count <= Find(aRecord.fingerprint)) {
+      !(Find(aRecord.fingerprint) < aRecord.count)) {
     return false;
   }
   if (!mRecords.contains(aRecord.fingerprint) &&
