--- a/test/unit/crashing-request-test.cc
+++ b/test/unit/crashing-request-test.cc
@@ -2,6 +2,7 @@
 
 #include "harness/free-address.h"
 #include "harness/mesh-world.h"
+#include "harness/silent-connection.h"
 
 using namespace eelgrasstrack;
 using namespace eelgrasstrack::test;
@@ -253,14 +254,6 @@
   std::optional<run_failure> failure;
 };
 
-/// Holds the connections of an instance that receives and does not answer.
-class quiet_connection final : public connection::observer
-{
-public:
-  void OnReceived(std::string_view) override {}
-  void OnEnded(close_reason) override {}
-};
-
 /// The node beside an instance whose connections the test ends.
 class last_hop_fixture
 {
@@ -278,7 +271,7 @@
     instance.slots = 4;
     REQUIRE(instance_sockets->Listen(
       instance.address, [this](std::shared_ptr<connection> aConnection) {
-        aConnection->SetObserver(std::make_shared<quiet_connection>());
+        aConnection->SetObserver(std::make_shared<silent_connection>(received));
         connections.push_back(aConnection);
       }));
     dispatcher.SetInstance(instance);
@@ -330,6 +323,7 @@
   crash_table crashes;
   instance_dispatcher dispatcher;
   std::vector<std::shared_ptr<connection>> connections;
+  unsigned received = 0;
 };
 
 } // namespace
--- a/test/unit/hop-test.cc
+++ b/test/unit/hop-test.cc
@@ -1,6 +1,7 @@
 #include <catch2/catch.hpp>
 
 #include "harness/free-address.h"
+#include "harness/silent-connection.h"
 #include "proxy/hop-client.h"
 #include "proxy/hop-server.h"
 
@@ -72,22 +73,6 @@
   bool mAnswered = false;
 };
 
-/// An instance that accepts requests and never answers.
-class unresponsive_instance final : public connection::observer
-{
-public:
-  explicit unresponsive_instance(unsigned& aReceived)
-    : mReceived(aReceived)
-  {
-  }
-
-  void OnReceived(std::string_view) override { ++mReceived; }
-  void OnEnded(close_reason) override {}
-
-private:
-  unsigned& mReceived;
-};
-
 /// A node on the host of an instance, and another node that sends requests to
 /// it.
 class hop_fixture
@@ -137,8 +122,7 @@
   {
     REQUIRE(sockets.Listen(
       mUnresponsiveAddress, [this](std::shared_ptr<connection> aConnection) {
-        aConnection->SetObserver(
-          std::make_shared<unresponsive_instance>(received));
+        aConnection->SetObserver(std::make_shared<silent_connection>(received));
       }));
     unresponsive.id = "i-unresponsive";
     unresponsive.address = mUnresponsiveAddress;
--- a/test/unit/silent-host-test.cc
+++ b/test/unit/silent-host-test.cc
@@ -2,6 +2,7 @@
 
 #include "harness/free-address.h"
 #include "harness/mesh-world.h"
+#include "harness/silent-connection.h"
 
 using namespace eelgrasstrack;
 using namespace eelgrasstrack::test;
@@ -12,21 +13,6 @@
 /// Time after which a silent host that does not answer probes is unreachable.
 constexpr duration kUnreachableAfter = milliseconds(1200);
 
-/// Accepts connections and receives; the test sends the answers.
-class silent_connection final : public connection::observer
-{
-public:
-  explicit silent_connection(unsigned& aReceived)
-    : mReceived(aReceived)
-  {
-  }
-  void OnReceived(std::string_view) override { ++mReceived; }
-  void OnEnded(close_reason) override {}
-
-private:
-  unsigned& mReceived;
-};
-
 /// A front host, and a host that takes requests and then falls silent: its node
 /// answers neither requests nor probes until the test does.
 class silent_host_fixture
