--- a/review/1/case.cc
+++ b/review/1/case.cc
@@ -24,22 +24,27 @@
 constexpr int kMinUnanswered = 8;
 
 /// Sends a success without the stamp of an instance, which is no answer, and
-/// then small chunks until the other side closes the connection.
+/// then chunks until the other side closes the connection.
 std::optional<bool>
 SendWithoutEnd(instance& aSelf, int aSocket, const message& aRequest)
 {
   aSelf.RecordRun(aRequest);
-  std::string chunks;
+  // A large chunk, after which the kernel lets more bytes wait for the reader.
+  constexpr std::size_t kLargeChunkBytes = 1U << 24U;
+  const std::string large =
+    "1000000\r\n" + std::string(kLargeChunkBytes, 'x') + "\r\n";
+  std::string small;
   constexpr int kChunksAtOnce = 40000;
   for (int i = 0; i < kChunksAtOnce; ++i) {
-    chunks += "1\r\nx\r\n";
+    small += "1\r\nx\r\n";
   }
   bool open = SendAll(aSocket,
                       "HTTP/1.1 200 OK\r\nX-Eelgrasstrack-Request-Id: " +
                         aRequest.Field("x-eelgrasstrack-request-id") +
                         "\r\nTransfer-Encoding: chunked\r\n\r\n");
+  open = open && SendAll(aSocket, large);
   while (open) {
-    open = SendAll(aSocket, chunks);
+    open = SendAll(aSocket, small);
   }
   return false;
 }
--- a/review/stand-in/instance.h
+++ b/review/stand-in/instance.h
@@ -33,10 +33,10 @@
     /// Where the heartbeats go: `control` of the node beside it.
     address control;
     milliseconds beat_interval{ 1500 };
-    milliseconds work{ 20 };
+    milliseconds work{ 50 };
     unsigned slots = 12;
     /// Bytes of the body of a plain answer.
-    std::size_t answer_bytes = 400;
+    std::size_t answer_bytes = 6000;
   };
 
   /// Handles a request in place of the plain answer. Returns whether the
--- a/review/stand-in/requester.cc
+++ b/review/stand-in/requester.cc
@@ -68,9 +68,12 @@
   ask first;
   first.path = aAsk.first_path;
   first.id = NewId();
+  first.body = aAsk.first_body;
+  first.method = first.body.empty() ? "GET" : "PUT";
   message answer;
   auto deadline = clock::now() + first.timeout;
-  if (!SendAll(aSocket, HeadOf(first)) || !aReader.ReadHead(answer, deadline)) {
+  if (!SendAll(aSocket, HeadOf(first) + first.body) ||
+      !aReader.ReadHead(answer, deadline)) {
     return false;
   }
   aReader.ReadBody(answer, true, deadline);
--- a/review/stand-in/requester.h
+++ b/review/stand-in/requester.h
@@ -17,6 +17,7 @@
   /// Path of a request that is sent and answered first on the same connection;
   /// empty: none.
   std::string first_path;
+  std::string first_body;
   /// Bytes per second at which the answer is read; 0: as fast as it comes.
   double read_rate = 0;
 };
