Review case 3: two deciders end a roll-out differently

Cause: a decider rolls back while the record of the completion is on its way; the store holds complete, the nodes hold reverted. Done: a script with a version that is bad under load and a slow store. It takes the place of the case of the stopping node; the cases of large answers and of departures are now 4 and 5.

--- a/review/5/case.cc
+++ b/review/5/case.cc
@@ -1,8 +1,7 @@
-// A node is stopped while a requester reads a large answer from it. The answer
-// must be sent to its end within the grace period.
+// An instance leaves; its node confirms that, is killed and starts again. The
+// instance must get no request later than `drain_s` after the confirmation.
 
-#include <csignal>
-#include <thread>
+#include <set>
 
 #include "../stand-in/requester.h"
 #include "../stand-in/scenario.h"
@@ -11,69 +10,75 @@
 
 using namespace review;
 
-constexpr std::size_t kAnswerBytes = 10400000;
-/// 16 Mbit/s: a requester on a slow line, who has the answer after 5.2 s.
-constexpr double kReadRate = 2e6;
-constexpr double kRouteTimeout = 10.0;
-constexpr milliseconds kPatience{ 10000 };
-constexpr milliseconds kSignalAfter{ 200 };
-constexpr double kGraceSeconds = 6.0;
+constexpr milliseconds kPeriod{ 50 };
+constexpr milliseconds kKillAfter{ 100 };
+/// A process that was killed starts again after a short delay.
+constexpr milliseconds kRestartDelay{ 500 };
+/// `stable_s`: a machine counts as in touch from this time after its start.
+constexpr milliseconds kInTouchAfter{ 3000 };
+/// How long the instance goes on serving after the confirmation.
+constexpr milliseconds kServesFor{ 12000 };
+constexpr milliseconds kDrainTime{ 2000 };
 
-std::optional<bool>
-AnswerLarge(instance& aSelf, int aSocket, const message& aRequest)
+/// Sends requests for a time and returns the ids of those sent from `aFrom` on.
+std::set<std::string>
+SendRequests(mesh& aMesh,
+             record& aRecord,
+             clock::time_point aFrom,
+             clock::time_point aEnd)
 {
-  if (aRequest.Target() != "/export/large") {
-    return std::nullopt;
+  std::set<std::string> sent;
+  while (clock::now() < aEnd) {
+    ask request;
+    request.path = "/desk/1";
+    request.id = NewId();
+    if (clock::now() >= aFrom) {
+      sent.insert(request.id);
+    }
+    aRecord.Add("sent      " + request.id);
+    outcome done = Ask(aMesh.Outbound(0), request);
+    aRecord.Add("answered  " + request.id + ": " + done.Text());
+    SleepFor(kPeriod);
   }
-  aSelf.RecordRun(aRequest);
-  std::string body = aSelf.BodyFor(aRequest, kAnswerBytes);
-  return SendAll(aSocket,
-                 aSelf.AnswerHead(aRequest) + "Content-Length: " +
-                   std::to_string(body.size()) + "\r\n\r\n" + body);
-}
-
-double
-SecondsSince(clock::time_point aStart, clock::time_point aTime)
-{
-  return std::chrono::duration<double>(aTime - aStart).count();
+  return sent;
 }
 
 int
 Run(mesh& aMesh, record& aRecord)
 {
-  for (std::size_t i = 0; i < aMesh.Size(); ++i) {
-    aMesh.At(i).application->Behave(AnswerLarge);
+  instance& leaving = *aMesh.At(0).application;
+  // Its node has written the instance's entry by then.
+  SendRequests(aMesh, aRecord, clock::now(), clock::now() + milliseconds(3000));
+  if (!leaving.ReportExit()) {
+    aRecord.Say("the departure was not confirmed");
+    return could_not_run;
   }
-  outcome done;
-  std::thread requester([&] {
-    ask request;
-    request.path = "/export/large";
-    request.id = NewId();
-    request.timeout = kPatience;
-    request.read_rate = kReadRate;
-    aRecord.Add("sent      " + request.id);
-    done = Ask(aMesh.Outbound(0), request);
-    aRecord.Add("answered  " + request.id + ": " + done.Text());
-  });
-  SleepFor(kSignalAfter);
-  auto signalled = clock::now();
+  auto confirmed = clock::now();
+  aRecord.Say("departure of " + leaving.Options().id + " confirmed");
+  auto from = confirmed + kDrainTime;
   if (WithTrouble()) {
-    aMesh.Signal(0, SIGTERM);
-    while (!aMesh.HasEnded(0) && clock::now() - signalled < kPatience) {
-      SleepFor(milliseconds(10));
+    SleepFor(kKillAfter);
+    aMesh.KillNode(0);
+    SleepFor(kRestartDelay);
+    aMesh.StartNode(0, false);
+    from = std::max(from, clock::now() + kInTouchAfter);
+  }
+  std::set<std::string> sent =
+    SendRequests(aMesh, aRecord, from, confirmed + kServesFor);
+  int late = 0;
+  double last = 0;
+  for (const instance_run& run : leaving.Runs()) {
+    if (run.at > confirmed + kDrainTime && sent.count(run.request_id) > 0) {
+      ++late;
+      last = std::chrono::duration<double>(run.at - confirmed).count();
     }
-    aRecord.Say("the node ended " +
-                std::to_string(SecondsSince(signalled, clock::now())) +
-                " s after SIGTERM; grace_s is " +
-                std::to_string(kGraceSeconds));
   }
-  requester.join();
-  bool cut = !done.answer.complete && done.end != "timeout" &&
-             SecondsSince(signalled, done.ended) < kGraceSeconds;
-  aRecord.Say("answer: " + done.Text() + "; the connection ended " +
-              std::to_string(SecondsSince(signalled, done.ended)) +
-              " s after SIGTERM");
-  return cut ? broken : held;
+  aRecord.Say(std::to_string(sent.size()) +
+              " requests sent while the node was in touch, " +
+              std::to_string(late) + " of them run by " + leaving.Options().id +
+              " after drain_s, the last " + std::to_string(last) +
+              " s after the confirmation");
+  return late > 0 ? broken : held;
 }
 
 } // namespace
@@ -83,7 +88,7 @@
 {
   RunAndExit(aCount,
              aArguments,
-             { "export", "export" },
-             { { "r-export", "/export/", "export", true, kRouteTimeout } },
+             { "desk", "desk", "other", "other" },
+             { { "r-desk", "/desk/", "desk", true, 2.0 } },
              Run);
 }
--- a/review/stand-in/instance.cc
+++ b/review/stand-in/instance.cc
@@ -20,6 +20,11 @@
   std::thread([this, listener] {
     while (true) {
       int accepted = accept4(listener, nullptr, nullptr, SOCK_CLOEXEC);
+      if (mStopped) {
+        close(accepted);
+        close(listener);
+        return;
+      }
       if (accepted >= 0) {
         std::thread([this, accepted] { Serve(accepted); }).detach();
       }
@@ -44,7 +49,7 @@
   message request;
   auto never = clock::now() + std::chrono::hours(1);
   bool open = true;
-  while (open && reader.ReadHead(request, never)) {
+  while (open && reader.ReadHead(request, never) && !mStopped) {
     behaviour behave;
     bool beforeBody = false;
     {
@@ -152,7 +157,7 @@
 instance::Beat()
 {
   while (true) {
-    if (mBeats) {
+    if (mBeats && !mStopped) {
       std::string state;
       {
         std::lock_guard lock(mMutex);
--- a/review/stand-in/instance.h
+++ b/review/stand-in/instance.h
@@ -62,6 +62,9 @@
   bool ReportDraining();
   bool ReportExit();
 
+  /// Stops at once, as a process that is killed.
+  void Stop() { mStopped = true; }
+
   /// Writes down a run of the request.
   void RecordRun(const message& aRequest);
   std::vector<instance_run> Runs();
@@ -88,6 +91,7 @@
   std::int64_t mBorn = 0;
   std::atomic<int> mSequence{ 0 };
   std::atomic<bool> mBeats{ true };
+  std::atomic<bool> mStopped{ false };
 };
 
 } // namespace review
--- a/review/stand-in/mesh.cc
+++ b/review/stand-in/mesh.cc
@@ -55,7 +55,10 @@
     added.zone = i % 2 == 0 ? "zon-a" : "zon-b";
     added.name = "sidecar-" + added.zone + "-" + std::to_string(i / 2 + 1);
     added.ip = mPrefix + std::to_string(i + 2);
-    added.service = aServices[i];
+    added.service = aServices[i].substr(0, aServices[i].find('@'));
+    if (added.service != aServices[i]) {
+      added.version = aServices[i].substr(added.service.size() + 1);
+    }
     mMachines.push_back(std::move(added));
   }
   std::string name =
@@ -205,7 +208,7 @@
                          { "proto", "h1" },
                          { "tls", false } });
   }
-  return { { "version", "r7" },
+  return { { "version", "r" + std::to_string(mVersion) },
            { "limits",
              { { "max_header_bytes", 16384 },
                { "max_body_bytes", 67108864 },
@@ -244,6 +247,30 @@
   mRecord.Add("node      " + each.name + " started");
 }
 
+bool
+mesh::StartInstance(std::size_t aIndex)
+{
+  machine& each = mMachines.at(aIndex);
+  instance::options options;
+  options.id = "i-" + std::to_string(aIndex + 1) + "-" + each.service;
+  options.service = each.service;
+  options.version = each.version.empty() ? "v1" : each.version;
+  options.zone = each.zone;
+  options.listen = Application(aIndex);
+  options.control = Control(aIndex);
+  each.application = std::make_unique<instance>(options, mRecord);
+  return each.application->Start();
+}
+
+void
+mesh::AddRoute(const route& aRoute)
+{
+  mRoutes.push_back(aRoute);
+  ++mVersion;
+  mStore.Put("config", "main", Configuration());
+  mRecord.Add("operator  route " + aRoute.prefix + " to " + aRoute.service);
+}
+
 void
 mesh::Signal(std::size_t aIndex, int aSignal)
 {
@@ -319,14 +346,7 @@
   for (std::size_t i = 0; i < mMachines.size(); ++i) {
     machine& each = mMachines[i];
     StartNode(i, true);
-    instance::options options;
-    options.id = "i-" + std::to_string(i + 1) + "-" + each.service;
-    options.service = each.service;
-    options.zone = each.zone;
-    options.listen = Application(i);
-    options.control = Control(i);
-    each.application = std::make_unique<instance>(options, mRecord);
-    if (!each.application->Start()) {
+    if (each.version.empty() && !StartInstance(i)) {
       mRecord.Say("an address of an instance is in use");
       return false;
     }
--- a/review/stand-in/mesh.h
+++ b/review/stand-in/mesh.h
@@ -30,6 +30,7 @@
   std::string ip;
   std::string zone;
   std::string service;
+  std::string version;
   pid_t process = -1;
   std::unique_ptr<instance> application;
 };
@@ -41,6 +42,7 @@
 {
 public:
   /// `aServices`: the service of each machine, in order. The zones take turns.
+  /// After `@` may stand a version, whose instances `StartInstance` starts.
   mesh(const std::vector<std::string>& aServices,
        std::vector<route> aRoutes,
        record& aRecord);
@@ -61,6 +63,10 @@
 
   /// Starts the process of a machine.
   void StartNode(std::size_t aIndex, bool aFirstStart);
+  /// Starts the instance of a machine. Returns false if that fails.
+  bool StartInstance(std::size_t aIndex);
+  /// Writes a later configuration with one more route.
+  void AddRoute(const route& aRoute);
   /// Sends a signal to the process of a machine.
   void Signal(std::size_t aIndex, int aSignal);
   /// Kills the process of a machine and waits for its end.
@@ -89,6 +95,7 @@
 
   record& mRecord;
   std::vector<route> mRoutes;
+  int mVersion = 7;
   std::string mPrefix;
   std::string mFolder;
   std::uint16_t mFirstPort = 0;
--- a/review/stand-in/store.cc
+++ b/review/stand-in/store.cc
@@ -11,8 +11,6 @@
 
 using nlohmann::json;
 
-constexpr milliseconds kAnswerTime{ 4 };
-
 std::vector<std::string>
 PathOf(const std::string& aTarget)
 {
@@ -70,8 +68,8 @@
   auto never = clock::now() + std::chrono::hours(1);
   while (reader.ReadHead(request, never)) {
     reader.ReadBody(request, false, never);
-    SleepFor(kAnswerTime);
     reply answer = unavailable ? reply{ 503, json::object() } : Handle(request);
+    SleepFor(milliseconds(answer_ms));
     std::string body = answer.body.is_null() ? "" : answer.body.dump();
     std::string text = "HTTP/1.1 " + std::to_string(answer.status) +
                        " Status\r\nContent-Type: application/json\r\n"
--- a/review/stand-in/store.h
+++ b/review/stand-in/store.h
@@ -30,6 +30,9 @@
 
   /// While true, every call of a node is answered with 503 and not done.
   std::atomic<bool> unavailable{ false };
+  /// Time from the execution of a call to its answer.
+  std::atomic<int> answer_ms{ kAnswerMs };
+  static constexpr int kAnswerMs = 4;
 
 private:
   struct event
