--- a/review/stand-in/mesh.cc
+++ b/review/stand-in/mesh.cc
@@ -1,5 +1,6 @@
 #include "mesh.h"
 
+#include <algorithm>
 #include <csignal>
 #include <cstdlib>
 #include <fcntl.h>
@@ -47,8 +48,11 @@
   mPrefix = "127." + std::to_string(1 + random() % kOctets) + "." +
             std::to_string(1 + random() % kOctets) + ".";
   for (std::size_t i = 0; i < port_uses; ++i) {
-    mPorts.push_back(
-      FreePort(mPrefix, static_cast<unsigned>(aServices.size() + 1)));
+    std::uint16_t port = 0;
+    do {
+      port = FreePort(mPrefix, static_cast<unsigned>(aServices.size() + 1));
+    } while (std::count(mPorts.begin(), mPorts.end(), port) > 0);
+    mPorts.push_back(port);
   }
   for (std::size_t i = 0; i < aServices.size(); ++i) {
     machine added;
