Review: scenarios begin when all machines are in touch

Cause: read against RULES.md, the first second of cases 1 to 4 lay within stable_s of the start, and case 5 counted from exactly stable_s on. Done: 3.5 s after the start, and after the restart in case 5.

--- a/review/5/case.cc
+++ b/review/5/case.cc
@@ -14,8 +14,8 @@
 constexpr milliseconds kKillAfter{ 100 };
 /// A process that was killed starts again after a short delay.
 constexpr milliseconds kRestartDelay{ 500 };
-/// `stable_s`: a machine counts as in touch from this time after its start.
-constexpr milliseconds kInTouchAfter{ 3000 };
+/// `stable_s` and some more: from then on a restarted machine is in touch.
+constexpr milliseconds kInTouchAfter{ 3500 };
 /// How long the instance goes on serving after the confirmation.
 constexpr milliseconds kServesFor{ 12000 };
 constexpr milliseconds kDrainTime{ 2000 };
--- a/review/stand-in/scenario.h
+++ b/review/stand-in/scenario.h
@@ -18,6 +18,9 @@
   could_not_run = 2
 };
 
+/// `stable_s` and some more: all machines are in touch when a scenario begins.
+constexpr milliseconds kStableTime{ 3500 };
+
 /// Whether the disruption is part of the run; `TROUBLE=0` leaves it out.
 inline bool
 WithTrouble()
@@ -49,6 +52,7 @@
   if (started) {
     lines->Say(WithTrouble() ? "all nodes serve"
                              : "all nodes serve; no disruption");
+    SleepFor(kStableTime);
     code = aScenario(*deployment, *lines);
   }
   deployment->Stop();
