Read once from a connection in each iteration of the loop

Cause: connection::HandleReadable read until a read came back short. A peer that sends faster than its bytes are parsed never lets that happen, so no timer ran (the deadline of the request among them) and no other connection was served. Paused reading was not looked at either. The same on the way in: a listener accepted until no peer waited.

Now each connection reads once (64 KB at most) and each listener accepts 64 connections in an iteration; the rest stays readable and the poll reports it again. This holds for callers, instances, nodes and the store, since all use this type.

Ruled out: a timer that is armed wrongly (timers run between reads now, nothing there has changed).

--- a/src/net/socket.cc
+++ b/src/net/socket.cc
@@ -17,8 +17,11 @@
 
 namespace {
 
+/// Bytes that a connection reads in one iteration of the loop.
 constexpr std::size_t kReadBytes = 65536;
 constexpr int kListenBacklog = 512;
+/// Connections that a listener accepts in one iteration of the loop.
+constexpr int kMaxAcceptsPerTurn = 64;
 /// Number of sent bytes in the send buffer above which they are erased.
 constexpr std::size_t kCompactThresholdBytes = 65536;
 
@@ -86,7 +89,7 @@
                             void* aTarget)
   {
     if (aReason == LWS_CALLBACK_RAW_RX_FILE) {
-      aOwner->AcceptAll(*static_cast<listener_entry*>(aTarget)->entry);
+      aOwner->AcceptWaiting(*static_cast<listener_entry*>(aTarget)->entry);
     }
     if (aReason == LWS_CALLBACK_RAW_CLOSE_FILE) {
       delete static_cast<listener_entry*>(aTarget);
@@ -309,43 +312,53 @@
 bool
 connection::HandleReadable()
 {
-  static std::array<char, kReadBytes> buffer;
   std::shared_ptr<connection> self = shared_from_this();
   mInCallback = true;
-  while (!Closed()) {
-    ssize_t received =
-      recv(mDescriptor, buffer.data(), buffer.size(), MSG_DONTWAIT);
-    if (received > 0) {
-      auto size = static_cast<std::size_t>(received);
-      std::shared_ptr<observer> target = mObserver;
-      if (target && size < buffer.size() && PeerHasClosed()) {
-        End(close_reason::closed_by_peer);
-        break;
-      }
-      if (target) {
-        target->OnReceived(std::string_view(buffer.data(), size));
-      }
-      if (size < buffer.size()) {
-        break;
-      }
-      continue;
-    }
-    if (received == 0) {
-      End(close_reason::closed_by_peer);
-      break;
-    }
-    if (errno == EINTR) {
-      continue;
-    }
-    if (errno != EAGAIN && errno != EWOULDBLOCK) {
-      End(mConnected ? close_reason::broken : close_reason::connect_failed);
-    }
-    break;
-  }
+  ReadOnce();
   mInCallback = false;
   return !Closed();
 }
 
+/// Reads once. What is left is read in the next iteration of the loop, after
+/// the timers and the other connections: a peer may send faster than its bytes
+/// can be processed.
+void
+connection::ReadOnce()
+{
+  static std::array<char, kReadBytes> buffer;
+  ssize_t received = 0;
+  do {
+    received = recv(mDescriptor, buffer.data(), buffer.size(), MSG_DONTWAIT);
+  } while (received < 0 && errno == EINTR);
+  if (received > 0) {
+    Deliver(
+      std::string_view(buffer.data(), static_cast<std::size_t>(received)));
+    return;
+  }
+  if (received == 0) {
+    End(close_reason::closed_by_peer);
+    return;
+  }
+  if (errno != EAGAIN && errno != EWOULDBLOCK) {
+    End(mConnected ? close_reason::broken : close_reason::connect_failed);
+  }
+}
+
+void
+connection::Deliver(std::string_view aBytes)
+{
+  std::shared_ptr<observer> target = mObserver;
+  if (!target) {
+    return;
+  }
+  bool isAllThatArrived = aBytes.size() < kReadBytes;
+  if (isAllThatArrived && PeerHasClosed()) {
+    End(close_reason::closed_by_peer);
+    return;
+  }
+  target->OnReceived(aBytes);
+}
+
 bool
 connection::HandleWritable()
 {
@@ -465,9 +478,9 @@
 }
 
 void
-tcp_transport::AcceptAll(listener& aListener)
+tcp_transport::AcceptWaiting(listener& aListener)
 {
-  while (true) {
+  for (int accepts = 0; accepts < kMaxAcceptsPerTurn; ++accepts) {
     int descriptor = accept4(
       aListener.descriptor, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
     if (descriptor < 0) {
--- a/src/net/socket.h
+++ b/src/net/socket.h
@@ -85,6 +85,8 @@
   bool HandleReadable();
   bool HandleWritable();
   void HandleReleased();
+  void ReadOnce();
+  void Deliver(std::string_view aBytes);
   bool PeerHasClosed() const;
   bool Flush();
   void End(close_reason aReason);
@@ -151,7 +153,9 @@
     lws* session;
   };
 
-  void AcceptAll(listener& aListener);
+  /// Accepts connections that wait, up to a number for one iteration of the
+  /// loop.
+  void AcceptWaiting(listener& aListener);
   /// A connection that was refused at once; reports it asynchronously.
   std::shared_ptr<connection> RefusedConnection();
 
