--- a/src/wire/service-port.cc
+++ b/src/wire/service-port.cc
@@ -30,17 +30,28 @@
       mConnection->CloseAfterSending();
       return;
     }
-    ServeNext();
+    ServeRequests();
   }
 
   void OnEnded(close_reason) override {}
 
 private:
-  void ServeNext()
+  /// Handles the requests that were read. A loop rather than a call for each
+  /// next request, as a peer may send thousands ahead.
+  void ServeRequests()
   {
-    if (mBusy || !mParser.Done()) {
+    if (mServing) {
       return;
     }
+    mServing = true;
+    while (!mBusy && mParser.Done()) {
+      ServeNext();
+    }
+    mServing = false;
+  }
+
+  void ServeNext()
+  {
     mBusy = true;
     buffered_request request;
     request.method = mParser.Head().method;
@@ -69,20 +80,22 @@
       mConnection->CloseAfterSending();
       return;
     }
-    mBusy = false;
     if (!mParser.Next()) {
       mConnection->Close();
       return;
     }
+    mBusy = false;
     mBody += mParser.TakeBody();
-    ServeNext();
+    ServeRequests();
   }
 
   std::shared_ptr<connection> mConnection;
   service_handler mHandler;
   message_parser mParser{ message_kind::request };
   std::string mBody;
+  /// A request is being handled, or the connection is about to close.
   bool mBusy = false;
+  bool mServing = false;
 };
 
 } // namespace
