End an answer that nobody gets after 64 KB of its body

One without end was read until the deadline of its request, 504 for what was known to be 502 or 503 since its head, with the node parsing all the while.

Both tests failed before (504 for 502 and for 503; the channel stayed open). Now the connection is closed after 64 KB and the outcome that the head gave is told at once; a refusal stays one that has not run.

--- a/src/proxy/instance-run.cc
+++ b/src/proxy/instance-run.cc
@@ -10,6 +10,8 @@
 /// A connection to the instance that has been idle for longer is not reused for
 /// a request that is not idempotent, because the instance may be closing it.
 constexpr duration kNonIdempotentIdleTimeout = std::chrono::milliseconds(1500);
+/// Bytes of a body for nobody that are read to keep the connection.
+constexpr std::size_t kMaxDroppedBytes = 64U << 10U;
 
 } // namespace
 
@@ -138,7 +140,15 @@
 instance_run::OnAnswerBody(std::string_view aBytes)
 {
   mAnswerBytes += aBytes.size();
-  if (mSink && mRefusedStatus == 0 && !mMissingStamp && !mUnmatched) {
+  if (DropsBody()) {
+    if (mAnswerBytes > kMaxDroppedBytes) {
+      mChannel->Abort();
+      mChannel.reset();
+      FailDropped();
+    }
+    return;
+  }
+  if (mSink) {
     mSink->OnAnswerBody(aBytes);
   }
 }
@@ -149,24 +159,14 @@
   if (mUnmatched) {
     mChannel->Abort();
     mChannel.reset();
-    FailWithoutAnswer(run_failure_reason::broken,
-                      "answer without the request's id on a used connection");
+    FailDropped();
     return;
   }
   mDispatcher.mIdleChannels.Release(std::move(mChannel),
                                     mDispatcher.mTransport.Loop().Now());
   mChannel.reset();
-  if (mRefusedStatus != 0) {
-    run_failure failure;
-    failure.reason = run_failure_reason::refused_by_instance;
-    failure.not_run = true;
-    failure.reached_instance = true;
-    FailWith(failure);
-    return;
-  }
-  if (mMissingStamp) {
-    FailWithoutAnswer(run_failure_reason::broken,
-                      "success response without the server stamp field");
+  if (DropsBody()) {
+    FailDropped();
     return;
   }
   RecordSurvival();
@@ -229,6 +229,32 @@
          FindField(aHead.fields, mDispatcher.mNames.request_id) != nullptr;
 }
 
+bool
+instance_run::DropsBody() const
+{
+  return mRefusedStatus != 0 || mMissingStamp || mUnmatched;
+}
+
+void
+instance_run::FailDropped()
+{
+  if (mUnmatched) {
+    FailWithoutAnswer(run_failure_reason::broken,
+                      "answer without the request's id on a used connection");
+    return;
+  }
+  if (mMissingStamp) {
+    FailWithoutAnswer(run_failure_reason::broken,
+                      "success response without the server stamp field");
+    return;
+  }
+  run_failure failure;
+  failure.reason = run_failure_reason::refused_by_instance;
+  failure.not_run = true;
+  failure.reached_instance = true;
+  FailWith(failure);
+}
+
 void
 instance_run::RefuseLater(run_failure_reason aReason)
 {
--- a/src/proxy/instance-run.h
+++ b/src/proxy/instance-run.h
@@ -64,6 +64,13 @@
   /// copy of an answer to an earlier request on the connection.
   bool IsMatched(const message_head& aHead) const;
 
+  /// Whether the body of the answer is for nobody: a refusal, or no answer to
+  /// this request.
+  bool DropsBody() const;
+
+  /// Ends the request with what the head of such an answer said.
+  void FailDropped();
+
   /// Refuses asynchronously, because the caller of
   /// `instance_dispatcher::Dispatch` does not have the handle yet.
   void RefuseLater(run_failure_reason aReason);
--- a/src/wire/client-channel.cc
+++ b/src/wire/client-channel.cc
@@ -10,6 +10,8 @@
 /// Fraction of the server's announced idle timeout for which a connection is
 /// reused, so that no request is sent while the server closes the connection.
 constexpr double kIdleTimeoutFraction = 0.6;
+/// Bytes of an answer to another request that are read to keep the connection.
+constexpr std::size_t kMaxSkippedBytes = 64U << 10U;
 
 } // namespace
 
@@ -43,6 +45,7 @@
   mIdentity = std::move(aIdentity);
   mProperties = aProperties;
   mHeadDelivered = false;
+  mSkippedBytes = 0;
   mInExchange = true;
   if (mProperties.head_only) {
     mParser.ExpectNoBody();
@@ -133,7 +136,13 @@
     return false;
   }
   std::string part = mParser.TakeBody();
-  if (!part.empty() && !mSkippingAnswer && mObserver) {
+  if (mSkippingAnswer) {
+    mSkippedBytes += part.size();
+    if (mSkippedBytes > kMaxSkippedBytes) {
+      FailInvalid({ error_kind::too_large, "long body for another request" });
+      return false;
+    }
+  } else if (!part.empty() && mObserver) {
     std::shared_ptr<observer> target = mObserver;
     target->OnAnswerBody(part);
   }
--- a/src/wire/client-channel.h
+++ b/src/wire/client-channel.h
@@ -125,6 +125,8 @@
   bool mHeadDelivered = false;
   /// The current answer is not the final one of the current request.
   bool mSkippingAnswer = false;
+  /// Bytes of such answers in this exchange.
+  std::size_t mSkippedBytes = 0;
   bool mKeepOpen = true;
   bool mInExchange = false;
   bool mUsedBefore = false;
--- a/test/unit/client-channel-test.cc
+++ b/test/unit/client-channel-test.cc
@@ -207,3 +207,17 @@
   CHECK(request->failed);
   CHECK(sent < kLimit / 4);
 }
+
+TEST_CASE_METHOD(channel_fixture,
+                 "client channel, body without end of an earlier answer, fails",
+                 "[wire]")
+{
+  constexpr std::size_t kPart = 1U << 20U;
+  auto request = Request("2", kGet);
+  Reply("HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "100000\r\n" +
+        std::string(kPart, 'x') + "\r\n");
+  Wait();
+  CHECK(request->failed);
+  CHECK_FALSE(channel->IsOpen());
+}
--- a/test/unit/faulty-instance-test.cc
+++ b/test/unit/faulty-instance-test.cc
@@ -273,3 +273,29 @@
     ++cut;
   } while (cut < text.size());
 }
+
+// Guards against CONFIG: the node reads a body without end that nobody gets,
+// until the deadline of its request.
+TEST_CASE_METHOD(faulty_instance_fixture,
+                 "faulty instance, sends a body without end that is no answer, "
+                 "caller is told at once",
+                 "[faulty-instance]")
+{
+  struct endless_answer
+  {
+    std::string fields;
+    int told;
+  };
+  const endless_answer answer = GENERATE(
+    endless_answer{ "HTTP/1.1 200 OK\r\n", 502 },
+    endless_answer{ "HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\n", 503 });
+  on_request = [&](raw_connection& aInstance, const std::string& aId) {
+    constexpr std::size_t kPart = 1U << 20U;
+    aInstance.Send(answer.fields + "X-Request-Id: " + aId +
+                   "\r\nTransfer-Encoding: chunked\r\n\r\n100000\r\n" +
+                   std::string(kPart, 'x') + "\r\n");
+  };
+  result<buffered_response> told = Send();
+  REQUIRE(told);
+  CHECK(told->status == answer.told); // 504 at the deadline
+}
