Confirm a departure once it is recorded outside the process

Cause: the confirmation came from memory. The entry in the store was written up to 0.7 s later, or not at all while the store was away, and a node never took from others what they knew of its own instance.

Now the entry is written at once and the confirmation waits for it; if the store does not write it, two other nodes that have recorded the departure stand in; else the answer is 503 after 0.9 s. A restarted node learns departures from its entry and, in the answers to its messages, from other nodes. An exit notice before the first listing, a late heartbeat and a notice of an earlier incarnation are handled by the same record.

Ruled out: the entry alone (a late heartbeat brought the instance back as well).

--- a/src/mesh/gossip.cc
+++ b/src/mesh/gossip.cc
@@ -31,6 +31,15 @@
 /// domain.
 constexpr unsigned kCrossDomainCompareOneIn = 3;
 
+json
+EncodeDeparture(const std::string& aHost,
+                const instance_incarnation& aDeparture)
+{
+  return { { "host", aHost },
+           { "id", aDeparture.id },
+           { "born", aDeparture.started_unix_ms } };
+}
+
 } // namespace
 
 gossip::gossip(loop& aLoop,
@@ -118,14 +127,14 @@
 }
 
 void
-gossip::Broadcast(const json& aMessage)
+gossip::Broadcast(const json& aMessage, const acknowledged_handler& aHandled)
 {
   std::string text = aMessage.dump();
   for (const std::string& name : OwnDomainTargets()) {
-    Send(name, text);
+    Send(name, text, aHandled);
   }
   for (const std::string& name : OtherDomainTargets(kOtherDomainFanout)) {
-    Send(name, text);
+    Send(name, text, aHandled);
   }
 }
 
@@ -235,6 +244,47 @@
   Broadcast(message);
 }
 
+void
+gossip::SpreadDeparture(const instance_incarnation& aDeparture,
+                        const acknowledged_handler& aRecorded)
+{
+  (void)mDirectory.RecordLeaving(mDirectory.Self(), aDeparture, mLoop.Now());
+  json message = MessageHeader();
+  message["departures"] =
+    json::array({ EncodeDeparture(mDirectory.Self(), aDeparture) });
+  Broadcast(message, aRecorded);
+}
+
+void
+gossip::AddDepartures(json& aMessage,
+                      const std::vector<std::string>& aHosts) const
+{
+  for (const std::string& host : aHosts) {
+    if (std::optional<instance_incarnation> departure =
+          mDirectory.DepartureOf(host)) {
+      aMessage["departures"].push_back(EncodeDeparture(host, *departure));
+    }
+  }
+}
+
+std::vector<std::string>
+gossip::MergeDepartures(const json& aMessage)
+{
+  std::vector<std::string> updates;
+  for (const json& entry : aMessage.value("departures", json::array())) {
+    auto host = entry.at("host").get<std::string>();
+    instance_incarnation departure{ entry.at("id").get<std::string>(),
+                                    entry.at("born").get<std::int64_t>() };
+    if (mDirectory.RecordLeaving(host, departure, mLoop.Now())) {
+      updates.push_back(host);
+    }
+    if (host == mDirectory.Self()) {
+      mDelegate.OnInstanceLeft(departure);
+    }
+  }
+  return updates;
+}
+
 json
 gossip::EncodeCrashes(const std::vector<crash_record>& aRecords) const
 {
@@ -342,7 +392,9 @@
 }
 
 void
-gossip::Send(const std::string& aName, const std::string& aBody)
+gossip::Send(const std::string& aName,
+             const std::string& aBody,
+             const acknowledged_handler& aHandled)
 {
   const known_host* host = mDirectory.Find(aName);
   if (host == nullptr) {
@@ -356,12 +408,15 @@
   mClient.Call(host->record.control,
                std::move(request),
                kMessageTimeout,
-               [this, aName](result<buffered_response> aResponse) {
+               [this, aName, aHandled](result<buffered_response> aResponse) {
                  if (!aResponse || aResponse->status != status::kOk) {
                    mCounters.Add(proxy_event::peer_failed);
                    Probe(aName);
                    return;
                  }
+                 if (aHandled) {
+                   aHandled(aName);
+                 }
                  if (!aResponse->body.empty()) {
                    result<std::string> handled = HandleMessage(aResponse->body);
                    if (!handled) {
@@ -504,19 +559,8 @@
     mDelegate.OnHostsChanged();
   }
   std::vector<crash_record> crashes = MergeCrashes(message);
-  if (!hosts.empty() || !canaries.empty() || !crashes.empty()) {
-    json updates = MessageHeader();
-    for (const host_record& record : hosts) {
-      updates["hosts"].push_back(EncodeHostRecord(record));
-    }
-    for (const canary_rollout& canary : canaries) {
-      updates["moves"].push_back(EncodeCanary(canary));
-    }
-    if (!crashes.empty()) {
-      updates["crashes"] = EncodeCrashes(crashes);
-    }
-    Forward(updates, from);
-  }
+  std::vector<std::string> departures = MergeDepartures(message);
+  ForwardNews(hosts, canaries, crashes, departures, from);
   if (message.value("watcher", false)) {
     mLastWatcherMessage = mLoop.Now();
   }
@@ -529,7 +573,40 @@
   if (message.value("dropped", false)) {
     mDelegate.OnRemovedByOthers();
   }
-  return message.contains("known") ? AnswerToDigest(message, wasRemoved) : "";
+  if (message.contains("known")) {
+    return AnswerToDigest(message, wasRemoved);
+  }
+  if (!mDirectory.ForgottenDeparture(from)) {
+    return "";
+  }
+  json answer = MessageHeader();
+  AddDepartures(answer, { from });
+  return answer.dump();
+}
+
+void
+gossip::ForwardNews(const std::vector<host_record>& aHosts,
+                    const std::vector<canary_rollout>& aCanaries,
+                    const std::vector<crash_record>& aCrashes,
+                    const std::vector<std::string>& aDepartures,
+                    const std::string& aFrom)
+{
+  if (aHosts.empty() && aCanaries.empty() && aCrashes.empty() &&
+      aDepartures.empty()) {
+    return;
+  }
+  json updates = MessageHeader();
+  for (const host_record& record : aHosts) {
+    updates["hosts"].push_back(EncodeHostRecord(record));
+  }
+  for (const canary_rollout& canary : aCanaries) {
+    updates["moves"].push_back(EncodeCanary(canary));
+  }
+  if (!aCrashes.empty()) {
+    updates["crashes"] = EncodeCrashes(aCrashes);
+  }
+  AddDepartures(updates, aDepartures);
+  Forward(updates, aFrom);
 }
 
 std::string
@@ -561,6 +638,7 @@
   if (aMessage.value("known_crashes", crashes) != crashes) {
     answer["crashes"] = EncodeCrashes(mCrashes.Records());
   }
+  AddDepartures(answer, mDirectory.HostsWithForgottenDeparture());
   return answer.dump();
 }
 
--- a/src/mesh/gossip.h
+++ b/src/mesh/gossip.h
@@ -26,6 +26,8 @@
                              std::uint64_t aVersion) = 0;
   /// The directory changed: a record, or whether a host is reachable.
   virtual void OnHostsChanged() = 0;
+  /// Another node knows that this instance of this host has left.
+  virtual void OnInstanceLeft(const instance_incarnation& aInstance) = 0;
   /// Another node had removed this node from its directory. This node's entry
   /// in the store may have been removed as well.
   virtual void OnRemovedByOthers() = 0;
@@ -34,6 +36,9 @@
     const std::vector<canary_rollout>& aCanaries) = 0;
 };
 
+/// Called with the name of a host whose node has handled a message.
+using acknowledged_handler = std::function<void(const std::string&)>;
+
 /// Exchanges host records, rollout states and configuration versions between
 /// nodes. An update goes to the sender's failure domain and to two nodes of
 /// each other domain, which forward it inside theirs: traffic between failure
@@ -72,6 +77,14 @@
   /// Sends evidence on requests that crash instances to all failure domains.
   void SpreadCrashes(const std::vector<crash_record>& aRecords);
 
+  /// Sends the departure of this host's instance to all failure domains, and
+  /// calls `aRecorded` for each node that has recorded it.
+  void SpreadDeparture(const instance_incarnation& aDeparture,
+                       const acknowledged_handler& aRecorded);
+
+  /// Names of the other hosts that are not known to be unreachable.
+  std::vector<std::string> ReachableHosts() const;
+
   /// Tells a host that its entry in the store is missing or out of date.
   void ReportLostEntry(const std::string& aName);
 
@@ -104,9 +117,12 @@
   result<std::string> HandleMessage(const std::string& aBody);
 
 private:
-  void Send(const std::string& aName, const std::string& aBody);
+  void Send(const std::string& aName,
+            const std::string& aBody,
+            const acknowledged_handler& aHandled = nullptr);
   /// Sends an update of this node to all failure domains.
-  void Broadcast(const nlohmann::json& aMessage);
+  void Broadcast(const nlohmann::json& aMessage,
+                 const acknowledged_handler& aHandled = nullptr);
   /// Forwards an update of another node inside the own failure domain.
   void Forward(const nlohmann::json& aMessage, const std::string& aFrom);
   /// Reachable hosts of the own failure domain.
@@ -125,16 +141,27 @@
   /// Merges the evidence on requests that crash instances and returns what was
   /// news.
   std::vector<crash_record> MergeCrashes(const nlohmann::json& aMessage);
+  /// Records the departures of instances and returns the hosts with news.
+  std::vector<std::string> MergeDepartures(const nlohmann::json& aMessage);
+  /// Adds the recorded departures of these hosts' instances to a message.
+  void AddDepartures(nlohmann::json& aMessage,
+                     const std::vector<std::string>& aHosts) const;
+  /// Sends on what was news in a message of another node.
+  void ForwardNews(const std::vector<host_record>& aHosts,
+                   const std::vector<canary_rollout>& aCanaries,
+                   const std::vector<crash_record>& aCrashes,
+                   const std::vector<std::string>& aDepartures,
+                   const std::string& aFrom);
   nlohmann::json EncodeCrashes(const std::vector<crash_record>& aRecords) const;
   nlohmann::json MessageHeader() const;
   /// Encodes the records that are newer than those in the digest, which maps
-  /// host names to incarnation and sequence, and the evidence on crashes if its
-  /// digest is another.
+  /// host names to incarnation and sequence, the evidence on crashes if its
+  /// digest is another, and the departures that nodes have forgotten.
   std::string AnswerToDigest(const nlohmann::json& aMessage,
                              bool aWasRemoved) const;
   std::string EncodeMessage(bool aWithDigest) const;
-  /// Merges a message. Returns the records that the sender lacks if the message
-  /// has a digest, otherwise an empty text.
+  /// Merges a message. Returns what the sender lacks: by its digest, if the
+  /// message has one, and that its instance has left; otherwise an empty text.
   std::string ProcessMessage(const std::string& aBody);
   void CompareWithRandomHost();
   /// Compares the full state with a random one of these hosts, if there is one.
@@ -142,7 +169,6 @@
   nlohmann::json EncodeCanary(const canary_rollout& aCanary) const;
   result<canary_rollout> DecodeCanary(const nlohmann::json& aJson) const;
   void ProbeUnreachable();
-  std::vector<std::string> ReachableHosts() const;
 
   loop& mLoop;
   control_client& mClient;
--- a/src/mesh/host-directory.cc
+++ b/src/mesh/host-directory.cc
@@ -32,20 +32,71 @@
   return true;
 }
 
-void
+bool
 host_directory::RecordLeaving(const std::string& aHost,
                               const instance_incarnation& aInstance,
                               time_point aNow)
 {
+  auto known = mLeaving.find(aHost);
+  if (known != mLeaving.end() &&
+      (known->second.incarnation == aInstance ||
+       known->second.incarnation.started_unix_ms > aInstance.started_unix_ms)) {
+    return false;
+  }
   mLeaving.insert_or_assign(aHost, leaving_instance{ aInstance, aNow });
   mIndexValid = false;
+  return true;
+}
+
+bool
+host_directory::IsRecordedAsLeaving(const std::string& aHost,
+                                    const instance_record& aInstance) const
+{
+  auto leaving = mLeaving.find(aHost);
+  return leaving != mLeaving.end() &&
+         HasLeft(leaving->second.incarnation, aInstance);
+}
+
+std::optional<instance_incarnation>
+host_directory::DepartureOf(const std::string& aHost) const
+{
+  auto leaving = mLeaving.find(aHost);
+  return leaving == mLeaving.end() ? std::nullopt
+                                   : std::optional(leaving->second.incarnation);
+}
+
+std::optional<instance_incarnation>
+host_directory::ForgottenDeparture(const std::string& aHost) const
+{
+  std::optional<instance_incarnation> departure = DepartureOf(aHost);
+  const known_host* host = Find(aHost);
+  if (!departure || host == nullptr) {
+    return std::nullopt;
+  }
+  const instance_record& shown = host->record.instance;
+  bool forgotten =
+    shown.state == instance_state::absent ||
+    (shown.state == instance_state::ready && HasLeft(*departure, shown));
+  return forgotten ? departure : std::nullopt;
+}
+
+std::vector<std::string>
+host_directory::HostsWithForgottenDeparture() const
+{
+  std::vector<std::string> hosts;
+  for (const auto& [name, leaving] : mLeaving) {
+    if (ForgottenDeparture(name)) {
+      hosts.push_back(name);
+    }
+  }
+  return hosts;
 }
 
 void
 host_directory::RememberIfLeaving(const host_record& aDropped, time_point aNow)
 {
   if (IsLeaving(aDropped.instance.state)) {
-    RecordLeaving(aDropped.name, IncarnationOf(aDropped.instance), aNow);
+    (void)RecordLeaving(aDropped.name, IncarnationOf(aDropped.instance), aNow);
   }
 }
 
@@ -123,12 +174,8 @@
 bool
 host_directory::IsServing(const host_record& aRecord) const
 {
-  if (aRecord.leaving || aRecord.instance.state != instance_state::ready) {
-    return false;
-  }
-  auto leaving = mLeaving.find(aRecord.name);
-  return leaving == mLeaving.end() ||
-         !(leaving->second.incarnation == IncarnationOf(aRecord.instance));
+  return !aRecord.leaving && aRecord.instance.state == instance_state::ready &&
+         !IsRecordedAsLeaving(aRecord.name, aRecord.instance);
 }
 
 void
--- a/src/mesh/host-directory.h
+++ b/src/mesh/host-directory.h
@@ -2,6 +2,7 @@
 #define EELGRASSTRACK_MESH_HOST_DIRECTORY_H_
 
 #include <map>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -36,11 +37,24 @@
 
   /// Records that the instance of a host is leaving. The host no longer counts
   /// as serving, whatever its records say, until it has another instance or
-  /// incarnation.
-  void RecordLeaving(const std::string& aHost,
+  /// incarnation. Returns whether it was not recorded before.
+  bool RecordLeaving(const std::string& aHost,
                      const instance_incarnation& aInstance,
                      time_point aNow);
 
+  /// Whether this instance of a host is recorded as leaving.
+  bool IsRecordedAsLeaving(const std::string& aHost,
+                           const instance_record& aInstance) const;
+  /// The last recorded departure of a host's instance.
+  std::optional<instance_incarnation> DepartureOf(
+    const std::string& aHost) const;
+  /// The recorded departure of a host's instance that the host's own record
+  /// does not show: its node has started again since, and forgotten it.
+  std::optional<instance_incarnation> ForgottenDeparture(
+    const std::string& aHost) const;
+  /// Hosts with a forgotten departure.
+  std::vector<std::string> HostsWithForgottenDeparture() const;
+
   /// Marks a known host as unreachable, except this node's own.
   void MarkUnreachable(const std::string& aName, time_point aNow);
   /// Marks a host as reachable. Returns whether it was marked unreachable.
--- a/src/mesh/host-entry-repair.cc
+++ b/src/mesh/host-entry-repair.cc
@@ -20,7 +20,7 @@
 HaveSameEntry(const host_record& aLeft, const host_record& aRight)
 {
   return aLeft.hop == aRight.hop && aLeft.control == aRight.control &&
-         aLeft.instance.id == aRight.instance.id &&
+         IncarnationOf(aLeft.instance) == IncarnationOf(aRight.instance) &&
          aLeft.instance.state == aRight.instance.state &&
          aLeft.quarantined == aRight.quarantined;
 }
--- a/src/mesh/host-record.cc
+++ b/src/mesh/host-record.cc
@@ -70,6 +70,13 @@
   return { aInstance.id, aInstance.started_unix_ms };
 }
 
+bool
+HasLeft(const instance_incarnation& aLeft, const instance_record& aInstance)
+{
+  return aInstance.id == aLeft.id &&
+         aInstance.started_unix_ms <= aLeft.started_unix_ms;
+}
+
 bool
 IsNewer(const host_record& aLeft, const host_record& aRight)
 {
--- a/src/mesh/host-record.h
+++ b/src/mesh/host-record.h
@@ -2,6 +2,7 @@
 #define EELGRASSTRACK_MESH_HOST_RECORD_H_
 
 #include <nlohmann/json_fwd.hpp>
+#include <optional>
 #include <string>
 
 #include "base/clock.h"
@@ -64,6 +65,19 @@
 instance_incarnation
 IncarnationOf(const instance_record& aInstance);
 
+/// Whether the departure of `aLeft` is one of this instance: it has the id and
+/// did not start later.
+bool
+HasLeft(const instance_incarnation& aLeft, const instance_record& aInstance);
+
+/// An instance says that it exits.
+struct exit_notice
+{
+  std::string id;
+  /// Start of the instance in Unix milliseconds, if the notice names it.
+  std::optional<std::int64_t> started_unix_ms;
+};
+
 /// A request that is not sent on because it crashes instances.
 struct quarantined_request
 {
--- a/src/mesh/mesh-node.cc
+++ b/src/mesh/mesh-node.cc
@@ -114,6 +114,7 @@
   , mHopServer(aTransport, mNames, mDispatcher, mLinkPacer)
   , mQuarantine(aLoop, mCrashes)
   , mGossip(aLoop, aClient, mDirectory, mVersions, mCrashes, aCounters, *this)
+  , mDepartures(aLoop, mGossip)
   , mEntryRepair(aLoop, aStore, mDirectory, mGossip)
   , mCanaryDriver(aLoop,
                   aClient,
@@ -256,7 +257,8 @@
 void
 mesh_node::PublishOwnRecord()
 {
-  if (mPublishing || mDraining) {
+  // An instance may leave while its node stops; that must be known afterwards.
+  if (mPublishing || (mDraining && !mDepartures.IsWaiting())) {
     return;
   }
   if (mPublished && HaveSameEntry(*mPublished, mOwnRecord)) {
@@ -264,15 +266,18 @@
   }
   mPublishing = true;
   host_record written = mOwnRecord;
+  written.leaving = false; // the entry also holds for the next process
   mStore.PublishHost(written, [this, written](result<void> aDone) {
     mPublishing = false;
     if (!aDone) {
       LogEvent(log_level::debug,
                "publish_failed",
                { { "reason", aDone.error().message } });
+      mDepartures.HandleWriteFailed();
       SchedulePublish();
       return;
     }
+    mDepartures.HandleEntryWritten(written);
     // Nodes that publish after this write see this node's entry when they list
     // the hosts. Nodes that published earlier may miss it: list again to find
     // them.
@@ -323,7 +328,11 @@
     mGossip.SpreadHost(mOwnRecord);
     // Other nodes supply the changes made since the entries were written.
     mGossip.CompareAtStart();
-    SchedulePublish();
+    if (mDepartures.IsWaiting()) {
+      PublishOwnRecord();
+    } else {
+      SchedulePublish();
+    }
   });
 }
 
@@ -334,21 +343,31 @@
     mPublished = aEntry;
     mOwnRecord.quarantined = aEntry.quarantined;
   }
+  if (IsLeaving(aEntry.instance.state)) {
+    RecordDeparture(IncarnationOf(aEntry.instance));
+  }
   // The instance kept running while this process was down. If it has been
   // replaced since, the new instance refuses requests addressed to the old one.
   if (mOwnRecord.instance.state == instance_state::absent &&
-      aEntry.instance.state == instance_state::ready) {
-    mOwnRecord.instance = aEntry.instance;
-    mOwnRecord.instance.warmup_left = duration(0);
-    mAnnouncedAt = mLoop.Now();
-    mDispatcher.SetInstance(mOwnRecord.instance);
-    SpreadOwnRecord();
-    LogEvent(log_level::info,
-             "instance_resumed",
-             { { "instance", mOwnRecord.instance.id } });
+      aEntry.instance.state == instance_state::ready &&
+      !mDirectory.IsRecordedAsLeaving(mOwnRecord.name, aEntry.instance)) {
+    ResumeInstance(aEntry.instance);
   }
 }
 
+void
+mesh_node::ResumeInstance(const instance_record& aInstance)
+{
+  mOwnRecord.instance = aInstance;
+  mOwnRecord.instance.warmup_left = duration(0);
+  mAnnouncedAt = mLoop.Now();
+  mDispatcher.SetInstance(mOwnRecord.instance);
+  SpreadOwnRecord();
+  LogEvent(log_level::info,
+           "instance_resumed",
+           { { "instance", mOwnRecord.instance.id } });
+}
+
 void
 mesh_node::SpreadOwnRecord()
 {
@@ -371,6 +390,11 @@
   bool late = sameIncarnation
                 ? aAnnouncement.sequence <= mAnnouncedSequence
                 : announced.started_unix_ms < known.started_unix_ms;
+  // A node that has started again knows the departure from its entry or from
+  // other nodes.
+  late = late ||
+         (announced.state == instance_state::ready && !IsLeaving(known.state) &&
+          mDirectory.IsRecordedAsLeaving(mOwnRecord.name, announced));
   if (late) {
     LogEvent(log_level::info,
              "announcement_late",
@@ -397,20 +421,50 @@
              { "state", std::string(NameOf(announced.state)) },
              { "born", std::to_string(announced.started_unix_ms) } });
   mOwnRecord.instance = announced;
+  if (IsLeaving(announced.state)) {
+    RecordDeparture(IncarnationOf(announced));
+  }
   mDispatcher.SetInstance(announced);
   SpreadOwnRecord();
   return true;
 }
 
+instance_incarnation
+mesh_node::HandleInstanceExit(const exit_notice& aNotice)
+{
+  const instance_record& known = mOwnRecord.instance;
+  // Without a start in the notice, it is the known instance that leaves or, at
+  // a node that has just started, any that started before now.
+  std::int64_t started =
+    known.id == aNotice.id ? known.started_unix_ms : mLoop.UnixMilliseconds();
+  instance_incarnation departure{ aNotice.id,
+                                  aNotice.started_unix_ms.value_or(started) };
+  RecordDeparture(departure);
+  if (known.state != instance_state::gone && HasLeft(departure, known)) {
+    LogEvent(log_level::info, "instance_left", { { "instance", aNotice.id } });
+    SetInstanceState(instance_state::gone);
+  }
+  return departure;
+}
+
 void
-mesh_node::HandleInstanceExit(const std::string& aId)
+mesh_node::ConfirmDeparture(const instance_incarnation& aDeparture,
+                            done_callback aDone)
 {
-  if (mOwnRecord.instance.id != aId ||
-      mOwnRecord.instance.state == instance_state::gone) {
+  if (mPublished && !NamesAsReady(*mPublished, aDeparture)) {
+    aDone({});
     return;
   }
-  LogEvent(log_level::info, "instance_left", { { "instance", aId } });
-  SetInstanceState(instance_state::gone);
+  mDepartures.Await(aDeparture, std::move(aDone));
+  if (mHostsListed) {
+    PublishOwnRecord();
+  }
+}
+
+void
+mesh_node::RecordDeparture(const instance_incarnation& aDeparture)
+{
+  (void)mDirectory.RecordLeaving(mOwnRecord.name, aDeparture, mLoop.Now());
 }
 
 void
@@ -707,6 +761,19 @@
   RefreshVersions();
 }
 
+void
+mesh_node::OnInstanceLeft(const instance_incarnation& aInstance)
+{
+  if (IsLeaving(mOwnRecord.instance.state) ||
+      !HasLeft(aInstance, mOwnRecord.instance)) {
+    return;
+  }
+  LogEvent(log_level::info,
+           "instance_left",
+           { { "instance", aInstance.id }, { "source", "other nodes" } });
+  SetInstanceState(instance_state::gone);
+}
+
 void
 mesh_node::OnRemovedByOthers()
 {
--- a/src/mesh/mesh-node.h
+++ b/src/mesh/mesh-node.h
@@ -3,6 +3,7 @@
 
 #include "mesh/canary-driver.h"
 #include "mesh/control-store.h"
+#include "mesh/departure-confirmer.h"
 #include "mesh/gossip.h"
 #include "mesh/host-entry-repair.h"
 #include "mesh/mesh-settings.h"
@@ -55,8 +56,16 @@
   /// late announcement of an earlier state or incarnation.
   bool HandleAnnouncement(const instance_announcement& aAnnouncement);
 
-  /// Handles the exit notice of the instance on this host.
-  void HandleInstanceExit(const std::string& aId);
+  /// Handles the exit notice of an instance on this host. Returns the
+  /// incarnation that leaves.
+  instance_incarnation HandleInstanceExit(const exit_notice& aNotice);
+
+  /// Calls `aDone` once the departure of an instance on this host, which was
+  /// announced before, is recorded outside this process, so that a restarted
+  /// node knows it too. Fails with `not_ready` if neither the store nor other
+  /// nodes have recorded it within 0.9 s.
+  void ConfirmDeparture(const instance_incarnation& aDeparture,
+                        done_callback aDone);
 
   /// Metrics in the text exposition format.
   std::string Metrics() const;
@@ -74,6 +83,7 @@
   std::uint64_t ConfigVersion() const override;
   void OnNewerConfig(const host_record& aFrom, std::uint64_t aVersion) override;
   void OnHostsChanged() override;
+  void OnInstanceLeft(const instance_incarnation& aInstance) override;
   void OnRemovedByOthers() override;
   void OnCanaryUpdates(const std::vector<canary_rollout>& aCanaries) override;
 
@@ -98,7 +108,9 @@
   /// first.
   void Join();
   void ListOtherHosts();
+  /// Takes over what this host's entry in the store says of its instance.
   void RestoreOwnEntry(const host_record& aEntry);
+  void ResumeInstance(const instance_record& aInstance);
   /// Whether this node, after a restart, holds the latest configuration that
   /// another node has announced, or none has answered.
   bool HasCaughtUp() const;
@@ -110,6 +122,8 @@
   /// Sends this node's changed record to other nodes with a new sequence
   /// number.
   void SpreadOwnRecord();
+  /// Records in the directory that an instance on this host leaves.
+  void RecordDeparture(const instance_incarnation& aDeparture);
   /// Changes the state of the instance on this host and tells the other nodes.
   void SetInstanceState(instance_state aState);
   /// Handles an answer in which the instance says that it is leaving.
@@ -148,6 +162,7 @@
   hop_server mHopServer;
   quarantine_entries mQuarantine;
   gossip mGossip;
+  departure_confirmer mDepartures;
   host_entry_repair mEntryRepair;
   canary_driver mCanaryDriver;
   host_record mOwnRecord;
--- a/test/harness/mesh-world.cc
+++ b/test/harness/mesh-world.cc
@@ -365,6 +365,19 @@
   return known;
 }
 
+std::string
+mesh_world::KnownState(std::size_t aHost, std::size_t aOf) const
+{
+  nlohmann::json dump = nlohmann::json::parse(mHosts[aHost]->node->Dump());
+  for (const nlohmann::json& host : dump.at("hosts")) {
+    if (host.at("name") == mHosts[aOf]->settings.name &&
+        host.contains("instance")) {
+      return host.at("instance").at("state").get<std::string>();
+    }
+  }
+  return "";
+}
+
 void
 mesh_world::RunUntilInstancesKnown()
 {
--- a/test/harness/mesh-world.h
+++ b/test/harness/mesh-world.h
@@ -162,6 +162,9 @@
   }
   /// Number of instances that the node of a host knows to be there.
   std::size_t KnownInstances(std::size_t aHost) const;
+  /// State of the instance of host `aOf` as the node of `aHost` knows it; empty
+  /// if it knows of none.
+  std::string KnownState(std::size_t aHost, std::size_t aOf) const;
   /// Number of requests to the crash target that the instance of a host has
   /// begun to run.
   unsigned CrashCount(std::size_t aHost) const
--- /dev/null
+++ b/test/unit/departure-test.cc
@@ -0,0 +1,182 @@
+#include <catch2/catch.hpp>
+
+#include "harness/service-mesh.h"
+
+using namespace eelgrasstrack;
+using namespace eelgrasstrack::test;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// The first of two instances leaves and goes on serving; its node
+/// starts again.
+class departure_fixture : public service_mesh
+{
+public:
+  departure_fixture() { world.RunFor(milliseconds(1000)); }
+
+  /// The instance reports its exit. Returns whether that was confirmed within a
+  /// second; `at_confirmation` is called at that moment.
+  bool ReportExit(const std::function<void()>& aAtConfirmation = [] {})
+  {
+    return Confirm(world.Node(leaver).HandleInstanceExit({ kInstance, {} }),
+                   aAtConfirmation);
+  }
+
+  bool Confirm(
+    const instance_incarnation& aDeparture,
+    const std::function<void()>& aAtConfirmation = [] {})
+  {
+    std::optional<bool> confirmed;
+    world.Node(leaver).ConfirmDeparture(
+      aDeparture, [&confirmed, &aAtConfirmation](const result<void>& aDone) {
+        confirmed = aDone.has_value();
+        aAtConfirmation();
+      });
+    for (int i = 0; i < 100 && !confirmed; ++i) {
+      world.RunFor(milliseconds(10));
+    }
+    REQUIRE(confirmed);
+    return *confirmed;
+  }
+
+  bool StoreKnows()
+  {
+    return world.Store().hosts[kNode].instance.state == instance_state::gone;
+  }
+
+  /// Number of other nodes that take the instance for gone.
+  std::size_t NodesThatKnow()
+  {
+    std::size_t count = 0;
+    for (std::size_t host : { fronts[0], fronts[1], second }) {
+      count += world.KnownState(host, leaver) == "gone" ? 1 : 0;
+    }
+    return count;
+  }
+
+  /// Sends requests through the node beside the instance and the others, and
+  /// returns how many of them the instance gets.
+  unsigned RunsAtLeaver()
+  {
+    unsigned before = world.RunCount(leaver);
+    CHECK(Send(kRequests) == kRequests);
+    for (int i = 0; i < kRequests; ++i) {
+      result<buffered_response> answer =
+        world.SendRequest(leaver, "GET", "/orders/1");
+      CHECK((answer && answer->status == 200));
+    }
+    return world.RunCount(leaver) - before;
+  }
+
+  static constexpr const char* kInstance = "i-2";
+  static constexpr std::int64_t kBorn = 1000;
+  static constexpr const char* kNode = "node-2";
+  static constexpr int kRequests = 100;
+  const std::size_t leaver = first;
+};
+
+} // namespace
+
+// Guards against DRAIN: a node confirms a departure that only it knows, and
+// forgets it when it starts again.
+TEST_CASE_METHOD(departure_fixture,
+                 "departure, confirmed, is in the store",
+                 "[departure]")
+{
+  CHECK(ReportExit([this] { CHECK(StoreKnows()); }));
+}
+
+TEST_CASE_METHOD(departure_fixture,
+                 "departure, confirmed, node starts again, instance gets no "
+                 "requests",
+                 "[departure]")
+{
+  bool drains = GENERATE(false, true);
+  if (drains) {
+    world.Announce(leaver, instance_state::draining);
+    REQUIRE(Confirm({ kInstance, kBorn }));
+  } else {
+    REQUIRE(ReportExit());
+  }
+  world.RestartNode(leaver);
+  world.RunFor(milliseconds(500));
+  CHECK(RunsAtLeaver() == 0);
+  world.Announce(leaver, instance_state::ready); // a late heartbeat
+  world.RunFor(milliseconds(300));
+  CHECK(RunsAtLeaver() == 0);
+}
+
+// Guards against DRAIN: the store is away when the departure is confirmed, and
+// its entry says ready when the node starts again.
+TEST_CASE_METHOD(departure_fixture,
+                 "departure, confirmed without the store, node starts again, "
+                 "instance gets no requests",
+                 "[departure]")
+{
+  world.Store().unavailable = true;
+  REQUIRE(ReportExit([this] { CHECK(NodesThatKnow() >= 2); }));
+  world.RestartNode(leaver);
+  world.RunFor(milliseconds(500));
+  CHECK(RunsAtLeaver() == 0);
+  world.Announce(leaver, instance_state::ready); // a late heartbeat
+  world.RunFor(milliseconds(300));
+  CHECK(RunsAtLeaver() == 0);
+}
+
+// Guards against DRAIN: nobody else can record the departure.
+TEST_CASE("departure, neither store nor other nodes there, is not confirmed",
+          "[departure]")
+{
+  mesh_world world;
+  std::size_t host = world.AddHost("orders", "v1");
+  world.RunFor(milliseconds(500));
+  world.Store().unavailable = true;
+  std::optional<bool> confirmed;
+  world.Node(host).ConfirmDeparture(
+    world.Node(host).HandleInstanceExit({ "i-0", {} }),
+    [&](const result<void>& aDone) { confirmed = aDone.has_value(); });
+  world.RunFor(milliseconds(1000));
+  REQUIRE(confirmed);
+  CHECK_FALSE(*confirmed);
+}
+
+// Guards against DRAIN: the exit notice comes before a restarted node has read
+// its entry, which names the instance as ready.
+TEST_CASE_METHOD(departure_fixture,
+                 "departure, notice before the first listing, instance gets no "
+                 "requests",
+                 "[departure]")
+{
+  world.RestartNode(leaver);
+  CHECK(ReportExit());
+  world.RunFor(milliseconds(500));
+  CHECK(RunsAtLeaver() == 0);
+  CHECK_FALSE(world.Store().hosts[kNode].instance.state ==
+              instance_state::ready);
+}
+
+TEST_CASE_METHOD(
+  departure_fixture,
+  "departure, notice of an earlier incarnation, instance goes on "
+  "serving",
+  "[departure]")
+{
+  world.RestartInstance(leaver);
+  CHECK(Confirm(world.Node(leaver).HandleInstanceExit({ kInstance, kBorn })));
+  world.RunFor(milliseconds(200));
+  CHECK(RunsAtLeaver() > 0);
+}
+
+TEST_CASE_METHOD(departure_fixture,
+                 "departure, instance starts again with its id at a restarted "
+                 "node, gets requests",
+                 "[departure]")
+{
+  REQUIRE(ReportExit());
+  world.RestartNode(leaver);
+  world.RunFor(milliseconds(300));
+  world.RestartInstance(leaver);
+  world.RunFor(milliseconds(300));
+  CHECK(RunsAtLeaver() > 0);
+}
--- a/test/unit/instance-leaving-test.cc
+++ b/test/unit/instance-leaving-test.cc
@@ -111,7 +111,7 @@
   }
   SECTION("exits")
   {
-    world.Node(leaver).HandleInstanceExit("i-2");
+    world.Node(leaver).HandleInstanceExit({ "i-2", {} });
   }
   world.RunFor(milliseconds(300));
   world.RestartNode(leaver);
--- a/test/unit/store-restored-test.cc
+++ b/test/unit/store-restored-test.cc
@@ -200,6 +200,7 @@
   std::uint64_t ConfigVersion() const override { return 0; }
   void OnNewerConfig(const host_record&, std::uint64_t) override {}
   void OnHostsChanged() override {}
+  void OnInstanceLeft(const instance_incarnation&) override {}
   void OnRemovedByOthers() override {}
   void OnCanaryUpdates(const std::vector<canary_rollout>&) override {}
 };
