Decode each entry of the store and of other nodes by itself

An instance id that is not UTF-8 would have thrown when sent on (by reading).

Cause: a list was decoded as one document, and numbers without a range. Now the entries are split by simdjson without decoding them, each is parsed by itself with a limit of 64 levels, and integers, times and addresses are read with their range. Ruled out: parsing on after the error (the JSON library stops at it) and RapidJSON (refuses exponents out of range even when numbers stay texts). New package: libsimdjson-dev.

The codec of messages between nodes is in a file of its own, and the decode errors of the adapter and of host records share one function.

--- a/src/base/json-reader.cc
+++ b/src/base/json-reader.cc
@@ -19,17 +19,6 @@
 
 } // namespace
 
-result<nlohmann::json>
-ParseJson(std::string_view aText)
-{
-  try {
-    return nlohmann::json::parse(aText);
-  } catch (const nlohmann::json::exception& problem) {
-    return Fail(error_kind::invalid_argument,
-                "not valid JSON: " + std::string(problem.what()));
-  }
-}
-
 json_reader::json_reader(const nlohmann::json& aObject, std::string aPath)
   : mObject(aObject)
   , mPath(std::move(aPath))
@@ -110,18 +99,11 @@
   }
   std::string range = "must be an integer from " + std::to_string(aLow) +
                       " to " + std::to_string(aHigh);
-  bool tooLarge = value->is_number_unsigned() &&
-                  value->get<std::uint64_t>() > std::uint64_t{ INT64_MAX };
-  if (!value->is_number_integer() || tooLarge) {
+  std::optional<std::int64_t> number = IntegerOf(*value, aLow, aHigh);
+  if (!number) {
     ReportInvalid(aField, range);
-    return aLow;
-  }
-  std::int64_t number = value->get<std::int64_t>();
-  if (number < aLow || number > aHigh) {
-    ReportInvalid(aField, range);
-    return aLow;
   }
-  return number;
+  return number.value_or(aLow);
 }
 
 std::int64_t
--- a/src/base/json-reader.h
+++ b/src/base/json-reader.h
@@ -6,14 +6,10 @@
 #include <string>
 #include <vector>
 
-#include "base/error.h"
+#include "base/json-decode.h"
 
 namespace eelgrasstrack {
 
-/// Parses text as JSON (RFC 8259). Fails with `invalid_argument`.
-result<nlohmann::json>
-ParseJson(std::string_view aText);
-
 /// Reads and validates the fields of one JSON object. The first invalid,
 /// missing or unknown field is recorded as the error, with its path in the
 /// document; `Finish` returns it. The functions with `Or` return `aDefault` if
--- /dev/null
+++ b/src/base/json-splitter.cc
@@ -0,0 +1,70 @@
+#include "base/json-splitter.h"
+
+#include <boost/locale/encoding_utf.hpp>
+#include <simdjson.h>
+
+namespace eelgrasstrack {
+
+namespace {
+
+using namespace simdjson;
+
+/// Copies the object without the elements of its array. Numbers and escapes in
+/// them are not decoded, and nesting has no limit.
+simdjson_result<split_json>
+TakeOutElements(const std::string& aText, const std::string& aField)
+{
+  ondemand::parser parser;
+  padded_string padded(aText);
+  ondemand::document document;
+  ondemand::object object;
+  ondemand::array array;
+  SIMDJSON_TRY(parser.iterate(padded).get(document));
+  SIMDJSON_TRY(document.get_object().get(object));
+  SIMDJSON_TRY(object.find_field(aField).get_array().get(array));
+  std::string_view arrayText;
+  SIMDJSON_TRY(array.raw_json().get(arrayText));
+  auto begin = static_cast<std::size_t>(arrayText.data() - padded.data());
+  split_json split;
+  split.rest =
+    aText.substr(0, begin) + "[]" + aText.substr(begin + arrayText.size());
+  bool isEmpty = false;
+  SIMDJSON_TRY(array.reset().get(isEmpty));
+  for (simdjson_result<ondemand::value> item : array) {
+    ondemand::value element;
+    SIMDJSON_TRY(item.get(element));
+    ondemand::object entry;
+    if (element.get_object().get(entry) != SUCCESS) {
+      continue;
+    }
+    std::string_view text;
+    SIMDJSON_TRY(entry.raw_json().get(text));
+    split.elements.emplace_back(text);
+  }
+  return split;
+}
+
+/// Removes bytes that are not UTF-8.
+std::string
+ValidUtf8(const std::string& aText)
+{
+  return boost::locale::conv::utf_to_utf<char>(aText);
+}
+
+} // namespace
+
+result<split_json>
+SplitJsonArray(const std::string& aText, const std::string& aField)
+{
+  simdjson_result<split_json> split = TakeOutElements(aText, aField);
+  if (split.error() == UTF8_ERROR) {
+    split = TakeOutElements(ValidUtf8(aText), aField);
+  }
+  if (split.error() != SUCCESS) {
+    return Fail(error_kind::invalid_argument,
+                "no list '" + aField + "': " + error_message(split.error()));
+  }
+  return std::move(split).value_unsafe();
+}
+
+} // namespace eelgrasstrack
--- a/src/mesh/canary-driver.cc
+++ b/src/mesh/canary-driver.cc
@@ -1,8 +1,10 @@
 #include "mesh/canary-driver.h"
 
 #include <algorithm>
+#include <limits>
 #include <nlohmann/json.hpp>
 
+#include "base/json-decode.h"
 #include "base/log.h"
 #include "mesh/order-id-json.h"
 #include "mesh/role-assignment.h"
@@ -65,6 +67,13 @@
   return all;
 }
 
+std::uint32_t
+CountIn(const json& aValue)
+{
+  return static_cast<std::uint32_t>(
+    IntegerIn(aValue, 0, std::numeric_limits<std::uint32_t>::max()));
+}
+
 version_samples
 DecodeSamples(const json& aJson)
 {
@@ -72,8 +81,8 @@
   for (const auto& [version, routes] : aJson.items()) {
     for (const auto& [route, counts] : routes.items()) {
       version_sample& sample = samples[version][route];
-      sample.requests = counts.at(0).get<std::uint32_t>();
-      sample.failed = counts.at(1).get<std::uint32_t>();
+      sample.requests = CountIn(counts.at(0));
+      sample.failed = CountIn(counts.at(1));
       counts.at(2).get_to(sample.time_buckets);
       constexpr std::size_t kUnansweredField = 3;
       if (counts.size() > kUnansweredField) {
@@ -354,20 +363,20 @@
 result<void>
 canary_driver::HandleReport(const std::string& aBody)
 {
-  try {
-    json message = json::parse(aBody);
-    auto open = mOpenOrders.find(message.at("service").get<std::string>());
+  result<json> message = ParseJson(aBody);
+  if (!message) {
+    return tl::unexpected<error>(message.error());
+  }
+  return DecodeJson<void>("canary report", [&]() -> result<void> {
+    auto open = mOpenOrders.find(message->at("service").get<std::string>());
     if (open == mOpenOrders.end() ||
-        open->second.order.order_id != OrderIdOf(message)) {
+        open->second.order.order_id != OrderIdOf(*message)) {
       return {}; // another order, or one not yet known here
     }
-    open->second.reports[message.at("from").get<std::string>()] =
-      DecodeSamples(message.at("samples"));
+    open->second.reports[message->at("from").get<std::string>()] =
+      DecodeSamples(message->at("samples"));
     return {};
-  } catch (const json::exception& problem) {
-    return Fail(error_kind::invalid_argument,
-                std::string("canary report: ") + problem.what());
-  }
+  });
 }
 
 version_samples
--- a/src/mesh/gossip.cc
+++ b/src/mesh/gossip.cc
@@ -1,10 +1,11 @@
 #include "mesh/gossip.h"
 
 #include <algorithm>
+#include <limits>
 #include <nlohmann/json.hpp>
 
+#include "base/json-decode.h"
 #include "base/log.h"
-#include "mesh/order-id-json.h"
 #include "wire/status.h"
 
 namespace eelgrasstrack {
@@ -31,13 +32,20 @@
 /// domain.
 constexpr unsigned kCrossDomainCompareOneIn = 3;
 
-json
-EncodeDeparture(const std::string& aHost,
-                const instance_incarnation& aDeparture)
+/// Version of the configuration that the sender of a message holds, or 0.
+std::uint64_t
+ConfigVersionIn(const json& aMessage)
+{
+  json version = aMessage.value("config", json(0));
+  return static_cast<std::uint64_t>(
+    IntegerIn(version, 0, std::numeric_limits<std::int64_t>::max()));
+}
+
+void
+LogSkipped(const error& aError)
 {
-  return { { "host", aHost },
-           { "id", aDeparture.id },
-           { "born", aDeparture.started_unix_ms } };
+  LogEvent(
+    log_level::warning, "peer_entry_skipped", { { "reason", aError.message } });
 }
 
 } // namespace
@@ -152,43 +160,6 @@
   }
 }
 
-json
-gossip::EncodeCanary(const canary_rollout& aCanary) const
-{
-  json encoded = {
-    { "service", aCanary.service },
-    { "to", aCanary.target_version },
-    { "phase", NameOf(aCanary.phase) },
-    { "share", aCanary.share },
-    { "over_ms", Milliseconds(aCanary.time_limit) },
-    // An age rather than a time, since clocks differ between hosts.
-    { "age_ms", Milliseconds(mLoop.Now() - aCanary.started_at) }
-  };
-  AddOrderId(encoded, aCanary.order_id);
-  return encoded;
-}
-
-result<canary_rollout>
-gossip::DecodeCanary(const json& aJson) const
-{
-  std::optional<canary_phase> phase =
-    CanaryPhaseFromName(aJson.at("phase").get<std::string>());
-  if (!phase) {
-    return Fail(error_kind::invalid_argument, "canary rollout: unknown phase");
-  }
-  canary_rollout canary;
-  canary.service = aJson.at("service").get<std::string>();
-  canary.target_version = aJson.at("to").get<std::string>();
-  canary.order_id = OrderIdOf(aJson);
-  canary.phase = *phase;
-  canary.share = aJson.at("share").get<double>();
-  canary.time_limit =
-    std::chrono::milliseconds(aJson.at("over_ms").get<std::int64_t>());
-  canary.started_at = mLoop.Now() - std::chrono::milliseconds(
-                                      aJson.at("age_ms").get<std::int64_t>());
-  return canary;
-}
-
 json
 gossip::MessageHeader() const
 {
@@ -232,7 +203,7 @@
 gossip::SpreadCanary(const canary_rollout& aCanary)
 {
   json message = MessageHeader();
-  message["moves"] = json::array({ EncodeCanary(aCanary) });
+  message["moves"] = json::array({ EncodeCanary(aCanary, mLoop.Now()) });
   Broadcast(message);
 }
 
@@ -251,7 +222,7 @@
   (void)mDirectory.RecordLeaving(mDirectory.Self(), aDeparture, mLoop.Now());
   json message = MessageHeader();
   message["departures"] =
-    json::array({ EncodeDeparture(mDirectory.Self(), aDeparture) });
+    json::array({ EncodeDeparture({ mDirectory.Self(), aDeparture }) });
   Broadcast(message, aRecorded);
 }
 
@@ -262,7 +233,7 @@
   for (const std::string& host : aHosts) {
     if (std::optional<instance_incarnation> departure =
           mDirectory.DepartureOf(host)) {
-      aMessage["departures"].push_back(EncodeDeparture(host, *departure));
+      aMessage["departures"].push_back(EncodeDeparture({ host, *departure }));
     }
   }
 }
@@ -272,14 +243,17 @@
 {
   std::vector<std::string> updates;
   for (const json& entry : aMessage.value("departures", json::array())) {
-    auto host = entry.at("host").get<std::string>();
-    instance_incarnation departure{ entry.at("id").get<std::string>(),
-                                    entry.at("born").get<std::int64_t>() };
-    if (mDirectory.RecordLeaving(host, departure, mLoop.Now())) {
+    result<host_departure> departure = DecodeDeparture(entry);
+    if (!departure) {
+      LogSkipped(departure.error());
+      continue;
+    }
+    const auto& [host, instance] = *departure;
+    if (mDirectory.RecordLeaving(host, instance, mLoop.Now())) {
       updates.push_back(host);
     }
     if (host == mDirectory.Self()) {
-      mDelegate.OnInstanceLeft(departure);
+      mDelegate.OnInstanceLeft(instance);
     }
   }
   return updates;
@@ -290,11 +264,7 @@
 {
   json encoded = json::array();
   for (const crash_record& record : aRecords) {
-    // An age rather than a time, since clocks differ between hosts.
-    encoded.push_back({ record.fingerprint,
-                        record.count.epoch,
-                        record.count.crashes,
-                        Milliseconds(mLoop.Now() - record.changed) });
+    encoded.push_back(EncodeCrash(record, mLoop.Now()));
   }
   return encoded;
 }
@@ -304,14 +274,11 @@
 {
   std::vector<crash_record> updates;
   for (const json& entry : aMessage.value("crashes", json::array())) {
-    crash_record record;
-    record.fingerprint = entry.at(0).get<request_fingerprint>();
-    record.count.epoch = entry.at(1).get<std::uint32_t>();
-    record.count.crashes = entry.at(2).get<std::uint32_t>();
-    record.changed =
-      mLoop.Now() - std::chrono::milliseconds(entry.at(3).get<std::int64_t>());
-    if (mCrashes.Merge(record, mLoop.Now())) {
-      updates.push_back(record);
+    result<crash_record> record = DecodeCrash(entry, mLoop.Now());
+    if (!record) {
+      LogSkipped(record.error());
+    } else if (mCrashes.Merge(*record, mLoop.Now())) {
+      updates.push_back(*record);
     }
   }
   return updates;
@@ -326,7 +293,7 @@
     message["hosts"] = json::array({ EncodeHostRecord(self->record) });
   }
   for (const auto& [service, canary] : mVersions.Canaries()) {
-    message["moves"].push_back(EncodeCanary(canary));
+    message["moves"].push_back(EncodeCanary(canary, mLoop.Now()));
   }
   if (aWithDigest) {
     json known = json::object();
@@ -484,24 +451,22 @@
 result<std::string>
 gossip::HandleMessage(const std::string& aBody)
 {
-  try {
-    return ProcessMessage(aBody);
-  } catch (const json::exception& problem) {
-    return Fail(error_kind::invalid_argument,
-                std::string("gossip message: ") + problem.what());
+  result<json> message = ParseJson(aBody);
+  if (!message) {
+    return tl::unexpected<error>(message.error());
   }
+  return DecodeJson<std::string>("gossip message",
+                                 [&] { return ProcessMessage(*message); });
 }
 
 std::vector<host_record>
-gossip::MergeHosts(const json& aMessage, const std::string& aFrom)
+gossip::MergeHosts(const json& aMessage)
 {
   std::vector<host_record> updates;
   for (const json& entry : aMessage.value("hosts", json::array())) {
     result<host_record> record = DecodeHostRecord(entry);
     if (!record) {
-      LogEvent(log_level::warning,
-               "peer_record_skipped",
-               { { "from", aFrom }, { "reason", record.error().message } });
+      LogSkipped(record.error());
       continue;
     }
     // This node's own record is always newer than the copies on other nodes.
@@ -526,11 +491,9 @@
 {
   std::vector<canary_rollout> updates;
   for (const json& entry : aMessage.value("moves", json::array())) {
-    result<canary_rollout> canary = DecodeCanary(entry);
+    result<canary_rollout> canary = DecodeCanary(entry, mLoop.Now());
     if (!canary) {
-      LogEvent(log_level::warning,
-               "peer_move_skipped",
-               { { "reason", canary.error().message } });
+      LogSkipped(canary.error());
       continue;
     }
     if (IsNewerCanary(*canary)) {
@@ -544,37 +507,36 @@
 }
 
 std::string
-gossip::ProcessMessage(const std::string& aBody)
+gossip::ProcessMessage(const json& aMessage)
 {
-  json message = json::parse(aBody);
-  auto from = message.at("from").get<std::string>();
+  auto from = aMessage.at("from").get<std::string>();
   bool changed = mDirectory.MarkReachable(from);
   bool wasRemoved = mDirectory.WasRemoved(from);
-  std::vector<host_record> hosts = MergeHosts(message, from);
-  std::vector<canary_rollout> canaries = MergeCanaries(message);
+  std::vector<host_record> hosts = MergeHosts(aMessage);
+  std::vector<canary_rollout> canaries = MergeCanaries(aMessage);
   if (changed) {
     CompareUnlessRecent(from); // it may have missed updates while unreachable
   }
   if (changed || !hosts.empty()) {
     mDelegate.OnHostsChanged();
   }
-  std::vector<crash_record> crashes = MergeCrashes(message);
-  std::vector<std::string> departures = MergeDepartures(message);
+  std::vector<crash_record> crashes = MergeCrashes(aMessage);
+  std::vector<std::string> departures = MergeDepartures(aMessage);
   ForwardNews(hosts, canaries, crashes, departures, from);
-  if (message.value("watcher", false)) {
+  if (aMessage.value("watcher", false)) {
     mLastWatcherMessage = mLoop.Now();
   }
-  auto config = message.value("config", std::uint64_t{ 0 });
+  std::uint64_t config = ConfigVersionIn(aMessage);
   mLatestPeerConfig = std::max(mLatestPeerConfig.value_or(0), config);
   const known_host* sender = mDirectory.Find(from);
   if (config > mDelegate.ConfigVersion() && sender != nullptr) {
     mDelegate.OnNewerConfig(sender->record, config);
   }
-  if (message.value("dropped", false)) {
+  if (aMessage.value("dropped", false)) {
     mDelegate.OnRemovedByOthers();
   }
-  if (message.contains("known")) {
-    return AnswerToDigest(message, wasRemoved);
+  if (aMessage.contains("known")) {
+    return AnswerToDigest(aMessage, wasRemoved);
   }
   if (!mDirectory.ForgottenDeparture(from)) {
     return "";
@@ -600,7 +562,7 @@
     updates["hosts"].push_back(EncodeHostRecord(record));
   }
   for (const canary_rollout& canary : aCanaries) {
-    updates["moves"].push_back(EncodeCanary(canary));
+    updates["moves"].push_back(EncodeCanary(canary, mLoop.Now()));
   }
   if (!aCrashes.empty()) {
     updates["crashes"] = EncodeCrashes(aCrashes);
@@ -632,7 +594,7 @@
     answer["hosts"].push_back(EncodeHostRecord(host.record));
   }
   for (const auto& [service, canary] : mVersions.Canaries()) {
-    answer["moves"].push_back(EncodeCanary(canary));
+    answer["moves"].push_back(EncodeCanary(canary, mLoop.Now()));
   }
   std::uint64_t crashes = mCrashes.Digest();
   if (aMessage.value("known_crashes", crashes) != crashes) {
--- a/src/mesh/gossip.h
+++ b/src/mesh/gossip.h
@@ -6,6 +6,7 @@
 #include <random>
 #include <set>
 
+#include "mesh/gossip-codec.h"
 #include "mesh/host-directory.h"
 #include "proxy/crash-table.h"
 #include "proxy/proxy-counters.h"
@@ -133,8 +134,7 @@
   std::vector<std::string> OtherDomainTargets(std::size_t aPerDomain);
   bool IsInOwnDomain(const std::string& aName) const;
   bool IsNewerCanary(const canary_rollout& aCanary) const;
-  std::vector<host_record> MergeHosts(const nlohmann::json& aMessage,
-                                      const std::string& aFrom);
+  std::vector<host_record> MergeHosts(const nlohmann::json& aMessage);
   /// Passes the rollout states that are newer than the known ones to the
   /// delegate and returns them.
   std::vector<canary_rollout> MergeCanaries(const nlohmann::json& aMessage);
@@ -162,12 +162,10 @@
   std::string EncodeMessage(bool aWithDigest) const;
   /// Merges a message. Returns what the sender lacks: by its digest, if the
   /// message has one, and that its instance has left; otherwise an empty text.
-  std::string ProcessMessage(const std::string& aBody);
+  std::string ProcessMessage(const nlohmann::json& aMessage);
   void CompareWithRandomHost();
   /// Compares the full state with a random one of these hosts, if there is one.
   void CompareWithOneOf(const std::vector<std::string>& aNames);
-  nlohmann::json EncodeCanary(const canary_rollout& aCanary) const;
-  result<canary_rollout> DecodeCanary(const nlohmann::json& aJson) const;
   void ProbeUnreachable();
 
   loop& mLoop;
--- a/src/mesh/host-record.cc
+++ b/src/mesh/host-record.cc
@@ -1,8 +1,11 @@
 #include "mesh/host-record.h"
 
+#include <limits>
 #include <nlohmann/json.hpp>
+#include <stdexcept>
 #include <tuple>
 
+#include "base/json-decode.h"
 #include "base/name-table.h"
 
 namespace eelgrasstrack {
@@ -29,7 +32,7 @@
            { "cold_ms", Milliseconds(aInstance.warmup_left) } };
 }
 
-result<instance_record>
+instance_record
 DecodeInstance(const nlohmann::json& aJson)
 {
   instance_record instance;
@@ -37,19 +40,30 @@
   instance.service = aJson.at("service").get<std::string>();
   instance.version = aJson.at("version").get<std::string>();
   instance.address = ParseEndpoint(aJson.at("address").get<std::string>());
-  instance.slots = aJson.at("slots").get<unsigned>();
-  instance.started_unix_ms = aJson.at("born").get<std::int64_t>();
-  instance.warmup_left =
-    std::chrono::milliseconds(aJson.at("cold_ms").get<std::int64_t>());
+  instance.slots =
+    static_cast<unsigned>(IntegerIn(aJson.at("slots"), 1, kMaxSlots));
+  instance.started_unix_ms = TimeIn(aJson.at("born"));
+  instance.warmup_left = std::chrono::milliseconds(TimeIn(aJson.at("cold_ms")));
   std::optional<instance_state> state =
     ValueIn(kStateNames, aJson.at("state").get<std::string>());
   if (!state) {
-    return Fail(error_kind::invalid_argument, "instance record: unknown state");
+    throw std::invalid_argument("unknown state of the instance");
+  }
+  if (instance.address.port == 0) {
+    throw std::invalid_argument("address of the instance is not valid");
   }
   instance.state = *state;
   return instance;
 }
 
+quarantined_request
+DecodeQuarantined(const nlohmann::json& aJson)
+{
+  return { aJson.at(0).get<std::uint64_t>(),
+           DecodeCrashCount(aJson.at(1), aJson.at(2)),
+           TimeIn(aJson.at(3)) };
+}
+
 } // namespace
 
 std::string_view
@@ -106,41 +120,39 @@
   return json;
 }
 
+crash_count
+DecodeCrashCount(const nlohmann::json& aEpoch, const nlohmann::json& aCrashes)
+{
+  constexpr std::int64_t kMaxCount = std::numeric_limits<std::uint32_t>::max();
+  return { static_cast<std::uint32_t>(IntegerIn(aEpoch, 0, kMaxCount)),
+           static_cast<std::uint32_t>(IntegerIn(aCrashes, 0, kMaxCount)) };
+}
+
 result<host_record>
 DecodeHostRecord(const nlohmann::json& aJson)
 {
-  try {
+  return DecodeJson<host_record>("host record", [&aJson] {
     host_record record;
     record.name = aJson.at("name").get<std::string>();
     record.domain = aJson.at("domain").get<std::string>();
     record.hop = ParseEndpoint(aJson.at("hop").get<std::string>());
     record.control = ParseEndpoint(aJson.at("control").get<std::string>());
-    record.incarnation = aJson.at("incarnation").get<std::int64_t>();
-    record.sequence = aJson.at("sequence").get<std::uint64_t>();
+    record.incarnation = TimeIn(aJson.at("incarnation"));
+    record.sequence = static_cast<std::uint64_t>(
+      IntegerIn(aJson.at("sequence"), 0, kMaxJsonInteger));
     record.leaving = aJson.at("leaving").get<bool>();
     if (record.hop.port == 0 || record.control.port == 0) {
-      return Fail(error_kind::invalid_argument,
-                  "host record: hop or control address has no port");
+      throw std::invalid_argument("hop or control address is not valid");
     }
     if (aJson.contains("instance")) {
-      result<instance_record> instance = DecodeInstance(aJson.at("instance"));
-      if (!instance) {
-        return tl::unexpected<error>(instance.error());
-      }
-      record.instance = std::move(*instance);
+      record.instance = DecodeInstance(aJson.at("instance"));
     }
     for (const nlohmann::json& entry :
          aJson.value("quarantined", nlohmann::json::array())) {
-      record.quarantined.push_back({ entry.at(0).get<std::uint64_t>(),
-                                     { entry.at(1).get<std::uint32_t>(),
-                                       entry.at(2).get<std::uint32_t>() },
-                                     entry.at(3).get<std::int64_t>() });
+      record.quarantined.push_back(DecodeQuarantined(entry));
     }
     return record;
-  } catch (const nlohmann::json::exception& problem) {
-    return Fail(error_kind::invalid_argument,
-                std::string("host record: ") + problem.what());
-  }
+  });
 }
 
 } // namespace eelgrasstrack
--- a/src/mesh/host-record.h
+++ b/src/mesh/host-record.h
@@ -34,6 +34,9 @@
 bool
 IsLeaving(instance_state aState);
 
+/// Far above what one instance runs at a time.
+constexpr std::int64_t kMaxSlots = 1'000'000;
+
 /// The instance of an upstream on a node's host, as the node knows it.
 struct instance_record
 {
@@ -116,6 +119,10 @@
 bool
 IsNewer(const host_record& aLeft, const host_record& aRight);
 
+/// Decodes the count of a crash record. Throws what `DecodeJson` converts.
+crash_count
+DecodeCrashCount(const nlohmann::json& aEpoch, const nlohmann::json& aCrashes);
+
 /// Encodes a record as a JSON object, for messages between nodes and for the
 /// store.
 nlohmann::json
--- a/src/mesh/mesh-node.cc
+++ b/src/mesh/mesh-node.cc
@@ -433,12 +433,9 @@
 mesh_node::HandleInstanceExit(const exit_notice& aNotice)
 {
   const instance_record& known = mOwnRecord.instance;
-  // Without a start in the notice, it is the known instance that leaves or, at
-  // a node that has just started, any that started before now.
-  std::int64_t started =
-    known.id == aNotice.id ? known.started_unix_ms : mLoop.UnixMilliseconds();
-  instance_incarnation departure{ aNotice.id,
-                                  aNotice.started_unix_ms.value_or(started) };
+  instance_incarnation departure{
+    aNotice.id, aNotice.started_unix_ms.value_or(StartBeforeExit(aNotice.id))
+  };
   RecordDeparture(departure);
   if (known.state != instance_state::gone && HasLeft(departure, known)) {
     LogEvent(log_level::info, "instance_left", { { "instance", aNotice.id } });
@@ -447,6 +444,20 @@
   return departure;
 }
 
+std::int64_t
+mesh_node::StartBeforeExit(const std::string& aId) const
+{
+  const instance_record& known = mOwnRecord.instance;
+  if (known.id == aId) {
+    return known.started_unix_ms;
+  }
+  // Without a known instance, as after a start of the node, any that has
+  // started by now; otherwise a predecessor of the known one.
+  return known.id.empty()
+           ? mLoop.UnixMilliseconds()
+           : std::max<std::int64_t>(known.started_unix_ms - 1, 0);
+}
+
 void
 mesh_node::ConfirmDeparture(const instance_incarnation& aDeparture,
                             done_callback aDone)
--- a/src/mesh/mesh-node.h
+++ b/src/mesh/mesh-node.h
@@ -122,6 +122,8 @@
   /// Sends this node's changed record to other nodes with a new sequence
   /// number.
   void SpreadOwnRecord();
+  /// Latest start of the instance that an exit notice without a start means.
+  std::int64_t StartBeforeExit(const std::string& aId) const;
   /// Records in the directory that an instance on this host leaves.
   void RecordDeparture(const instance_incarnation& aDeparture);
   /// Changes the state of the instance on this host and tells the other nodes.
--- a/src/mesh/order-id-json.cc
+++ b/src/mesh/order-id-json.cc
@@ -1,5 +1,7 @@
 #include "mesh/order-id-json.h"
 
+#include "base/json-decode.h"
+
 namespace eelgrasstrack {
 
 namespace {
@@ -7,6 +9,12 @@
 constexpr const char* kNumberField = "order";
 constexpr const char* kEraField = "era";
 
+std::uint64_t
+NumberIn(const nlohmann::json& aValue)
+{
+  return static_cast<std::uint64_t>(IntegerIn(aValue, 0, kMaxJsonInteger));
+}
+
 } // namespace
 
 void
@@ -19,8 +27,8 @@
 store_revision
 OrderIdOf(const nlohmann::json& aJson)
 {
-  return { aJson.value(kEraField, std::uint64_t{ 0 }),
-           aJson.at(kNumberField).get<std::uint64_t>() };
+  const nlohmann::json era = aJson.value(kEraField, nlohmann::json(0));
+  return { NumberIn(era), NumberIn(aJson.at(kNumberField)) };
 }
 
 } // namespace eelgrasstrack
--- a/test/harness/mesh-world.cc
+++ b/test/harness/mesh-world.cc
@@ -314,9 +314,15 @@
   request.fields = { { "X-Route-Host", kHostName },
                      { mNames.request_id, "q-" + std::to_string(++sNextId) },
                      { mNames.timeout_ms, "2000" } };
+  return Call(mHosts[aHost]->settings.caller_listen, std::move(request));
+}
+
+pending_answer
+mesh_world::Call(const endpoint& aAddress, buffered_request aRequest)
+{
   auto answer = std::make_shared<std::optional<result<buffered_response>>>();
-  mCaller.Call(mHosts[aHost]->settings.caller_listen,
-               request,
+  mCaller.Call(aAddress,
+               std::move(aRequest),
                kRequestTimeout,
                [this, answer](result<buffered_response> aAnswer) {
                  *answer = std::move(aAnswer);
@@ -325,6 +331,19 @@
   return answer;
 }
 
+int
+mesh_world::PostToNode(std::size_t aHost,
+                       const std::string& aPath,
+                       const std::string& aBody)
+{
+  buffered_request request;
+  request.method = "POST";
+  request.target = aPath;
+  request.body = aBody;
+  return StatusOf(
+    Call(mHosts[aHost]->settings.control_listen, std::move(request)));
+}
+
 void
 mesh_world::WaitFor(const pending_answer& aAnswer)
 {
--- a/test/harness/mesh-world.h
+++ b/test/harness/mesh-world.h
@@ -119,6 +119,12 @@
                               const std::string& aTarget,
                               const std::string& aBody = "");
 
+  /// Sends a message to the control address of a node and returns the status of
+  /// the answer, 0 if there was none.
+  int PostToNode(std::size_t aHost,
+                 const std::string& aPath,
+                 const std::string& aBody);
+
   /// Waits for an answer and returns its status, 0 if there was none.
   int StatusOf(const pending_answer& aAnswer);
 
@@ -202,6 +208,7 @@
   /// Ends all connections of the instance, and starts it again later.
   void CrashInstance(world_host& aHost);
   void StartNode(world_host& aHost);
+  pending_answer Call(const endpoint& aAddress, buffered_request aRequest);
   void WaitFor(const pending_answer& aAnswer);
 
   loop mLoop;
--- a/test/harness/platform-store.cc
+++ b/test/harness/platform-store.cc
@@ -68,6 +68,7 @@
   aRespond = [this,
               respond = std::move(aRespond)](buffered_response aResponse) {
     aResponse.fields.push_back({ "Store-Era", std::to_string(mEra) });
+    InsertRawTexts(aResponse.body);
     respond(aResponse);
   };
   if (mFault == fault::unavailable || mFault == fault::rate_limited) {
@@ -193,6 +194,24 @@
   RecordChange(aKind, aName);
 }
 
+void
+platform_store::SetRawText(const std::string& aMarker, const std::string& aText)
+{
+  mRawTexts[aMarker] = aText;
+}
+
+void
+platform_store::InsertRawTexts(std::string& aBody) const
+{
+  for (const auto& [marker, text] : mRawTexts) {
+    std::string value = '"' + marker + '"';
+    std::size_t at = aBody.find(value);
+    if (at != std::string::npos) {
+      aBody.replace(at, value.size(), text);
+    }
+  }
+}
+
 void
 platform_store::Restore(const copy& aCopy)
 {
--- a/test/harness/platform-store.h
+++ b/test/harness/platform-store.h
@@ -33,6 +33,10 @@
            const std::string& aName,
            const nlohmann::json& aSpec);
 
+  /// Responses hold `aText` in place of each string value `aMarker`, to serve
+  /// what no JSON value in memory can hold.
+  void SetRawText(const std::string& aMarker, const std::string& aText);
+
   /// The contents at a moment.
   struct copy
   {
@@ -74,6 +78,7 @@
                          respond_callback& aRespond);
   buffered_response Write(const buffered_request& aRequest);
   buffered_response List(const std::string& aKind, const std::string& aAfter);
+  void InsertRawTexts(std::string& aBody) const;
   /// Gives an object the next revision and answers the watches that wait for
   /// it.
   void RecordChange(const std::string& aKind, const std::string& aName);
@@ -89,6 +94,7 @@
   std::uint64_t mOldestWatchRevision = 0;
   std::size_t mPageSize = 500;
   unsigned mCalls = 0;
+  std::map<std::string, std::string> mRawTexts;
   fault mFault = fault::none;
 };
 
