Accept negative ages in messages between nodes

Found in the last read of the change: with clocks that differ, a rollout can have begun after now on the clock of the node that sends it, so its age is negative. Ages have a signed range now; a test guards it.

--- a/src/mesh/gossip-codec.cc
+++ b/src/mesh/gossip-codec.cc
@@ -11,10 +11,12 @@
 
 using nlohmann::json;
 
+/// An age is negative if the sender has learned of an event with a clock that
+/// is behind the one that dated it.
 duration
-DecodeMilliseconds(const json& aValue)
+DecodeAge(const json& aValue)
 {
-  return std::chrono::milliseconds(TimeIn(aValue));
+  return std::chrono::milliseconds(IntegerIn(aValue, -kMaxTimeMs, kMaxTimeMs));
 }
 
 } // namespace
@@ -49,8 +51,9 @@
       canary.order_id = OrderIdOf(aJson);
       canary.phase = *phase;
       canary.share = aJson.at("share").get<double>();
-      canary.time_limit = DecodeMilliseconds(aJson.at("over_ms"));
-      canary.started_at = aNow - DecodeMilliseconds(aJson.at("age_ms"));
+      canary.time_limit =
+        std::chrono::milliseconds(TimeIn(aJson.at("over_ms")));
+      canary.started_at = aNow - DecodeAge(aJson.at("age_ms"));
       return canary;
     });
 }
@@ -71,7 +74,7 @@
     crash_record record;
     record.fingerprint = aJson.at(0).get<request_fingerprint>();
     record.count = DecodeCrashCount(aJson.at(1), aJson.at(2));
-    record.changed = aNow - DecodeMilliseconds(aJson.at(3));
+    record.changed = aNow - DecodeAge(aJson.at(3));
     return record;
   });
 }
--- a/test/unit/odd-entry-test.cc
+++ b/test/unit/odd-entry-test.cc
@@ -377,3 +377,21 @@
   CHECK(dump.at("moves").empty());
   CHECK(dump.at("crashing_requests").empty());
 }
+
+// Guards against a rollout that nodes don't learn of while clocks differ.
+TEST_CASE_METHOD(odd_message_fixture,
+                 "message of a node, rollout with a negative age, is learned",
+                 "[odd-entry]")
+{
+  json message = { { "from", "node-1" },
+                   { "moves",
+                     { { { "service", "orders" },
+                         { "to", "v2" },
+                         { "phase", "trial" },
+                         { "share", 0.1 },
+                         { "over_ms", 12000 },
+                         { "age_ms", -2000 },
+                         { "order", 7 } } } } };
+  CHECK(Post("/v1/gossip", message.dump()) == 200);
+  CHECK(json::parse(world.Node(front).Dump()).at("moves").size() == 1);
+}
