Decode JSON texts and their lists by one set of functions

Found in reading the change again; behaviour stays.

- Four conversions to an unsigned integer with a range differed in name only: `UnsignedIn`.
Their bounds are the same as before.
- Slots were checked in two places, printable names in two variants.

--- a/src/base/json-decode.h
+++ b/src/base/json-decode.h
@@ -2,6 +2,7 @@
 #define EELGRASSTRACK_BASE_JSON_DECODE_H_
 
 #include <exception>
+#include <limits>
 #include <nlohmann/json.hpp>
 #include <stdexcept>
 #include <string>
@@ -30,6 +31,18 @@
 std::int64_t
 IntegerIn(const nlohmann::json& aValue, std::int64_t aLow, std::int64_t aHigh);
 
+/// An unsigned integer up to `aHigh`, by default the largest of its type or,
+/// for 64 bits, the largest signed one. Throws `std::out_of_range`.
+template<typename Unsigned>
+Unsigned
+UnsignedIn(const nlohmann::json& aValue,
+           std::int64_t aHigh = sizeof(Unsigned) < sizeof(std::int64_t)
+                                  ? std::numeric_limits<Unsigned>::max()
+                                  : std::numeric_limits<std::int64_t>::max())
+{
+  return static_cast<Unsigned>(IntegerIn(aValue, 0, aHigh));
+}
+
 /// A span or time in milliseconds. Throws `std::out_of_range`.
 std::int64_t
 TimeIn(const nlohmann::json& aValue);
@@ -49,6 +62,18 @@
   }
 }
 
+/// Parses text as JSON and calls `aRead` with it, as above.
+template<typename T, typename Read>
+result<T>
+DecodeJsonText(const char* aSubject, std::string_view aText, Read aRead)
+{
+  result<nlohmann::json> document = ParseJson(aText);
+  if (!document) {
+    return tl::unexpected<error>(document.error());
+  }
+  return DecodeJson<T>(aSubject, [&] { return aRead(*document); });
+}
+
 } // namespace eelgrasstrack
 
 #endif // EELGRASSTRACK_BASE_JSON_DECODE_H_
--- a/src/base/json-splitter.cc
+++ b/src/base/json-splitter.cc
@@ -3,16 +3,22 @@
 #include <boost/locale/encoding_utf.hpp>
 #include <simdjson.h>
 
+#include "base/json-decode.h"
+
 namespace eelgrasstrack {
 
 namespace {
 
 using namespace simdjson;
+using nlohmann::json;
 
-/// Copies the object without the elements of its array. Numbers and escapes in
-/// them are not decoded, and nesting has no limit.
-simdjson_result<split_json>
-TakeOutElements(const std::string& aText, const std::string& aField)
+/// Returns the object with an empty array and adds the array's elements to
+/// `aElements`. Numbers and escapes in them are not decoded, and nesting has no
+/// limit.
+simdjson_result<std::string>
+TakeOutElements(const std::string& aText,
+                const std::string& aField,
+                std::vector<std::string>& aElements)
 {
   ondemand::parser parser;
   padded_string padded(aText);
@@ -25,9 +31,6 @@
   std::string_view arrayText;
   SIMDJSON_TRY(array.raw_json().get(arrayText));
   auto begin = static_cast<std::size_t>(arrayText.data() - padded.data());
-  split_json split;
-  split.rest =
-    aText.substr(0, begin) + "[]" + aText.substr(begin + arrayText.size());
   bool isEmpty = false;
   SIMDJSON_TRY(array.reset().get(isEmpty));
   for (simdjson_result<ondemand::value> item : array) {
@@ -39,9 +42,9 @@
     }
     std::string_view text;
     SIMDJSON_TRY(entry.raw_json().get(text));
-    split.elements.emplace_back(text);
+    aElements.emplace_back(text);
   }
-  return split;
+  return aText.substr(0, begin) + "[]" + aText.substr(begin + arrayText.size());
 }
 
 simdjson_result<std::string>
@@ -74,15 +77,18 @@
 result<split_json>
 SplitJsonArray(const std::string& aText, const std::string& aField)
 {
-  simdjson_result<split_json> split = TakeOutElements(aText, aField);
-  if (split.error() == UTF8_ERROR) {
-    split = TakeOutElements(ValidUtf8(aText), aField);
+  std::vector<std::string> elements;
+  simdjson_result<std::string> rest = TakeOutElements(aText, aField, elements);
+  if (rest.error() == UTF8_ERROR) {
+    rest = TakeOutElements(ValidUtf8(aText), aField, elements);
   }
-  if (split.error() != SUCCESS) {
+  if (rest.error() != SUCCESS) {
     return Fail(error_kind::invalid_argument,
-                "no list '" + aField + "': " + error_message(split.error()));
+                "no list '" + aField + "': " + error_message(rest.error()));
   }
-  return std::move(split).value_unsafe();
+  return ParseJson(rest.value_unsafe()).map([&elements](json&& aRest) {
+    return split_json{ std::move(aRest), std::move(elements) };
+  });
 }
 
 result<std::string>
--- a/src/base/json-splitter.h
+++ b/src/base/json-splitter.h
@@ -2,6 +2,7 @@
 #define EELGRASSTRACK_BASE_JSON_SPLITTER_H_
 
 #include <initializer_list>
+#include <nlohmann/json.hpp>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -14,7 +15,7 @@
 struct split_json
 {
   /// The object with an empty array.
-  std::string rest;
+  nlohmann::json rest;
   /// The texts of the array's elements that are objects.
   std::vector<std::string> elements;
 };
--- a/src/mesh/canary-driver.cc
+++ b/src/mesh/canary-driver.cc
@@ -1,7 +1,6 @@
 #include "mesh/canary-driver.h"
 
 #include <algorithm>
-#include <limits>
 #include <nlohmann/json.hpp>
 
 #include "base/json-decode.h"
@@ -67,13 +66,6 @@
   return all;
 }
 
-std::uint32_t
-CountIn(const json& aValue)
-{
-  return static_cast<std::uint32_t>(
-    IntegerIn(aValue, 0, std::numeric_limits<std::uint32_t>::max()));
-}
-
 version_samples
 DecodeSamples(const json& aJson)
 {
@@ -81,8 +73,8 @@
   for (const auto& [version, routes] : aJson.items()) {
     for (const auto& [route, counts] : routes.items()) {
       version_sample& sample = samples[version][route];
-      sample.requests = CountIn(counts.at(0));
-      sample.failed = CountIn(counts.at(1));
+      sample.requests = UnsignedIn<std::uint32_t>(counts.at(0));
+      sample.failed = UnsignedIn<std::uint32_t>(counts.at(1));
       counts.at(2).get_to(sample.time_buckets);
       constexpr std::size_t kUnansweredField = 3;
       if (counts.size() > kUnansweredField) {
@@ -363,20 +355,17 @@
 result<void>
 canary_driver::HandleReport(const std::string& aBody)
 {
-  result<json> message = ParseJson(aBody);
-  if (!message) {
-    return tl::unexpected<error>(message.error());
-  }
-  return DecodeJson<void>("canary report", [&]() -> result<void> {
-    auto open = mOpenOrders.find(message->at("service").get<std::string>());
-    if (open == mOpenOrders.end() ||
-        open->second.order.order_id != OrderIdOf(*message)) {
-      return {}; // another order, or one not yet known here
-    }
-    open->second.reports[message->at("from").get<std::string>()] =
-      DecodeSamples(message->at("samples"));
-    return {};
-  });
+  return DecodeJsonText<void>(
+    "canary report", aBody, [this](const json& aMessage) -> result<void> {
+      auto open = mOpenOrders.find(aMessage.at("service").get<std::string>());
+      if (open == mOpenOrders.end() ||
+          open->second.order.order_id != OrderIdOf(aMessage)) {
+        return {}; // another order, or one not yet known here
+      }
+      open->second.reports[aMessage.at("from").get<std::string>()] =
+        DecodeSamples(aMessage.at("samples"));
+      return {};
+    });
 }
 
 version_samples
--- a/src/mesh/gossip.cc
+++ b/src/mesh/gossip.cc
@@ -1,7 +1,6 @@
 #include "mesh/gossip.h"
 
 #include <algorithm>
-#include <limits>
 #include <nlohmann/json.hpp>
 
 #include "base/json-decode.h"
@@ -32,15 +31,6 @@
 /// domain.
 constexpr unsigned kCrossDomainCompareOneIn = 3;
 
-/// Version of the configuration that the sender of a message holds, or 0.
-std::uint64_t
-ConfigVersionIn(const json& aMessage)
-{
-  json version = aMessage.value("config", json(0));
-  return static_cast<std::uint64_t>(
-    IntegerIn(version, 0, std::numeric_limits<std::int64_t>::max()));
-}
-
 void
 LogSkipped(const error& aError)
 {
@@ -451,12 +441,10 @@
 result<std::string>
 gossip::HandleMessage(const std::string& aBody)
 {
-  result<json> message = ParseJson(aBody);
-  if (!message) {
-    return tl::unexpected<error>(message.error());
-  }
-  return DecodeJson<std::string>("gossip message",
-                                 [&] { return ProcessMessage(*message); });
+  return DecodeJsonText<std::string>(
+    "gossip message", aBody, [this](const json& aMessage) {
+      return ProcessMessage(aMessage);
+    });
 }
 
 std::vector<host_record>
@@ -526,7 +514,8 @@
   if (aMessage.value("watcher", false)) {
     mLastWatcherMessage = mLoop.Now();
   }
-  std::uint64_t config = ConfigVersionIn(aMessage);
+  std::uint64_t config =
+    UnsignedIn<std::uint64_t>(aMessage.value("config", json(0)));
   mLatestPeerConfig = std::max(mLatestPeerConfig.value_or(0), config);
   const known_host* sender = mDirectory.Find(from);
   if (config > mDelegate.ConfigVersion() && sender != nullptr) {
--- a/src/mesh/host-record.cc
+++ b/src/mesh/host-record.cc
@@ -1,7 +1,6 @@
 #include "mesh/host-record.h"
 
 #include <algorithm>
-#include <limits>
 #include <nlohmann/json.hpp>
 #include <stdexcept>
 #include <tuple>
@@ -38,11 +37,8 @@
 IsPathSegment(const std::string& aName)
 {
   constexpr std::string_view kReserved = "/?#%\"\\<>^`{|}";
-  return !aName.empty() &&
-         std::all_of(aName.begin(), aName.end(), [&](char aCharacter) {
-           return aCharacter > ' ' && aCharacter < 0x7F &&
-                  kReserved.find(aCharacter) == std::string_view::npos;
-         });
+  return IsPrintable(aName) &&
+         aName.find_first_of(kReserved) == std::string::npos;
 }
 
 instance_record
@@ -53,8 +49,7 @@
   instance.service = aJson.at("service").get<std::string>();
   instance.version = aJson.at("version").get<std::string>();
   instance.address = ParseEndpoint(aJson.at("address").get<std::string>());
-  instance.slots =
-    static_cast<unsigned>(IntegerIn(aJson.at("slots"), 1, kMaxSlots));
+  instance.slots = DecodeSlots(aJson.at("slots"));
   instance.started_unix_ms = TimeIn(aJson.at("born"));
   instance.warmup_left = std::chrono::milliseconds(TimeIn(aJson.at("cold_ms")));
   std::optional<instance_state> state =
@@ -133,12 +128,27 @@
   return json;
 }
 
+bool
+IsPrintable(std::string_view aName)
+{
+  return !aName.empty() &&
+         std::all_of(aName.begin(), aName.end(), [](char aCharacter) {
+           return aCharacter > ' ' && aCharacter < 0x7F;
+         });
+}
+
+unsigned
+DecodeSlots(const nlohmann::json& aValue)
+{
+  constexpr std::int64_t kMaxSlots = 1'000'000;
+  return static_cast<unsigned>(IntegerIn(aValue, 1, kMaxSlots));
+}
+
 crash_count
 DecodeCrashCount(const nlohmann::json& aEpoch, const nlohmann::json& aCrashes)
 {
-  constexpr std::int64_t kMaxCount = std::numeric_limits<std::uint32_t>::max();
-  return { static_cast<std::uint32_t>(IntegerIn(aEpoch, 0, kMaxCount)),
-           static_cast<std::uint32_t>(IntegerIn(aCrashes, 0, kMaxCount)) };
+  return { UnsignedIn<std::uint32_t>(aEpoch),
+           UnsignedIn<std::uint32_t>(aCrashes) };
 }
 
 result<host_record>
@@ -154,8 +164,8 @@
     record.hop = ParseEndpoint(aJson.at("hop").get<std::string>());
     record.control = ParseEndpoint(aJson.at("control").get<std::string>());
     record.incarnation = TimeIn(aJson.at("incarnation"));
-    record.sequence = static_cast<std::uint64_t>(
-      IntegerIn(aJson.at("sequence"), 0, kMaxJsonInteger));
+    record.sequence =
+      UnsignedIn<std::uint64_t>(aJson.at("sequence"), kMaxJsonInteger);
     record.leaving = aJson.at("leaving").get<bool>();
     if (record.hop.port == 0 || record.control.port == 0) {
       throw std::invalid_argument("hop or control address is not valid");
--- a/src/mesh/host-record.h
+++ b/src/mesh/host-record.h
@@ -4,6 +4,7 @@
 #include <nlohmann/json_fwd.hpp>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "base/clock.h"
 #include "base/error.h"
@@ -34,9 +35,6 @@
 bool
 IsLeaving(instance_state aState);
 
-/// Far above what one instance runs at a time.
-constexpr std::int64_t kMaxSlots = 1'000'000;
-
 /// The instance of an upstream on a node's host, as the node knows it.
 struct instance_record
 {
@@ -119,6 +117,15 @@
 bool
 IsNewer(const host_record& aLeft, const host_record& aRight);
 
+/// Whether a name is printable ASCII without spaces. Names are sent on in
+/// messages and header fields.
+bool
+IsPrintable(std::string_view aName);
+
+/// Decodes the slots of an instance. Throws what `DecodeJson` converts.
+unsigned
+DecodeSlots(const nlohmann::json& aValue);
+
 /// Decodes the count of a crash record. Throws what `DecodeJson` converts.
 crash_count
 DecodeCrashCount(const nlohmann::json& aEpoch, const nlohmann::json& aCrashes);
--- a/src/mesh/order-id-json.cc
+++ b/src/mesh/order-id-json.cc
@@ -9,12 +9,6 @@
 constexpr const char* kNumberField = "order";
 constexpr const char* kEraField = "era";
 
-std::uint64_t
-NumberIn(const nlohmann::json& aValue)
-{
-  return static_cast<std::uint64_t>(IntegerIn(aValue, 0, kMaxJsonInteger));
-}
-
 } // namespace
 
 void
@@ -28,7 +22,8 @@
 OrderIdOf(const nlohmann::json& aJson)
 {
   const nlohmann::json era = aJson.value(kEraField, nlohmann::json(0));
-  return { NumberIn(era), NumberIn(aJson.at(kNumberField)) };
+  return { UnsignedIn<std::uint64_t>(era, kMaxJsonInteger),
+           UnsignedIn<std::uint64_t>(aJson.at(kNumberField), kMaxJsonInteger) };
 }
 
 } // namespace eelgrasstrack
