Name the acknowledgement of departures as the field does, pass them as values

The directory returned names of hosts, and the gossip looked each departure up again by its name; now departures themselves are passed, and one lookup is gone. A departure was recorded at its own node twice: the node does it when it hears of it, so SpreadDeparture only sends. "Forgotten" departures are called unreported, which says what the host's record lacks. Casts of a result that may be ignored are gone.

--- a/src/mesh/departure-confirmer.cc
+++ b/src/mesh/departure-acknowledger.cc
@@ -1,4 +1,4 @@
-#include "mesh/departure-confirmer.h"
+#include "mesh/departure-acknowledger.h"
 
 #include <algorithm>
 
@@ -11,21 +11,22 @@
 /// Time for the store to write the entry before other nodes are asked as well.
 constexpr duration kStoreWriteTime = std::chrono::milliseconds(300);
 /// An instance that has no answer after a second asks elsewhere.
-constexpr duration kConfirmTimeout = std::chrono::milliseconds(900);
-/// Nodes that stand in for the store, as one of them may be killed as well.
-constexpr std::size_t kMinOtherNodes = 2;
+constexpr duration kRecordTimeout = std::chrono::milliseconds(900);
+/// Nodes that must record a departure in place of the store, as one of them may
+/// be killed as well.
+constexpr std::size_t kRequiredNodes = 2;
 
 } // namespace
 
-departure_confirmer::departure_confirmer(loop& aLoop, gossip& aGossip)
+departure_acknowledger::departure_acknowledger(loop& aLoop, gossip& aGossip)
   : mLoop(aLoop)
   , mGossip(aGossip)
 {
 }
 
 void
-departure_confirmer::Await(const instance_incarnation& aDeparture,
-                           done_callback aDone)
+departure_acknowledger::Await(const instance_incarnation& aDeparture,
+                              done_callback aDone)
 {
   pending_ptr pending = Find(aDeparture);
   if (!pending) {
@@ -34,8 +35,8 @@
   pending->waiting.push_back(std::move(aDone));
 }
 
-departure_confirmer::pending_ptr
-departure_confirmer::Find(const instance_incarnation& aDeparture) const
+departure_acknowledger::pending_ptr
+departure_acknowledger::Find(const instance_incarnation& aDeparture) const
 {
   auto found = std::find_if(mPending.begin(),
                             mPending.end(),
@@ -45,14 +46,14 @@
   return found == mPending.end() ? nullptr : *found;
 }
 
-departure_confirmer::pending_ptr
-departure_confirmer::Begin(const instance_incarnation& aDeparture)
+departure_acknowledger::pending_ptr
+departure_acknowledger::Begin(const instance_incarnation& aDeparture)
 {
   auto pending = std::make_shared<pending_departure>();
   pending->departure = aDeparture;
   mPending.push_back(pending);
   mLoop.RunAfter(kStoreWriteTime, [this, pending] { AskOthers(pending); });
-  mLoop.RunAfter(kConfirmTimeout, [this, pending] {
+  mLoop.RunAfter(kRecordTimeout, [this, pending] {
     Finish(pending,
            Fail(error_kind::not_ready,
                 "departure: neither the store nor other nodes have recorded "
@@ -62,7 +63,7 @@
 }
 
 void
-departure_confirmer::HandleEntryWritten(const host_record& aEntry)
+departure_acknowledger::HandleEntryWritten(const host_record& aEntry)
 {
   for (const pending_ptr& pending : std::vector<pending_ptr>(mPending)) {
     if (!NamesAsReady(aEntry, pending->departure)) {
@@ -72,7 +73,7 @@
 }
 
 void
-departure_confirmer::HandleWriteFailed()
+departure_acknowledger::HandleWriteFailed()
 {
   for (const pending_ptr& pending : std::vector<pending_ptr>(mPending)) {
     AskOthers(pending);
@@ -80,7 +81,7 @@
 }
 
 void
-departure_confirmer::AskOthers(const pending_ptr& aPending)
+departure_acknowledger::AskOthers(const pending_ptr& aPending)
 {
   if (aPending->waiting.empty() || aPending->others_asked) {
     return;
@@ -93,26 +94,26 @@
 }
 
 void
-departure_confirmer::HandleRecorded(const pending_ptr& aPending,
-                                    const std::string& aHost)
+departure_acknowledger::HandleRecorded(const pending_ptr& aPending,
+                                       const std::string& aHost)
 {
   aPending->recorded_by.insert(aHost);
   std::size_t wanted =
-    std::min(kMinOtherNodes, mGossip.ReachableHosts().size());
+    std::min(kRequiredNodes, mGossip.ReachableHosts().size());
   if (aPending->recorded_by.size() >= wanted) {
     Finish(aPending, {});
   }
 }
 
 void
-departure_confirmer::Finish(const pending_ptr& aPending,
-                            const result<void>& aResult)
+departure_acknowledger::Finish(const pending_ptr& aPending,
+                               const result<void>& aResult)
 {
   if (aPending->waiting.empty()) {
     return; // already finished
   }
   LogEvent(aResult ? log_level::info : log_level::warning,
-           "departure_confirmed",
+           "departure_acknowledged",
            { { "instance", aPending->departure.id },
              { "nodes", std::to_string(aPending->recorded_by.size()) },
              { "outcome", aResult ? "recorded" : aResult.error().message } });
--- a/src/mesh/departure-confirmer.h
+++ b/src/mesh/departure-acknowledger.h
@@ -1,5 +1,5 @@
-#ifndef EELGRASSTRACK_MESH_DEPARTURE_CONFIRMER_H_
-#define EELGRASSTRACK_MESH_DEPARTURE_CONFIRMER_H_
+#ifndef EELGRASSTRACK_MESH_DEPARTURE_ACKNOWLEDGER_H_
+#define EELGRASSTRACK_MESH_DEPARTURE_ACKNOWLEDGER_H_
 
 #include <memory>
 #include <set>
@@ -10,13 +10,14 @@
 
 namespace eelgrasstrack {
 
-/// Confirms that an instance leaves once that is recorded outside this process,
-/// which keeps nothing: in the entry in the store or, while the store does not
-/// answer, at two other nodes. A node that starts again learns it from either.
-class departure_confirmer
+/// Acknowledges that an instance leaves once that is recorded outside this
+/// process, which keeps nothing: in the entry in the store or, while the store
+/// does not answer, at two other nodes. A node that starts again learns it from
+/// either.
+class departure_acknowledger
 {
 public:
-  departure_confirmer(loop& aLoop, gossip& aGossip);
+  departure_acknowledger(loop& aLoop, gossip& aGossip);
 
   /// Calls `aDone` once the departure is recorded. Fails with `not_ready` if it
   /// is not within 0.9 s. The caller writes the entry.
@@ -60,4 +61,4 @@
 
 } // namespace eelgrasstrack
 
-#endif // EELGRASSTRACK_MESH_DEPARTURE_CONFIRMER_H_
+#endif // EELGRASSTRACK_MESH_DEPARTURE_ACKNOWLEDGER_H_
--- a/src/mesh/gossip-codec.h
+++ b/src/mesh/gossip-codec.h
@@ -9,13 +9,6 @@
 
 namespace eelgrasstrack {
 
-/// The instance of a host leaves, or has left.
-struct host_departure
-{
-  std::string host;
-  instance_incarnation instance;
-};
-
 /// Entries of the messages between nodes. Times are sent as ages, since clocks
 /// differ between hosts. The decoders fail with `invalid_argument`.
 
--- a/src/mesh/gossip.cc
+++ b/src/mesh/gossip.cc
@@ -31,6 +31,14 @@
 /// domain.
 constexpr unsigned kCrossDomainCompareOneIn = 3;
 
+void
+AddDepartures(json& aMessage, const std::vector<host_departure>& aDepartures)
+{
+  for (const host_departure& departure : aDepartures) {
+    aMessage["departures"].push_back(EncodeDeparture(departure));
+  }
+}
+
 void
 LogSkipped(const error& aError)
 {
@@ -209,29 +217,15 @@
 gossip::SpreadDeparture(const instance_incarnation& aDeparture,
                         const acknowledged_handler& aRecorded)
 {
-  (void)mDirectory.RecordLeaving(mDirectory.Self(), aDeparture, mLoop.Now());
   json message = MessageHeader();
-  message["departures"] =
-    json::array({ EncodeDeparture({ mDirectory.Self(), aDeparture }) });
+  AddDepartures(message, { { mDirectory.Self(), aDeparture } });
   Broadcast(message, aRecorded);
 }
 
-void
-gossip::AddDepartures(json& aMessage,
-                      const std::vector<std::string>& aHosts) const
-{
-  for (const std::string& host : aHosts) {
-    if (std::optional<instance_incarnation> departure =
-          mDirectory.DepartureOf(host)) {
-      aMessage["departures"].push_back(EncodeDeparture({ host, *departure }));
-    }
-  }
-}
-
-std::vector<std::string>
+std::vector<host_departure>
 gossip::MergeDepartures(const json& aMessage)
 {
-  std::vector<std::string> updates;
+  std::vector<host_departure> updates;
   for (const json& entry : aMessage.value("departures", json::array())) {
     result<host_departure> departure = DecodeDeparture(entry);
     if (!departure) {
@@ -240,7 +234,7 @@
     }
     const auto& [host, instance] = *departure;
     if (mDirectory.RecordLeaving(host, instance, mLoop.Now())) {
-      updates.push_back(host);
+      updates.push_back(*departure);
     }
     if (host == mDirectory.Self()) {
       mDelegate.OnInstanceLeft(instance);
@@ -509,7 +503,7 @@
     mDelegate.OnHostsChanged();
   }
   std::vector<crash_record> crashes = MergeCrashes(aMessage);
-  std::vector<std::string> departures = MergeDepartures(aMessage);
+  std::vector<host_departure> departures = MergeDepartures(aMessage);
   ForwardNews(hosts, canaries, crashes, departures, from);
   if (aMessage.value("watcher", false)) {
     mLastWatcherMessage = mLoop.Now();
@@ -527,11 +521,13 @@
   if (aMessage.contains("known")) {
     return AnswerToDigest(aMessage, wasRemoved);
   }
-  if (!mDirectory.ForgottenDeparture(from)) {
+  std::optional<host_departure> departure =
+    mDirectory.UnreportedDeparture(from);
+  if (!departure) {
     return "";
   }
   json answer = MessageHeader();
-  AddDepartures(answer, { from });
+  AddDepartures(answer, { *departure });
   return answer.dump();
 }
 
@@ -539,7 +535,7 @@
 gossip::ForwardNews(const std::vector<host_record>& aHosts,
                     const std::vector<canary_rollout>& aCanaries,
                     const std::vector<crash_record>& aCrashes,
-                    const std::vector<std::string>& aDepartures,
+                    const std::vector<host_departure>& aDepartures,
                     const std::string& aFrom)
 {
   if (aHosts.empty() && aCanaries.empty() && aCrashes.empty() &&
@@ -589,7 +585,7 @@
   if (aMessage.value("known_crashes", crashes) != crashes) {
     answer["crashes"] = EncodeCrashes(mCrashes.Records());
   }
-  AddDepartures(answer, mDirectory.HostsWithForgottenDeparture());
+  AddDepartures(answer, mDirectory.UnreportedDepartures());
   return answer.dump();
 }
 
--- a/src/mesh/gossip.h
+++ b/src/mesh/gossip.h
@@ -141,22 +141,19 @@
   /// Merges the evidence on requests that crash instances and returns what was
   /// news.
   std::vector<crash_record> MergeCrashes(const nlohmann::json& aMessage);
-  /// Records the departures of instances and returns the hosts with news.
-  std::vector<std::string> MergeDepartures(const nlohmann::json& aMessage);
-  /// Adds the recorded departures of these hosts' instances to a message.
-  void AddDepartures(nlohmann::json& aMessage,
-                     const std::vector<std::string>& aHosts) const;
+  /// Records the departures of instances and returns what was news.
+  std::vector<host_departure> MergeDepartures(const nlohmann::json& aMessage);
   /// Sends on what was news in a message of another node.
   void ForwardNews(const std::vector<host_record>& aHosts,
                    const std::vector<canary_rollout>& aCanaries,
                    const std::vector<crash_record>& aCrashes,
-                   const std::vector<std::string>& aDepartures,
+                   const std::vector<host_departure>& aDepartures,
                    const std::string& aFrom);
   nlohmann::json EncodeCrashes(const std::vector<crash_record>& aRecords) const;
   nlohmann::json MessageHeader() const;
   /// Encodes the records that are newer than those in the digest, which maps
   /// host names to incarnation and sequence, the evidence on crashes if its
-  /// digest is another, and the departures that nodes have forgotten.
+  /// digest is another, and the departures that hosts do not report.
   std::string AnswerToDigest(const nlohmann::json& aMessage,
                              bool aWasRemoved) const;
   std::string EncodeMessage(bool aWithDigest) const;
--- a/src/mesh/host-directory.cc
+++ b/src/mesh/host-directory.cc
@@ -57,46 +57,40 @@
          HasLeft(leaving->second.incarnation, aInstance);
 }
 
-std::optional<instance_incarnation>
-host_directory::DepartureOf(const std::string& aHost) const
+std::optional<host_departure>
+host_directory::UnreportedDeparture(const std::string& aHost) const
 {
   auto leaving = mLeaving.find(aHost);
-  return leaving == mLeaving.end() ? std::nullopt
-                                   : std::optional(leaving->second.incarnation);
-}
-
-std::optional<instance_incarnation>
-host_directory::ForgottenDeparture(const std::string& aHost) const
-{
-  std::optional<instance_incarnation> departure = DepartureOf(aHost);
   const known_host* host = Find(aHost);
-  if (!departure || host == nullptr) {
+  if (leaving == mLeaving.end() || host == nullptr) {
     return std::nullopt;
   }
+  const instance_incarnation& departure = leaving->second.incarnation;
   const instance_record& shown = host->record.instance;
-  bool forgotten =
+  bool unreported =
     shown.state == instance_state::absent ||
-    (shown.state == instance_state::ready && HasLeft(*departure, shown));
-  return forgotten ? departure : std::nullopt;
+    (shown.state == instance_state::ready && HasLeft(departure, shown));
+  return unreported ? std::optional(host_departure{ aHost, departure })
+                    : std::nullopt;
 }
 
-std::vector<std::string>
-host_directory::HostsWithForgottenDeparture() const
+std::vector<host_departure>
+host_directory::UnreportedDepartures() const
 {
-  std::vector<std::string> hosts;
-  for (const auto& [name, leaving] : mLeaving) {
-    if (ForgottenDeparture(name)) {
-      hosts.push_back(name);
+  std::vector<host_departure> departures;
+  for (const auto& [host, leaving] : mLeaving) {
+    if (std::optional<host_departure> departure = UnreportedDeparture(host)) {
+      departures.push_back(std::move(*departure));
     }
   }
-  return hosts;
+  return departures;
 }
 
 void
 host_directory::RememberIfLeaving(const host_record& aDropped, time_point aNow)
 {
   if (IsLeaving(aDropped.instance.state)) {
-    (void)RecordLeaving(aDropped.name, IncarnationOf(aDropped.instance), aNow);
+    RecordLeaving(aDropped.name, IncarnationOf(aDropped.instance), aNow);
   }
 }
 
--- a/src/mesh/host-directory.h
+++ b/src/mesh/host-directory.h
@@ -45,15 +45,12 @@
   /// Whether this instance of a host is recorded as leaving.
   bool IsRecordedAsLeaving(const std::string& aHost,
                            const instance_record& aInstance) const;
-  /// The last recorded departure of a host's instance.
-  std::optional<instance_incarnation> DepartureOf(
-    const std::string& aHost) const;
   /// The recorded departure of a host's instance that the host's own record
-  /// does not show: its node has started again since, and forgotten it.
-  std::optional<instance_incarnation> ForgottenDeparture(
+  /// does not show: its node has started again since.
+  std::optional<host_departure> UnreportedDeparture(
     const std::string& aHost) const;
-  /// Hosts with a forgotten departure.
-  std::vector<std::string> HostsWithForgottenDeparture() const;
+  /// Those of all hosts.
+  std::vector<host_departure> UnreportedDepartures() const;
 
   /// Marks a known host as unreachable, except this node's own.
   void MarkUnreachable(const std::string& aName, time_point aNow);
--- a/src/mesh/host-record.h
+++ b/src/mesh/host-record.h
@@ -71,6 +71,13 @@
 bool
 HasLeft(const instance_incarnation& aLeft, const instance_record& aInstance);
 
+/// The instance of a host leaves, or has left.
+struct host_departure
+{
+  std::string host;
+  instance_incarnation instance;
+};
+
 /// An instance says that it exits.
 struct exit_notice
 {
--- a/src/mesh/mesh-node.cc
+++ b/src/mesh/mesh-node.cc
@@ -459,8 +459,8 @@
 }
 
 void
-mesh_node::ConfirmDeparture(const instance_incarnation& aDeparture,
-                            done_callback aDone)
+mesh_node::AcknowledgeDeparture(const instance_incarnation& aDeparture,
+                                done_callback aDone)
 {
   // A write in progress may still name the instance as ready.
   if (!mPublishing && mPublished && !NamesAsReady(*mPublished, aDeparture)) {
@@ -476,7 +476,7 @@
 void
 mesh_node::RecordDeparture(const instance_incarnation& aDeparture)
 {
-  (void)mDirectory.RecordLeaving(mOwnRecord.name, aDeparture, mLoop.Now());
+  mDirectory.RecordLeaving(mOwnRecord.name, aDeparture, mLoop.Now());
 }
 
 void
--- a/src/mesh/mesh-node.h
+++ b/src/mesh/mesh-node.h
@@ -3,7 +3,7 @@
 
 #include "mesh/canary-driver.h"
 #include "mesh/control-store.h"
-#include "mesh/departure-confirmer.h"
+#include "mesh/departure-acknowledger.h"
 #include "mesh/gossip.h"
 #include "mesh/host-entry-repair.h"
 #include "mesh/mesh-settings.h"
@@ -64,8 +64,8 @@
   /// announced before, is recorded outside this process, so that a restarted
   /// node knows it too. Fails with `not_ready` if neither the store nor other
   /// nodes have recorded it within 0.9 s.
-  void ConfirmDeparture(const instance_incarnation& aDeparture,
-                        done_callback aDone);
+  void AcknowledgeDeparture(const instance_incarnation& aDeparture,
+                            done_callback aDone);
 
   /// Metrics in the text exposition format.
   std::string Metrics() const;
@@ -164,7 +164,7 @@
   hop_server mHopServer;
   quarantine_entries mQuarantine;
   gossip mGossip;
-  departure_confirmer mDepartures;
+  departure_acknowledger mDepartures;
   host_entry_repair mEntryRepair;
   canary_driver mCanaryDriver;
   host_record mOwnRecord;
--- a/src/proxy/proxied-request.cc
+++ b/src/proxy/proxied-request.cc
@@ -156,7 +156,7 @@
 proxied_request::RecordNotices(const header_fields& aFields)
 {
   if (AnnouncesLeaving(aFields, mDependencies.names)) {
-    (void)mDependencies.directory.RecordLeaving(
+    mDependencies.directory.RecordLeaving(
       mHost, { mInstance, mInstanceStarted }, Now());
   }
   // The last hop logs a malformed limit.
--- a/test/unit/departure-test.cc
+++ b/test/unit/departure-test.cc
@@ -15,29 +15,30 @@
 public:
   departure_fixture() { world.RunFor(milliseconds(1000)); }
 
-  /// The instance reports its exit. Returns whether that was confirmed within a
-  /// second; `at_confirmation` is called at that moment.
-  bool ReportExit(const std::function<void()>& aAtConfirmation = [] {})
+  /// The instance reports its exit. Returns whether that was acknowledged
+  /// within a second; `aAtAcknowledgement` is called at that moment.
+  bool ReportExit(const std::function<void()>& aAtAcknowledgement = [] {})
   {
-    return Confirm(world.Node(leaver).HandleInstanceExit({ kInstance, {} }),
-                   aAtConfirmation);
+    return Acknowledge(world.Node(leaver).HandleInstanceExit({ kInstance, {} }),
+                       aAtAcknowledgement);
   }
 
-  bool Confirm(
+  bool Acknowledge(
     const instance_incarnation& aDeparture,
-    const std::function<void()>& aAtConfirmation = [] {})
+    const std::function<void()>& aAtAcknowledgement = [] {})
   {
-    std::optional<bool> confirmed;
-    world.Node(leaver).ConfirmDeparture(
-      aDeparture, [&confirmed, &aAtConfirmation](const result<void>& aDone) {
-        confirmed = aDone.has_value();
-        aAtConfirmation();
+    std::optional<bool> acknowledged;
+    world.Node(leaver).AcknowledgeDeparture(
+      aDeparture,
+      [&acknowledged, &aAtAcknowledgement](const result<void>& aDone) {
+        acknowledged = aDone.has_value();
+        aAtAcknowledgement();
       });
-    for (int i = 0; i < 100 && !confirmed; ++i) {
+    for (int i = 0; i < 100 && !acknowledged; ++i) {
       world.RunFor(milliseconds(10));
     }
-    REQUIRE(confirmed);
-    return *confirmed;
+    REQUIRE(acknowledged);
+    return *acknowledged;
   }
 
   bool StoreKnows()
@@ -78,24 +79,24 @@
 
 } // namespace
 
-// Guards against DRAIN: a node confirms a departure that only it knows, and
+// Guards against DRAIN: a node acknowledges a departure that only it knows, and
 // forgets it when it starts again.
 TEST_CASE_METHOD(departure_fixture,
-                 "departure, confirmed, is in the store",
+                 "departure, acknowledged, is in the store",
                  "[departure]")
 {
   CHECK(ReportExit([this] { CHECK(StoreKnows()); }));
 }
 
 TEST_CASE_METHOD(departure_fixture,
-                 "departure, confirmed, node starts again, instance gets no "
+                 "departure, acknowledged, node starts again, instance gets no "
                  "requests",
                  "[departure]")
 {
   bool drains = GENERATE(false, true);
   if (drains) {
     world.Announce(leaver, instance_state::draining);
-    REQUIRE(Confirm({ kInstance, kBorn }));
+    REQUIRE(Acknowledge({ kInstance, kBorn }));
   } else {
     REQUIRE(ReportExit());
   }
@@ -107,12 +108,13 @@
   CHECK(RunsAtLeaver() == 0);
 }
 
-// Guards against DRAIN: the store is away when the departure is confirmed, and
-// its entry says ready when the node starts again.
-TEST_CASE_METHOD(departure_fixture,
-                 "departure, confirmed without the store, node starts again, "
-                 "instance gets no requests",
-                 "[departure]")
+// Guards against DRAIN: the store is away when the departure is acknowledged,
+// and its entry says ready when the node starts again.
+TEST_CASE_METHOD(
+  departure_fixture,
+  "departure, acknowledged without the store, node starts again, "
+  "instance gets no requests",
+  "[departure]")
 {
   world.Store().unavailable = true;
   REQUIRE(ReportExit([this] { CHECK(NodesThatKnow() >= 2); }));
@@ -125,20 +127,20 @@
 }
 
 // Guards against DRAIN: nobody else can record the departure.
-TEST_CASE("departure, neither store nor other nodes there, is not confirmed",
+TEST_CASE("departure, neither store nor other nodes there, is not acknowledged",
           "[departure]")
 {
   mesh_world world;
   std::size_t host = world.AddHost("orders", "v1");
   world.RunFor(milliseconds(500));
   world.Store().unavailable = true;
-  std::optional<bool> confirmed;
-  world.Node(host).ConfirmDeparture(
+  std::optional<bool> acknowledged;
+  world.Node(host).AcknowledgeDeparture(
     world.Node(host).HandleInstanceExit({ "i-0", {} }),
-    [&](const result<void>& aDone) { confirmed = aDone.has_value(); });
+    [&](const result<void>& aDone) { acknowledged = aDone.has_value(); });
   world.RunFor(milliseconds(1000));
-  REQUIRE(confirmed);
-  CHECK_FALSE(*confirmed);
+  REQUIRE(acknowledged);
+  CHECK_FALSE(*acknowledged);
 }
 
 // Guards against DRAIN: the exit notice comes before a restarted node has read
@@ -163,7 +165,8 @@
   "[departure]")
 {
   world.RestartInstance(leaver);
-  CHECK(Confirm(world.Node(leaver).HandleInstanceExit({ kInstance, kBorn })));
+  CHECK(
+    Acknowledge(world.Node(leaver).HandleInstanceExit({ kInstance, kBorn })));
   world.RunFor(milliseconds(200));
   CHECK(RunsAtLeaver() > 0);
 }
