Bound unwanted bodies in the channel, also those of other nodes' failures

Found in reading the change again: the bound of 64 KB stood twice, in the channel for answers to earlier requests and in the run at an instance for refusals. Its twin, the run at another node, had none: a failure with a body without end was read until the deadline of its request (the new test failed before: no failure after a second).

Now an observer says at the head that it does not want the body, and the channel drops it, ends the exchange after 64 KB and closes the connection. What the head said is told as before.

--- a/src/proxy/hop-client.cc
+++ b/src/proxy/hop-client.cc
@@ -100,6 +100,7 @@
     if (const std::string* text = FindField(aHead.fields, kFailedField)) {
       mFailure = DecodeFailure(*text).value_or(run_failure{});
       mFailure->load = load;
+      mChannel->DropBody();
       return;
     }
     mAnswered = true;
@@ -111,7 +112,7 @@
   void OnAnswerBody(std::string_view aBytes) override
   {
     RecordReceived();
-    if (mSink && !mFailure) {
+    if (mSink) {
       mSink->OnAnswerBody(aBytes);
     }
   }
--- a/src/proxy/instance-run.cc
+++ b/src/proxy/instance-run.cc
@@ -10,8 +10,6 @@
 /// A connection to the instance that has been idle for longer is not reused for
 /// a request that is not idempotent, because the instance may be closing it.
 constexpr duration kNonIdempotentIdleTimeout = std::chrono::milliseconds(1500);
-/// Bytes of a body for nobody that are read to keep the connection.
-constexpr std::size_t kMaxDroppedBytes = 64U << 10U;
 
 } // namespace
 
@@ -112,6 +110,7 @@
   const header_names& names = mDispatcher.mNames;
   if (!IsMatched(aHead)) {
     mUnmatched = true;
+    mChannel->DropBody();
     return;
   }
   bool refused = FindField(aHead.fields, names.not_executed) != nullptr ||
@@ -122,12 +121,14 @@
     mDispatcher.RecordNotices(aHead.fields, mIncarnation);
   }
   if (refused) {
-    mRefusedStatus = aHead.status;
+    mRefused = true;
+    mChannel->DropBody();
     return;
   }
   bool success = status::IsSuccess(aHead.status);
   if (success && !stamped) {
     mMissingStamp = true; // not an answer of an instance
+    mChannel->DropBody();
     return;
   }
   mStatus = aHead.status;
@@ -140,14 +141,6 @@
 instance_run::OnAnswerBody(std::string_view aBytes)
 {
   mAnswerBytes += aBytes.size();
-  if (DropsBody()) {
-    if (mAnswerBytes > kMaxDroppedBytes) {
-      mChannel->Abort();
-      mChannel.reset();
-      FailDropped();
-    }
-    return;
-  }
   if (mSink) {
     mSink->OnAnswerBody(aBytes);
   }
@@ -158,15 +151,13 @@
 {
   if (mUnmatched) {
     mChannel->Abort();
-    mChannel.reset();
-    FailDropped();
-    return;
+  } else {
+    mDispatcher.mIdleChannels.Release(std::move(mChannel),
+                                      mDispatcher.mTransport.Loop().Now());
   }
-  mDispatcher.mIdleChannels.Release(std::move(mChannel),
-                                    mDispatcher.mTransport.Loop().Now());
   mChannel.reset();
-  if (DropsBody()) {
-    FailDropped();
+  if (mUnmatched || mMissingStamp || mRefused) {
+    FailWithoutUsableAnswer();
     return;
   }
   RecordSurvival();
@@ -229,14 +220,8 @@
          FindField(aHead.fields, mDispatcher.mNames.request_id) != nullptr;
 }
 
-bool
-instance_run::DropsBody() const
-{
-  return mRefusedStatus != 0 || mMissingStamp || mUnmatched;
-}
-
 void
-instance_run::FailDropped()
+instance_run::FailWithoutUsableAnswer()
 {
   if (mUnmatched) {
     FailWithoutAnswer(run_failure_reason::broken,
--- a/src/proxy/instance-run.h
+++ b/src/proxy/instance-run.h
@@ -64,12 +64,8 @@
   /// copy of an answer to an earlier request on the connection.
   bool IsMatched(const message_head& aHead) const;
 
-  /// Whether the body of the answer is for nobody: a refusal, or no answer to
-  /// this request.
-  bool DropsBody() const;
-
-  /// Ends the request with what the head of such an answer said.
-  void FailDropped();
+  /// Ends the request after a refusal, or what is no answer to it.
+  void FailWithoutUsableAnswer();
 
   /// Refuses asynchronously, because the caller of
   /// `instance_dispatcher::Dispatch` does not have the handle yet.
@@ -107,7 +103,8 @@
   std::string mInterruption;
   crash_count mKnownCrashes;
   int mStatus = 0;
-  int mRefusedStatus = 0;
+  /// The instance said that it has not run the request.
+  bool mRefused = false;
   /// A success response had no server stamp, so no instance made it.
   bool mMissingStamp = false;
   /// The answer may belong to another request.
--- a/src/wire/client-channel.cc
+++ b/src/wire/client-channel.cc
@@ -10,8 +10,9 @@
 /// Fraction of the server's announced idle timeout for which a connection is
 /// reused, so that no request is sent while the server closes the connection.
 constexpr double kIdleTimeoutFraction = 0.6;
-/// Bytes of an answer to another request that are read to keep the connection.
-constexpr std::size_t kMaxSkippedBytes = 64U << 10U;
+/// Bytes of unwanted bodies that are read in one exchange to keep the
+/// connection.
+constexpr std::size_t kMaxDroppedBytes = 64U << 10U;
 
 } // namespace
 
@@ -45,7 +46,8 @@
   mIdentity = std::move(aIdentity);
   mProperties = aProperties;
   mHeadDelivered = false;
-  mSkippedBytes = 0;
+  mDropsBody = false;
+  mDroppedBytes = 0;
   mInExchange = true;
   if (mProperties.head_only) {
     mParser.ExpectNoBody();
@@ -136,10 +138,10 @@
     return false;
   }
   std::string part = mParser.TakeBody();
-  if (mSkippingAnswer) {
-    mSkippedBytes += part.size();
-    if (mSkippedBytes > kMaxSkippedBytes) {
-      FailInvalid({ error_kind::too_large, "long body for another request" });
+  if (mSkippingAnswer || mDropsBody) {
+    mDroppedBytes += part.size();
+    if (mDroppedBytes > kMaxDroppedBytes) {
+      EndLongBody();
       return false;
     }
   } else if (!part.empty() && mObserver) {
@@ -191,6 +193,17 @@
   return mInExchange;
 }
 
+void
+client_channel::EndLongBody()
+{
+  if (mSkippingAnswer) {
+    FailInvalid({ error_kind::too_large, "long body for another request" });
+    return;
+  }
+  mKeepOpen = false;
+  FinishExchange();
+}
+
 void
 client_channel::RecordIdleTimeout(const header_fields& aFields)
 {
--- a/src/wire/client-channel.h
+++ b/src/wire/client-channel.h
@@ -83,6 +83,10 @@
   /// observer.
   void Abort();
 
+  /// Drops the body of the answer whose head has been delivered. The exchange
+  /// ends as usual or, if the body is long, early and with the connection.
+  void DropBody() { mDropsBody = true; }
+
   void PauseReading(bool aPaused);
   /// Number of bytes that are queued but not yet sent.
   std::size_t Unsent() const;
@@ -109,6 +113,9 @@
   /// Delivers a head, or starts to skip an interim answer (1xx) or the answer
   /// to an earlier request. Returns whether the exchange goes on.
   bool ProcessHead();
+  /// Ends an exchange or a connection rather than reading a long body that is
+  /// dropped.
+  void EndLongBody();
   void FinishExchange();
   void FailInvalid(const error& aProblem);
   /// Ends the exchange and the connection. Sets `sent` and `answered`.
@@ -125,8 +132,10 @@
   bool mHeadDelivered = false;
   /// The current answer is not the final one of the current request.
   bool mSkippingAnswer = false;
-  /// Bytes of such answers in this exchange.
-  std::size_t mSkippedBytes = 0;
+  /// The observer does not want the body of the current answer.
+  bool mDropsBody = false;
+  /// Bytes of dropped bodies in this exchange.
+  std::size_t mDroppedBytes = 0;
   bool mKeepOpen = true;
   bool mInExchange = false;
   bool mUsedBefore = false;
--- a/test/unit/hop-test.cc
+++ b/test/unit/hop-test.cc
@@ -3,6 +3,7 @@
 #include "harness/free-address.h"
 #include "harness/silent-connection.h"
 #include "proxy/hop-client.h"
+#include "proxy/hop-fields.h"
 #include "proxy/hop-server.h"
 
 using namespace eelgrasstrack;
@@ -73,6 +74,24 @@
   bool mAnswered = false;
 };
 
+/// A node that answers each request with the same text.
+class scripted_node final : public connection::observer
+{
+public:
+  scripted_node(std::shared_ptr<connection> aConnection, std::string aText)
+    : mConnection(std::move(aConnection))
+    , mText(std::move(aText))
+  {
+  }
+
+  void OnReceived(std::string_view) override { mConnection->Send(mText); }
+  void OnEnded(close_reason) override {}
+
+private:
+  std::shared_ptr<connection> mConnection;
+  std::string mText;
+};
+
 /// A node on the host of an instance, and another node that sends requests to
 /// it.
 class hop_fixture
@@ -297,3 +316,28 @@
   RunFor(std::chrono::milliseconds(200));
   CHECK_FALSE(sink->failure);
 }
+
+// Guards against CONFIG: a node reads a body that nobody wants until the
+// deadline of its request.
+TEST_CASE_METHOD(hop_fixture,
+                 "hop client, failure with a body without end, fails at once",
+                 "[hop]")
+{
+  run_failure full;
+  full.reason = run_failure_reason::full;
+  full.not_run = true;
+  constexpr std::size_t kPart = 1U << 20U;
+  std::string text = "HTTP/1.1 503 Full\r\n" + std::string(kFailedField) +
+                     ": " + EncodeFailure(full) +
+                     "\r\nTransfer-Encoding: chunked\r\n\r\n100000\r\n" +
+                     std::string(kPart, 'x') + "\r\n";
+  endpoint other = FreeAddress();
+  REQUIRE(sockets.Listen(other, [&text](std::shared_ptr<connection> aNew) {
+    aNew->SetObserver(std::make_shared<scripted_node>(aNew, text));
+  }));
+  REQUIRE(Send(other, "i-there"));
+  RunFor(std::chrono::milliseconds(1000));
+  REQUIRE(sink->failure);
+  CHECK(sink->failure->reason == run_failure_reason::full);
+  CHECK(sink->failure->not_run);
+}
