Log what the deciders of a rollout have counted

Seen with it: the counts arrive, and the old version's failures in an outage at the start of the rollout hide the new version's until its end.

--- a/src/mesh/canary-driver.cc
+++ b/src/mesh/canary-driver.cc
@@ -18,6 +18,8 @@
 /// While all requests go to the new version, counts are reported in every tick,
 /// so that little is lost to a fault; before, in every second one.
 constexpr std::uint64_t kTicksPerCanaryReport = 2;
+/// A decider logs what it has counted in one tick of this many.
+constexpr std::uint64_t kTicksPerCountsLog = 8;
 constexpr duration kReportTimeout = std::chrono::milliseconds(800);
 /// Delay between one decider and the next before it changes the phase.
 constexpr duration kDeciderStagger = std::chrono::milliseconds(200);
@@ -292,7 +294,9 @@
 void
 canary_driver::Tick()
 {
-  bool reportsAll = mTickCount++ % kTicksPerCanaryReport == 0;
+  bool reportsAll = mTickCount % kTicksPerCanaryReport == 0;
+  bool logsCounts = mTickCount % kTicksPerCountsLog == 0;
+  ++mTickCount;
   std::vector<std::string> services;
   for (const auto& [service, open] : mOpenOrders) {
     services.push_back(service);
@@ -304,10 +308,33 @@
         (canary != nullptr && canary->phase == canary_phase::promoted)) {
       ReportSamples(service, open->second);
     }
+    if (logsCounts) {
+      LogCounts(open->second);
+    }
     DecideNextPhase(open->second);
   }
 }
 
+void
+canary_driver::LogCounts(const open_order& aOpenOrder) const
+{
+  const std::string& service = aOpenOrder.order.service;
+  int deciderIndex =
+    IndexOf(DecidersOf(mDirectory, service), mDirectory.Self());
+  if (deciderIndex < 0) {
+    return;
+  }
+  const std::string& version = aOpenOrder.order.target_version;
+  LogEvent(
+    log_level::info,
+    "move_counts",
+    { { "service", service },
+      { "to", version },
+      { "decider", std::to_string(deciderIndex) },
+      { "reports", std::to_string(aOpenOrder.reports.size()) },
+      { "counts", SummaryOf(TotalSamples(aOpenOrder), version) } });
+}
+
 void
 canary_driver::ReportSamples(const std::string& aService,
                              open_order& aOpenOrder)
--- a/src/mesh/canary-driver.h
+++ b/src/mesh/canary-driver.h
@@ -134,6 +134,8 @@
 
   void Tick();
   void ReportSamples(const std::string& aService, open_order& aOpenOrder);
+  /// Logs what this node has counted, if it is a decider of the order.
+  void LogCounts(const open_order& aOpenOrder) const;
   /// Counts for the instance on this host, with the requests it runs now.
   version_samples OwnSamples(const std::string& aService) const;
   /// Rolls the new version back if the counts show that it is bad.
--- a/src/rollout/version-comparison.cc
+++ b/src/rollout/version-comparison.cc
@@ -233,12 +233,24 @@
       (version == aNewVersion ? newSum : oldSum).Add(sample);
     }
   }
-  return DescribeCounts("failed",
-                        "all routes",
-                        newSum.failed,
-                        newSum.requests,
-                        oldSum.failed,
-                        oldSum.requests);
+  std::string summary = DescribeCounts("failed",
+                                       "all routes",
+                                       newSum.failed,
+                                       newSum.requests,
+                                       oldSum.failed,
+                                       oldSum.requests);
+  for (const slowness_test& test : kSlownessTests) {
+    std::size_t slow = FirstSlowBucket(oldSum, test);
+    slow_count oldCount = CountSlow(oldSum, slow);
+    slow_count newCount = CountSlow(newSum, slow);
+    summary += "; " + DescribeCounts("slow",
+                                     "all routes",
+                                     newCount.slow,
+                                     newCount.requests,
+                                     oldCount.slow,
+                                     oldCount.requests);
+  }
+  return summary;
 }
 
 version_assessment
--- a/src/rollout/version-comparison.h
+++ b/src/rollout/version-comparison.h
@@ -49,8 +49,8 @@
   std::string reason;
 };
 
-/// Describes the requests and failures of the new version and of all others,
-/// for people.
+/// Describes the requests, failures and slow requests of the new version and of
+/// all others, for people.
 std::string
 SummaryOf(const version_samples& aSamples, const std::string& aNewVersion);
 
