Compare the versions of a rollout at the same times, not only since the order

Cause: a version may have 2.5 times the old version's rate of failures, and both rates were over all requests since the order. After an outage that hit both versions the old one's rate was 63 %, so that no number of failures was enough until the end of the rollout.

Each decider now also keeps what the hosts counted in slices of 0.5 s, and tests the last 0.5, 1, 2 .. s and all of them: in each slice the new version may have 2.5 times the rate that the old one has around that slice. The test over all requests stays, as it needs no complete slice. A slice is judged once the next one is closed, since hosts report at different times, which adds 0.5 to 1 s.

Counts of a node that has restarted are kept as well: its first report replaced all that it had counted before.

version_sample has a file of its own; failures and slow requests are counted and described by the same functions.

--- a/src/mesh/canary-driver.cc
+++ b/src/mesh/canary-driver.cc
@@ -325,14 +325,13 @@
     return;
   }
   const std::string& version = aOpenOrder.order.target_version;
-  LogEvent(
-    log_level::info,
-    "move_counts",
-    { { "service", service },
-      { "to", version },
-      { "decider", std::to_string(deciderIndex) },
-      { "reports", std::to_string(aOpenOrder.reports.size()) },
-      { "counts", SummaryOf(TotalSamples(aOpenOrder), version) } });
+  LogEvent(log_level::info,
+           "move_counts",
+           { { "service", service },
+             { "to", version },
+             { "decider", std::to_string(deciderIndex) },
+             { "reports", std::to_string(aOpenOrder.reports.Size()) },
+             { "counts", SummaryOf(aOpenOrder.reports.Total(), version) } });
 }
 
 void
@@ -345,18 +344,26 @@
   }
   json report = { { "service", aService },
                   { "from", mDirectory.Self() },
+                  { "incarnation", OwnIncarnation() },
                   { "samples", EncodeSamples(own) } };
   AddOrderId(report, aOpenOrder.order.order_id);
   std::string body = report.dump();
   for (const std::string& decider : DecidersOf(mDirectory, aService)) {
     if (decider == mDirectory.Self()) {
-      aOpenOrder.reports[decider] = own;
+      aOpenOrder.reports.Add(decider, OwnIncarnation(), own);
     } else {
       SendReport(decider, body);
     }
   }
 }
 
+std::int64_t
+canary_driver::OwnIncarnation() const
+{
+  const known_host* self = mDirectory.Find(mDirectory.Self());
+  return self == nullptr ? 0 : self->record.incarnation;
+}
+
 void
 canary_driver::SendReport(const std::string& aHost, const std::string& aBody)
 {
@@ -389,26 +396,14 @@
           open->second.order.order_id != OrderIdOf(aMessage)) {
         return {}; // another order, or one not yet known here
       }
-      open->second.reports[aMessage.at("from").get<std::string>()] =
-        DecodeSamples(aMessage.at("samples"));
+      open->second.reports.Add(
+        aMessage.at("from").get<std::string>(),
+        IntegerIn(aMessage.value("incarnation", json(0)), 0, kMaxTimeMs),
+        DecodeSamples(aMessage.at("samples")));
       return {};
     });
 }
 
-version_samples
-canary_driver::TotalSamples(const open_order& aOpenOrder) const
-{
-  version_samples sum;
-  for (const auto& [host, samples] : aOpenOrder.reports) {
-    for (const auto& [version, routes] : samples) {
-      for (const auto& [route, sample] : routes) {
-        sum[version][route].Add(sample);
-      }
-    }
-  }
-  return sum;
-}
-
 canary_exposure
 canary_driver::ExposureOf(const version_samples& aSamples,
                           const std::string& aTargetVersion) const
@@ -427,22 +422,6 @@
   return exposure;
 }
 
-std::size_t
-canary_driver::CountFailingHosts(const open_order& aOpenOrder)
-{
-  std::size_t hosts = 0;
-  for (const auto& [host, samples] : aOpenOrder.reports) {
-    auto newVersion = samples.find(aOpenOrder.order.target_version);
-    bool failed =
-      newVersion != samples.end() &&
-      std::any_of(newVersion->second.begin(),
-                  newVersion->second.end(),
-                  [](const auto& aRoute) { return aRoute.second.failed > 0; });
-    hosts += failed ? 1 : 0;
-  }
-  return hosts;
-}
-
 bool
 canary_driver::IsVersionServing(const std::string& aService,
                                 const std::string& aVersion) const
@@ -464,7 +443,7 @@
   if (canary == nullptr || deciderIndex < 0) {
     return;
   }
-  version_samples samples = TotalSamples(aOpenOrder);
+  version_samples samples = aOpenOrder.reports.Total();
   RollBackIfBad(aOpenOrder, samples);
   if (aOpenOrder.recording || !aOpenOrder.from_store ||
       mLoop.Now() < aOpenOrder.retry_after) {
@@ -529,8 +508,13 @@
   if (canary == nullptr || IsFinal(canary->phase)) {
     return;
   }
+  const std::string& version = aOpenOrder.order.target_version;
   version_assessment assessment = CompareVersions(
-    aSamples, aOpenOrder.order.target_version, CountFailingHosts(aOpenOrder));
+    aSamples, version, CountFailingHosts(aOpenOrder.reports.ByHost(), version));
+  if (aOpenOrder.history.Update(aOpenOrder.reports, mLoop.Now()) &&
+      assessment.verdict != version_verdict::bad) {
+    assessment = CompareRecent(aOpenOrder.history, version);
+  }
   if (assessment.verdict == version_verdict::bad) {
     EnterPhase(aOpenOrder, canary_phase::rolled_back, assessment.reason);
   }
--- a/src/mesh/canary-driver.h
+++ b/src/mesh/canary-driver.h
@@ -8,6 +8,7 @@
 #include "mesh/mesh-settings.h"
 #include "proxy/instance-dispatcher.h"
 #include "proxy/proxy-counters.h"
+#include "rollout/sample-history.h"
 #include "rollout/version-comparison.h"
 #include "wire/control-client.h"
 
@@ -119,8 +120,8 @@
     time_point started_at{};
     /// When this node learned of the order.
     time_point opened_at{};
-    /// Latest counts by node. Each report replaces the previous one.
-    std::map<std::string, version_samples> reports;
+    sample_reports reports;
+    sample_history history;
     /// When this node learned of the promotion.
     std::optional<time_point> promoted_at;
     /// A write of the progress to the store has not finished yet.
@@ -151,11 +152,9 @@
   void RecordPhase(open_order& aOpenOrder, canary_phase aPhase);
   void OpenOrder(const canary_order& aOrder, time_point aStartedAt);
   void SendReport(const std::string& aHost, const std::string& aBody);
-  version_samples TotalSamples(const open_order& aOpenOrder) const;
+  std::int64_t OwnIncarnation() const;
   canary_exposure ExposureOf(const version_samples& aSamples,
                              const std::string& aTargetVersion) const;
-  /// Number of hosts on which the new version failed at least one request.
-  static std::size_t CountFailingHosts(const open_order& aOpenOrder);
   bool IsVersionServing(const std::string& aService,
                         const std::string& aVersion) const;
   time_point StartTimeOf(const canary_order& aOrder) const;
--- a/src/rollout/version-comparison.cc
+++ b/src/rollout/version-comparison.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <optional>
+#include <vector>
 
 namespace eelgrasstrack {
 
@@ -20,34 +22,15 @@
 constexpr double kToleratedRateRatio = 2.5;
 /// Significance level of the binomial test.
 constexpr double kSignificance = 1e-3;
+/// The same for the recent past, of which many parts are tested.
+constexpr double kRecentSignificance = 1e-4;
 /// A version with fewer failures or slow requests is never judged bad.
 constexpr std::uint32_t kMinBadResponses = 3;
-/// Requests to the old version that are needed to define what is slow.
+/// Requests to the old version that are needed to define what is slow, and how
+/// often it fails at a time.
 constexpr std::uint32_t kMinOldRequests = 30;
-
-/// Definition of a slow request: its response time is more than `buckets_above`
-/// buckets above a quantile of the old version's response times.
-struct slowness_test
-{
-  double quantile = 0;
-  std::size_t buckets_above = 0;
-};
-
-/// The first test detects that some requests are slow. The second one detects
-/// that all requests are slow even if some hosts of the old version are slow
-/// too, which raises the 0.95 quantile and hides the fault from the first test.
-/// Its margin is wider than the difference in speed between good instances.
-constexpr std::array<slowness_test, 2> kSlownessTests{ { { 0.95, 2 },
-                                                         { 0.5, 4 } } };
-
-std::size_t
-BucketOf(duration aDuration)
-{
-  double milliseconds =
-    std::max(1.0, std::chrono::duration<double, std::milli>(aDuration).count());
-  auto bucket = static_cast<std::size_t>(2 * std::log2(milliseconds));
-  return std::min(bucket, version_sample::kBuckets - 1);
-}
+/// Stands for all routes together. No route has an empty name.
+const std::string kAllRoutes;
 
 /// Probability of `aHits` or more out of `aTrials` at a rate of `aRate`.
 double
@@ -64,98 +47,51 @@
   return tail;
 }
 
-/// Whether the rate of hits is significantly above the tolerated rate. This is
-/// the greater of `aTolerable` and `kToleratedRateRatio` times the old rate.
+/// Whether so many bad requests are significantly more than are expected at a
+/// rate.
 bool
-IsSignificantlyAbove(std::uint32_t aRequests,
-                     std::uint32_t aHits,
-                     double aOldRate,
-                     double aTolerable)
+IsSignificantlyAbove(const bad_count& aCount,
+                     double aRate,
+                     double aSignificance)
 {
-  if (aHits < kMinBadResponses) {
+  if (aCount.bad < kMinBadResponses || aCount.bad <= aRate * aCount.requests) {
     return false;
   }
-  double rate =
-    std::min(0.9, std::max(aTolerable, kToleratedRateRatio * aOldRate));
-  if (aHits <= rate * aRequests) {
-    return false; // not even above the mean
-  }
-  return BinomialTail(aRequests, aHits, rate) < kSignificance;
+  return BinomialTail(aCount.requests, aCount.bad, aRate) < aSignificance;
 }
 
+/// The rate of bad requests that a new version may have.
 double
-RateOf(std::uint32_t aHits, std::uint32_t aRequests)
+ToleratedRate(double aOldRate, double aTolerable)
 {
-  return aRequests == 0 ? 0 : static_cast<double>(aHits) / aRequests;
+  constexpr double kMaxRate = 0.9;
+  return std::min(kMaxRate,
+                  std::max(aTolerable, kToleratedRateRatio * aOldRate));
 }
 
-/// Index of the first bucket that counts as slow.
-std::size_t
-FirstSlowBucket(const version_sample& aOld, const slowness_test& aTest)
-{
-  double targetCount = aTest.quantile * aOld.requests;
-  double count = 0;
-  for (std::size_t i = 0; i < aOld.time_buckets.size(); ++i) {
-    count += aOld.time_buckets[i];
-    if (count >= targetCount) {
-      return i + 1 + aTest.buckets_above;
-    }
-  }
-  return aOld.time_buckets.size();
-}
-
-using bucket_counts = std::array<std::uint32_t, version_sample::kBuckets>;
-
-std::uint32_t
-CountFromBucket(const bucket_counts& aCounts, std::size_t aBucket)
-{
-  std::uint32_t count = 0;
-  for (std::size_t i = aBucket; i < aCounts.size(); ++i) {
-    count += aCounts[i];
-  }
-  return count;
-}
-
-void
-AddCounts(bucket_counts& aSum, const bucket_counts& aCounts)
-{
-  for (std::size_t i = 0; i < aSum.size(); ++i) {
-    aSum[i] += aCounts[i];
-  }
-}
-
-/// Requests of one version, and how many of them are slow. An unanswered
-/// request that is not slow yet is left out, as it may still become slow.
-struct slow_count
-{
-  std::uint32_t requests = 0;
-  std::uint32_t slow = 0;
-};
-
-slow_count
-CountSlow(const version_sample& aSample, std::size_t aFirstSlowBucket)
+double
+ToleratedFailureRate(std::size_t aFailingHosts)
 {
-  std::uint32_t unanswered =
-    CountFromBucket(aSample.unanswered_buckets, aFirstSlowBucket);
-  slow_count count;
-  count.requests = aSample.requests + unanswered;
-  count.slow =
-    CountFromBucket(aSample.time_buckets, aFirstSlowBucket) + unanswered;
-  return count;
+  return aFailingHosts >= kMultiHostMinimum ? kToleratedMultiHostFailureRate
+                                            : kToleratedFailureRate;
 }
 
 std::string
 DescribeCounts(const char* aKind,
                const std::string& aRoute,
-               std::uint32_t aNewHits,
-               std::uint32_t aNew,
-               std::uint32_t aOldHits,
-               std::uint32_t aOld)
+               const bad_count& aNew,
+               const bad_count& aOld)
 {
-  return std::to_string(aNewHits) + " of " + std::to_string(aNew) + " " +
-         aKind + " on " + aRoute +
-         ", old version: " + std::to_string(aOldHits) + " of " +
-         std::to_string(aOld);
+  return std::to_string(aNew.bad) + " of " + std::to_string(aNew.requests) +
+         " " + aKind + " on " + aRoute +
+         ", old version: " + std::to_string(aOld.bad) + " of " +
+         std::to_string(aOld.requests);
+}
+
+version_assessment
+Bad(std::string aReason)
+{
+  return { version_verdict::bad, std::move(aReason) };
 }
 
 version_assessment
@@ -164,65 +100,167 @@
              const version_sample& aNew,
              double aTolerableFailures)
 {
-  version_assessment assessment;
-  if (IsSignificantlyAbove(aNew.requests,
-                           aNew.failed,
-                           RateOf(aOld.failed, aOld.requests),
-                           aTolerableFailures)) {
-    assessment.verdict = version_verdict::bad;
-    assessment.reason = DescribeCounts(
-      "failed", aRoute, aNew.failed, aNew.requests, aOld.failed, aOld.requests);
-    return assessment;
+  auto isBad = [](const bad_count& aNewCount,
+                  const bad_count& aOldCount,
+                  double aTolerable) {
+    return IsSignificantlyAbove(
+      aNewCount, ToleratedRate(aOldCount.Rate(), aTolerable), kSignificance);
+  };
+  bad_count oldFailed = CountFailed(aOld);
+  bad_count newFailed = CountFailed(aNew);
+  if (isBad(newFailed, oldFailed, aTolerableFailures)) {
+    return Bad(DescribeCounts("failed", aRoute, newFailed, oldFailed));
   }
   if (aOld.requests < kMinOldRequests) {
-    return assessment;
+    return {};
   }
   for (const slowness_test& test : kSlownessTests) {
     std::size_t slow = FirstSlowBucket(aOld, test);
-    slow_count oldCount = CountSlow(aOld, slow);
-    slow_count newCount = CountSlow(aNew, slow);
-    if (IsSignificantlyAbove(newCount.requests,
-                             newCount.slow,
-                             RateOf(oldCount.slow, oldCount.requests),
-                             kToleratedSlowRate)) {
-      assessment.verdict = version_verdict::bad;
-      assessment.reason = DescribeCounts("slow",
-                                         aRoute,
-                                         newCount.slow,
-                                         newCount.requests,
-                                         oldCount.slow,
-                                         oldCount.requests);
-      return assessment;
+    bad_count oldSlow = CountSlow(aOld, slow);
+    bad_count newSlow = CountSlow(aNew, slow);
+    if (isBad(newSlow, oldSlow, kToleratedSlowRate)) {
+      return Bad(DescribeCounts("slow", aRoute, newSlow, oldSlow));
     }
   }
-  return assessment;
+  return {};
 }
 
-} // namespace
+/// What both versions answered in one slice of a history.
+struct version_pair
+{
+  version_sample older;
+  version_sample newer;
+};
 
-void
-version_sample::Add(bool aFailed, duration aDuration)
+/// The pairs of consecutive slices by route, and over all routes.
+std::map<std::string, std::vector<version_pair>>
+PairsByRoute(const sample_history& aHistory, const std::string& aNewVersion)
 {
-  ++requests;
-  failed += aFailed ? 1 : 0;
-  ++time_buckets[BucketOf(aDuration)];
+  std::size_t slices = aHistory.Slices().size();
+  std::map<std::string, std::vector<version_pair>> pairs;
+  for (std::size_t i = 0; i < slices; ++i) {
+    for (const auto& [host, versions] : aHistory.Slices()[i]) {
+      for (const auto& [version, routes] : versions) {
+        for (const auto& [route, sample] : routes) {
+          for (const std::string& name : { route, kAllRoutes }) {
+            std::vector<version_pair>& ofRoute = pairs[name];
+            ofRoute.resize(slices);
+            (version == aNewVersion ? ofRoute[i].newer : ofRoute[i].older)
+              .Add(sample);
+          }
+        }
+      }
+    }
+  }
+  return pairs;
 }
 
-void
-version_sample::AddUnanswered(duration aElapsed)
+/// Consecutive slices of one route, from `first` to `last`.
+struct recent_range
+{
+  const std::vector<version_pair>& pairs;
+  std::size_t first;
+  std::size_t last;
+};
+
+/// The old version's answers around a slice: those of the slices beside it as
+/// well, since hosts report at different times, and of as many earlier ones as
+/// are needed.
+version_sample
+OldSampleAround(const std::vector<version_pair>& aPairs, std::size_t aSlice)
 {
-  ++unanswered_buckets[BucketOf(aElapsed)];
+  version_sample old = aPairs[aSlice].older;
+  if (aSlice + 1 < aPairs.size()) {
+    old.Add(aPairs[aSlice + 1].older);
+  }
+  for (std::size_t i = aSlice; i > 0; --i) {
+    old.Add(aPairs[i - 1].older);
+    if (old.requests >= kMinOldRequests) {
+      break;
+    }
+  }
+  return old;
 }
 
-void
-version_sample::Add(const version_sample& aOther)
+/// Describes the bad requests of the new version in a range, if they are
+/// significantly more than are tolerated at the old version's rate at the time
+/// of each slice. `aCount` counts the bad requests of a sample.
+template<typename CountBad>
+std::optional<std::string>
+DescribeIfBad(const char* aKind,
+              const std::string& aRoute,
+              const recent_range& aRange,
+              double aTolerable,
+              const CountBad& aCount)
 {
-  requests += aOther.requests;
-  failed += aOther.failed;
-  AddCounts(time_buckets, aOther.time_buckets);
-  AddCounts(unanswered_buckets, aOther.unanswered_buckets);
+  bad_count newSum;
+  bad_count oldSum;
+  double tolerated = 0;
+  for (std::size_t i = aRange.first; i <= aRange.last; ++i) {
+    bad_count newCount = aCount(aRange.pairs[i].newer);
+    bad_count oldCount = aCount(OldSampleAround(aRange.pairs, i));
+    if (newCount.requests == 0 || oldCount.requests < kMinOldRequests) {
+      continue;
+    }
+    newSum.requests += newCount.requests;
+    newSum.bad += newCount.bad;
+    oldSum.requests += oldCount.requests;
+    oldSum.bad += oldCount.bad;
+    tolerated += newCount.requests * ToleratedRate(oldCount.Rate(), aTolerable);
+  }
+  // The tail for equal probabilities with this mean bounds that for the
+  // different ones of the slices (Hoeffding, 1956).
+  if (newSum.requests == 0 || !IsSignificantlyAbove(newSum,
+                                                    tolerated / newSum.requests,
+                                                    kRecentSignificance)) {
+    return std::nullopt;
+  }
+  return DescribeCounts(aKind, aRoute, newSum, oldSum) + ", lately";
 }
 
+version_assessment
+CompareRange(const std::string& aRoute,
+             const recent_range& aRange,
+             double aTolerableFailures)
+{
+  std::optional<std::string> reason =
+    DescribeIfBad("failed", aRoute, aRange, aTolerableFailures, CountFailed);
+  version_sample old = OldSampleAround(aRange.pairs, aRange.first);
+  for (std::size_t i = aRange.first + 1; i <= aRange.last; ++i) {
+    old.Add(aRange.pairs[i].older);
+  }
+  for (const slowness_test& test : kSlownessTests) {
+    if (reason || old.requests < kMinOldRequests) {
+      break;
+    }
+    std::size_t slow = FirstSlowBucket(old, test);
+    auto countSlow = [slow](const version_sample& aSample) {
+      return CountSlow(aSample, slow);
+    };
+    reason =
+      DescribeIfBad("slow", aRoute, aRange, kToleratedSlowRate, countSlow);
+  }
+  return reason ? Bad(std::move(*reason)) : version_assessment{};
+}
+
+/// Number of hosts on which the new version failed in the slices of a range.
+std::size_t
+FailingHostsIn(const sample_history& aHistory,
+               const std::string& aNewVersion,
+               std::size_t aFirst,
+               std::size_t aLast)
+{
+  host_samples sum;
+  for (std::size_t i = aFirst; i <= aLast; ++i) {
+    for (const auto& [host, samples] : aHistory.Slices()[i]) {
+      AddSamples(sum[host], samples);
+    }
+  }
+  return CountFailingHosts(sum, aNewVersion);
+}
+
+} // namespace
+
 std::string
 SummaryOf(const version_samples& aSamples, const std::string& aNewVersion)
 {
@@ -233,22 +271,14 @@
       (version == aNewVersion ? newSum : oldSum).Add(sample);
     }
   }
-  std::string summary = DescribeCounts("failed",
-                                       "all routes",
-                                       newSum.failed,
-                                       newSum.requests,
-                                       oldSum.failed,
-                                       oldSum.requests);
+  std::string summary = DescribeCounts(
+    "failed", "all routes", CountFailed(newSum), CountFailed(oldSum));
   for (const slowness_test& test : kSlownessTests) {
     std::size_t slow = FirstSlowBucket(oldSum, test);
-    slow_count oldCount = CountSlow(oldSum, slow);
-    slow_count newCount = CountSlow(newSum, slow);
     summary += "; " + DescribeCounts("slow",
                                      "all routes",
-                                     newCount.slow,
-                                     newCount.requests,
-                                     oldCount.slow,
-                                     oldCount.requests);
+                                     CountSlow(newSum, slow),
+                                     CountSlow(oldSum, slow));
   }
   return summary;
 }
@@ -258,9 +288,7 @@
                 const std::string& aNewVersion,
                 std::size_t aFailingHosts)
 {
-  double tolerable = aFailingHosts >= kMultiHostMinimum
-                       ? kToleratedMultiHostFailureRate
-                       : kToleratedFailureRate;
+  double tolerable = ToleratedFailureRate(aFailingHosts);
   auto newRoutes = aSamples.find(aNewVersion);
   if (newRoutes == aSamples.end()) {
     return {};
@@ -288,4 +316,34 @@
   return CompareRoute("all routes", allOld, allNew, tolerable);
 }
 
+version_assessment
+CompareRecent(const sample_history& aHistory, const std::string& aNewVersion)
+{
+  // The last slice is not judged before the next one shows what all hosts
+  // reported of its time.
+  if (aHistory.Slices().size() < 2) {
+    return {};
+  }
+  std::size_t judged = aHistory.Slices().size() - 1;
+  std::map<std::string, std::vector<version_pair>> pairs =
+    PairsByRoute(aHistory, aNewVersion);
+  bool reachesStart = false;
+  for (std::size_t length = 1; !reachesStart; length *= 2) {
+    reachesStart = length >= judged;
+    std::size_t first = reachesStart ? 0 : judged - length;
+    double tolerable = ToleratedFailureRate(
+      FailingHostsIn(aHistory, aNewVersion, first, judged - 1));
+    for (const auto& [route, ofRoute] : pairs) {
+      version_assessment assessment =
+        CompareRange(route.empty() ? "all routes" : route,
+                     { ofRoute, first, judged - 1 },
+                     tolerable);
+      if (assessment.verdict == version_verdict::bad) {
+        return assessment;
+      }
+    }
+  }
+  return {};
+}
+
 } // namespace eelgrasstrack
--- a/src/rollout/version-comparison.h
+++ b/src/rollout/version-comparison.h
@@ -1,38 +1,13 @@
 #ifndef EELGRASSTRACK_ROLLOUT_VERSION_COMPARISON_H_
 #define EELGRASSTRACK_ROLLOUT_VERSION_COMPARISON_H_
 
-#include <array>
-#include <cstdint>
-#include <map>
 #include <string>
 
-#include "base/clock.h"
+#include "rollout/sample-history.h"
+#include "rollout/version-sample.h"
 
 namespace eelgrasstrack {
 
-/// Counts and response times of the requests that one version served on one
-/// route.
-struct version_sample
-{
-  /// Number of response time buckets: two for each doubling, starting at 1 ms.
-  static constexpr std::size_t kBuckets = 34;
-
-  std::uint32_t requests = 0;
-  std::uint32_t failed = 0;
-  std::array<std::uint32_t, kBuckets> time_buckets{};
-  /// Requests without an answer, by the time they have run so far or had run
-  /// when they were cancelled. Not counted in `requests`.
-  std::array<std::uint32_t, kBuckets> unanswered_buckets{};
-
-  void Add(bool aFailed, duration aDuration);
-  void AddUnanswered(duration aElapsed);
-  void Add(const version_sample& aOther);
-};
-
-/// Samples by version and route.
-using version_samples =
-  std::map<std::string, std::map<std::string, version_sample>>;
-
 /// Result of a comparison of two versions.
 enum class version_verdict
 {
@@ -67,6 +42,14 @@
                 const std::string& aNewVersion,
                 std::size_t aFailingHosts);
 
+/// Compares a new version with all others like `CompareVersions`, over the end
+/// of the history from any of its slices on. Each slice is compared with the
+/// old version's rate at that time, so that a trouble of both versions does not
+/// hide a fault of the new one before or after it. Unanswered requests are left
+/// out.
+version_assessment
+CompareRecent(const sample_history& aHistory, const std::string& aNewVersion);
+
 } // namespace eelgrasstrack
 
 #endif // EELGRASSTRACK_ROLLOUT_VERSION_COMPARISON_H_
--- /dev/null
+++ b/test/unit/exposure-test.cc
@@ -0,0 +1,230 @@
+// How a bad version is recognised and taken back, also beside other troubles.
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+#include "harness/mesh-world.h"
+#include "rollout/version-comparison.h"
+
+using namespace eelgrasstrack;
+using namespace eelgrasstrack::test;
+using nlohmann::json;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+/// Requests of one version that end in one step of a test.
+struct step_counts
+{
+  int requests = 0;
+  int failed = 0;
+};
+
+/// Counts of two hosts with the old version and two with the new one, in steps
+/// of 250 ms.
+class history_fixture
+{
+public:
+  void Step(const step_counts& aOld,
+            const step_counts& aNew,
+            milliseconds aOldTime = milliseconds(50),
+            milliseconds aNewTime = milliseconds(50))
+  {
+    Count("old-1", "v1", aOld, aOldTime);
+    Count("old-2", "v1", aOld, aOldTime);
+    Count("new-1", "v2", aNew, aNewTime);
+    Count("new-2", "v2", aNew, aNewTime);
+    mNow += milliseconds(250);
+    for (const auto& [host, samples] : mCounted) {
+      reports.Add(host, 1, samples);
+    }
+    history.Update(reports, mNow);
+  }
+
+  version_verdict RecentVerdict() const
+  {
+    return CompareRecent(history, "v2").verdict;
+  }
+
+  version_verdict OverallVerdict() const
+  {
+    return CompareVersions(reports.Total(), "v2", 2).verdict;
+  }
+
+  sample_reports reports;
+  sample_history history;
+
+private:
+  void Count(const std::string& aHost,
+             const std::string& aVersion,
+             const step_counts& aCounts,
+             milliseconds aTime)
+  {
+    version_sample& sample = mCounted[aHost][aVersion]["route"];
+    for (int i = 0; i < aCounts.requests; ++i) {
+      sample.Add(i < aCounts.failed, aTime);
+    }
+  }
+
+  host_samples mCounted;
+  time_point mNow{ seconds(1000) };
+};
+
+/// A mesh with an open order, whose nodes are deciders. The counts come from
+/// hosts that the test plays.
+class order_fixture
+{
+public:
+  order_fixture()
+  {
+    for (const char* version : { "v1", "v1", "v2" }) {
+      world.AddHost("orders", version);
+    }
+    world.SetRoute(1, "/orders/", "orders", true);
+    world.RunUntilInstancesKnown();
+    order.service = "orders";
+    order.target_version = "v2";
+    order.time_limit = seconds(60);
+    order.order_id = { 1, 5 };
+    order.revision = order.order_id;
+    world.Store().SetOrder(order);
+  }
+
+  /// Adds requests to the counts of a host and reports them to the first node.
+  void Report(const std::string& aHost,
+              const std::string& aVersion,
+              const step_counts& aCounts)
+  {
+    version_sample& sample = counted[aHost];
+    for (int i = 0; i < aCounts.requests; ++i) {
+      sample.Add(i < aCounts.failed, milliseconds(50));
+    }
+    json report = { { "service", "orders" },
+                    { "from", aHost },
+                    { "order", order.order_id.number },
+                    { "era", order.order_id.era } };
+    report["samples"][aVersion]["route"] = { sample.requests,
+                                             sample.failed,
+                                             sample.time_buckets,
+                                             sample.unanswered_buckets };
+    CHECK(world.PostToNode(0, "/v1/evidence", report.dump()) == 200);
+  }
+
+  std::string PhaseAt(std::size_t aHost)
+  {
+    json moves = json::parse(world.Node(aHost).Dump()).at("moves");
+    return moves.empty() ? "" : moves.at(0).at("phase").get<std::string>();
+  }
+
+  mesh_world world;
+  canary_order order;
+  std::map<std::string, version_sample> counted;
+};
+
+} // namespace
+
+// Guards against EXPOSURE: failures of both versions in an outage hide that the
+// new one alone goes on failing.
+TEST_CASE_METHOD(order_fixture,
+                 "rollout, outage of both versions has ended, failing version "
+                 "is rolled back",
+                 "[exposure]")
+{
+  constexpr milliseconds kStep{ 250 };
+  for (int step = 0; step < 4; ++step) {
+    Report("old-1", "v1", { 400, 320 });
+    Report("new-1", "v2", { 10, 9 });
+    Report("new-2", "v2", { 10, 9 });
+    world.RunFor(kStep);
+  }
+  CHECK(PhaseAt(0) == "trial");
+  // Half of `rollback_s`.
+  for (int step = 0; step < 10 && PhaseAt(0) == "trial"; ++step) {
+    Report("old-1", "v1", { 75, 0 });
+    Report("new-1", "v2", { 2, 1 });
+    Report("new-2", "v2", { 2, 1 });
+    world.RunFor(kStep);
+  }
+  CHECK(PhaseAt(0) == "reverted");
+}
+
+// Guards against EXPOSURE, as above, for a version that is slow.
+TEST_CASE_METHOD(history_fixture,
+                 "recent comparison, both versions were slow in an outage, "
+                 "slow version is bad",
+                 "[exposure]")
+{
+  for (int step = 0; step < 20; ++step) {
+    Step({ 40, 0 }, { 3, 0 }, seconds(2), seconds(2));
+  }
+  CHECK(RecentVerdict() == version_verdict::undecided);
+  for (int step = 0; step < 10; ++step) {
+    Step({ 40, 0 }, { 2, 0 }, milliseconds(50), milliseconds(400));
+  }
+  CHECK(OverallVerdict() == version_verdict::undecided);
+  CHECK(RecentVerdict() == version_verdict::bad);
+}
+
+// Guards against EXPOSURE: a fault that begins late is diluted by the answers
+// before it.
+TEST_CASE_METHOD(history_fixture,
+                 "recent comparison, fault begins late, is bad within two "
+                 "seconds",
+                 "[exposure]")
+{
+  for (int step = 0; step < 40; ++step) {
+    Step({ 40, 1 }, { 10, 0 });
+  }
+  CHECK(RecentVerdict() == version_verdict::undecided);
+  for (int step = 0; step < 8; ++step) {
+    Step({ 40, 1 }, { 3, 1 });
+  }
+  CHECK(RecentVerdict() == version_verdict::bad);
+}
+
+// Guards against a good version that is rolled back since most of its requests
+// come in the outage that hits both versions.
+TEST_CASE_METHOD(history_fixture,
+                 "recent comparison, burst of requests in an outage of both "
+                 "versions, is undecided",
+                 "[exposure]")
+{
+  for (int step = 0; step < 20; ++step) {
+    Step({ 40, 0 }, { 1, 0 });
+  }
+  for (int step = 0; step < 8; ++step) {
+    Step({ 40, 24 }, { 20, 12 });
+    CHECK(RecentVerdict() == version_verdict::undecided);
+  }
+}
+
+TEST_CASE_METHOD(history_fixture,
+                 "recent comparison, no old version at the time, is undecided",
+                 "[exposure]")
+{
+  for (int step = 0; step < 8; ++step) {
+    Step({ 0, 0 }, { 20, 12 });
+  }
+  CHECK(RecentVerdict() == version_verdict::undecided);
+}
+
+// Guards against EXPOSURE: what a node has counted is lost in its restart.
+TEST_CASE("sample reports, node restarts, its earlier counts are kept",
+          "[exposure]")
+{
+  version_samples before;
+  before["v2"]["route"].Add(true, milliseconds(5));
+  before["v2"]["route"].Add(true, milliseconds(5));
+  version_samples after;
+  after["v2"]["route"].Add(false, milliseconds(5));
+  sample_reports reports;
+  reports.Add("host", 200, before);
+  // Its clock was set back.
+  reports.Add("host", 100, after);
+  reports.Add("host", 200, before); // late
+  reports.Add("host", 100, after);
+  const version_sample& sum = reports.Total().at("v2").at("route");
+  CHECK(sum.requests == 3);
+  CHECK(sum.failed == 2);
+}
