Refuse times and counts out of range in configurations, calls and keep-alives

A limit, priority or number of attempts of -1 or 1e300 was converted and taken, a time of a call near the ends of its type overflowed, and an idle timeout of nan, inf or 1e300 s was cast to an integer, which differs between x86-64 and arm64.

--- a/src/proxy/hop-fields.cc
+++ b/src/proxy/hop-fields.cc
@@ -1,5 +1,6 @@
 #include "proxy/hop-fields.h"
 
+#include "base/json-decode.h"
 #include "base/parse-number.h"
 #include "proxy/instance-notices.h"
 
@@ -53,10 +54,15 @@
     return word == aFirst;
   }
 
-  /// Reads a number of milliseconds.
+  /// Reads a number of milliseconds; it is negative if the time has passed.
   duration ReadDuration()
   {
-    return std::chrono::milliseconds(ReadNumber<std::int64_t>());
+    auto number = ReadNumber<std::int64_t>();
+    if (number < -kMaxTimeMs || number > kMaxTimeMs) {
+      mValid = false;
+      return duration(0);
+    }
+    return std::chrono::milliseconds(number);
   }
 
   bool HasMore() const { return !mRemaining.empty(); }
--- a/src/wire/client-channel.cc
+++ b/src/wire/client-channel.cc
@@ -1,6 +1,8 @@
 #include "wire/client-channel.h"
 
+#include <algorithm>
 #include <charconv>
+#include <cmath>
 
 namespace eelgrasstrack {
 
@@ -10,6 +12,8 @@
 /// Fraction of the server's announced idle timeout for which a connection is
 /// reused, so that no request is sent while the server closes the connection.
 constexpr double kIdleTimeoutFraction = 0.6;
+/// Longer announced idle timeouts are taken for this one: one day.
+constexpr double kMaxIdleSeconds = 86'400;
 /// Bytes of unwanted bodies that are read in one exchange to keep the
 /// connection.
 constexpr std::size_t kMaxDroppedBytes = 64U << 10U;
@@ -218,6 +222,10 @@
   double seconds = 0;
   const char* first = value->data() + at + kKeepAliveTimeout.size();
   std::from_chars(first, value->data() + value->size(), seconds);
+  if (!std::isfinite(seconds) || seconds < 0) {
+    seconds = 0; // a malformed time: not used again
+  }
+  seconds = std::min(seconds, kMaxIdleSeconds);
   constexpr double kMicroseconds = 1e6;
   mReusableUntil = mTransport.Loop().Now() +
                    duration(static_cast<std::int64_t>(
--- a/test/unit/client-channel-test.cc
+++ b/test/unit/client-channel-test.cc
@@ -221,3 +221,26 @@
   CHECK(request->failed);
   CHECK_FALSE(channel->IsOpen());
 }
+
+TEST_CASE_METHOD(channel_fixture,
+                 "client channel, idle timeout that is no time, is not reused",
+                 "[wire]")
+{
+  std::string seconds = GENERATE("nan", "-5", "-1e300", "inf", "x");
+  auto request = Request("1", kGet);
+  Reply("HTTP/1.1 200 OK\r\nX-Id: 1\r\nKeep-Alive: timeout=" + seconds +
+        "\r\nContent-Length: 0\r\n\r\n");
+  CHECK(request->complete);
+  CHECK_FALSE(channel->Reusable(events.Now()));
+}
+
+TEST_CASE_METHOD(channel_fixture,
+                 "client channel, idle timeout beyond all bounds, is reused",
+                 "[wire]")
+{
+  auto request = Request("1", kGet);
+  Reply("HTTP/1.1 200 OK\r\nX-Id: 1\r\nKeep-Alive: timeout=1e300"
+        "\r\nContent-Length: 0\r\n\r\n");
+  CHECK(request->complete);
+  CHECK(channel->Reusable(events.Now()));
+}
--- a/test/unit/hop-test.cc
+++ b/test/unit/hop-test.cc
@@ -341,3 +341,16 @@
   CHECK(sink->failure->reason == run_failure_reason::full);
   CHECK(sink->failure->not_run);
 }
+
+TEST_CASE("hop fields, time out of its range, are refused", "[hop]")
+{
+  std::string time = GENERATE("9223372036854775807", "-9223372036854775808");
+  forwarded_request request;
+  CHECK(DecodeCall("i r 0 once 100 100 -", {}, request));
+  CHECK_FALSE(DecodeCall("i r 0 once 100 " + time + " -", {}, request));
+  CHECK_FALSE(DecodeCall("i r 0 once " + time + " 100 -", {}, request));
+  CHECK(DecodeLoad("1 1 4 10"));
+  CHECK_FALSE(DecodeLoad("1 1 4 " + time));
+  CHECK(DecodeFailure("full not_run unreached 10"));
+  CHECK_FALSE(DecodeFailure("full not_run unreached " + time));
+}
--- a/test/unit/odd-entry-test.cc
+++ b/test/unit/odd-entry-test.cc
@@ -409,3 +409,64 @@
   CHECK(Post("/v1/gossip", message.dump()) == 200);
   CHECK(json::parse(world.Node(front).Dump()).at("moves").size() == 1);
 }
+
+TEST_CASE("malformed configuration, is refused", "[odd-entry]")
+{
+  json rule = {
+    { "name", "r" },
+    { "kind", "idempotent" },
+    { "goal_s", 0.3 },
+    { "prio", 2 },
+    { "match", { { "prefix", "/a/" } } },
+    { "action", { { "svc", "orders" }, { "timeout_s", 1 }, { "attempts", 2 } } }
+  };
+  json table = {
+    { "version", "r7" },
+    { "limits", { { "max_header_bytes", 16384 }, { "max_body_bytes", 1 } } },
+    { "listeners", { { { "host", "h.example" }, { "rules", { rule } } } } },
+    { "clusters", { { { "name", "orders" } } } }
+  };
+  REQUIRE(DecodeTable(table));
+  json malformed = GENERATE(
+    json(1e300), json(-1), json(INT64_MIN), json("x"), json::array({ 1 }));
+  std::string path = GENERATE("/limits/max_header_bytes",
+                              "/limits/max_body_bytes",
+                              "/listeners/0/rules/0/prio",
+                              "/listeners/0/rules/0/goal_s",
+                              "/listeners/0/rules/0/action/timeout_s",
+                              "/listeners/0/rules/0/action/attempts",
+                              "/version",
+                              "/listeners",
+                              "/clusters");
+  table[json::json_pointer(path)] = malformed;
+  INFO(path << " " << malformed);
+  CHECK_FALSE(DecodeTable(table));
+}
+
+TEST_CASE("malformed order or progress, is refused", "[odd-entry]")
+{
+  store_object order;
+  order.name = "orders";
+  order.revision = 5;
+  order.spec = { { "svc", "orders" }, { "to", "v2" }, { "over_s", 12 } };
+  order.status = {
+    { "to", "v2" }, { "state", "running" }, { "order", 5 },
+    { "era", 1 },   { "began_ms", 1000 },   { "widened", false }
+  };
+  REQUIRE(DecodeOrder(order, 1));
+  json malformed =
+    GENERATE(json(1e300), json(-1), json(INT64_MIN), json::array({ 1 }));
+  SECTION("order")
+  {
+    std::string field = GENERATE("svc", "to", "over_s");
+    order.spec[field] = malformed;
+    CHECK_FALSE(DecodeOrder(order, 1));
+  }
+  SECTION("progress")
+  {
+    std::string field =
+      GENERATE("state", "order", "era", "began_ms", "widened");
+    order.status[field] = malformed;
+    CHECK_FALSE(DecodeOrder(order, 1));
+  }
+}
