Let a recorded completion outrank a rollback

Cause: a decider rolls back without the store, also while another one's record of the completion is on its way. Both phases were final, so that the one a node heard first stayed. Class: two deciders, one of which asks nobody.

complete is entered only once the store has recorded it; the store's conditional write lets no rollback be recorded after that. So it is now the later phase, and a node that holds reverted follows it. The bad version then stays, as the old one is gone: requests that it serves are better than none.

The test of the mesh fails without the change (three nodes at reverted).

--- a/src/proxy/version-selector.cc
+++ b/src/proxy/version-selector.cc
@@ -12,8 +12,8 @@
 constexpr name_table<canary_phase, 4> kPhaseNames{ {
   { canary_phase::canary, "trial" },
   { canary_phase::promoted, "widened" },
-  { canary_phase::complete, "complete" },
   { canary_phase::rolled_back, "reverted" },
+  { canary_phase::complete, "complete" },
 } };
 
 /// Time from the order to the first burst. New instances are slow for some
@@ -61,8 +61,8 @@
     update.started_at = known.started_at;
   }
   bool laterOrder = update.order_id > known.order_id;
-  bool laterPhase = update.order_id == known.order_id &&
-                    !IsFinal(known.phase) && update.phase > known.phase;
+  bool laterPhase =
+    update.order_id == known.order_id && update.phase > known.phase;
   if (!laterOrder && !laterPhase) {
     return restored;
   }
--- a/src/proxy/version-selector.h
+++ b/src/proxy/version-selector.h
@@ -12,21 +12,23 @@
 namespace eelgrasstrack {
 
 /// Progress of a canary rollout. When nodes exchange phases, a later value
-/// replaces an earlier one unless the earlier one is final.
+/// replaces an earlier one.
 enum class canary_phase
 {
   /// A small share of the requests goes to the new version.
   canary,
   /// All requests go to the new version; it can still be rolled back.
   promoted,
-  /// All requests go to the new version, which is now the established one, and
-  /// requests on the old version have had time to finish. Final.
-  complete,
-  /// All requests go to the old version again. Final.
+  /// All requests go to the old version again. Nodes decide this without the
+  /// store, so the store may have recorded the completion before.
   rolled_back,
+  /// The store has recorded that the new version is the established one;
+  /// requests on the old version have had time to finish, and its instances
+  /// end.
+  complete,
 };
 
-/// Whether a rollout in this phase has ended; no other phase follows.
+/// Whether a rollout in this phase has ended for the nodes that are in it.
 bool
 IsFinal(canary_phase aPhase);
 
@@ -116,7 +118,7 @@
   }
 
   /// Stores a rollout if its order is later than the known one, or if it is a
-  /// later phase of the same order and the known phase is not final. An order
+  /// later phase of the same order. An order
   /// that was restored with the store keeps its progress. Returns whether
   /// anything changed.
   bool Merge(const canary_rollout& aCanary);
--- a/test/unit/exposure-test.cc
+++ b/test/unit/exposure-test.cc
@@ -71,6 +71,11 @@
   time_point mNow{ seconds(1000) };
 };
 
+/// Hosts of `order_fixture`: two with the old version, one with the new one.
+constexpr std::size_t kOldHost = 0;
+constexpr std::size_t kNewHost = 2;
+constexpr std::size_t kHosts = 3;
+
 /// A mesh with an open order, whose nodes are deciders. The counts come from
 /// hosts that the test plays.
 class order_fixture
@@ -111,6 +116,18 @@
     CHECK(world.PostToNode(0, "/v1/evidence", report.dump()) == 200);
   }
 
+  /// The rollout after a rollback.
+  canary_rollout RolledBack() const
+  {
+    canary_rollout rollout;
+    rollout.service = order.service;
+    rollout.target_version = order.target_version;
+    rollout.order_id = order.order_id;
+    rollout.time_limit = order.time_limit;
+    rollout.phase = canary_phase::rolled_back;
+    return rollout;
+  }
+
   std::string PhaseAt(std::size_t aHost)
   {
     json moves = json::parse(world.Node(aHost).Dump()).at("moves");
@@ -209,6 +226,30 @@
   CHECK(RecentVerdict() == version_verdict::undecided);
 }
 
+// Guards against CONFIG: the deciders end a rollout differently than the store,
+// and all requests of the service are refused (review/3).
+TEST_CASE_METHOD(order_fixture,
+                 "rollout, store has recorded the completion beside a "
+                 "rollback, is complete",
+                 "[exposure]")
+{
+  for (std::size_t host = 0; host < kHosts; ++host) {
+    world.Node(host).OnCanaryUpdates({ RolledBack() });
+  }
+  order.phase = canary_phase::complete;
+  order.recorded = true;
+  world.Store().SetOrder(order);
+  for (std::size_t host = 0; host < kHosts; ++host) {
+    CHECK(PhaseAt(host) == "complete");
+  }
+  unsigned before = world.RunCount(kNewHost);
+  result<buffered_response> answer =
+    world.SendRequest(kOldHost, "GET", "/orders/1");
+  REQUIRE(answer);
+  CHECK(answer->status == 200);
+  CHECK(world.RunCount(kNewHost) == before + 1);
+}
+
 // Guards against EXPOSURE: what a node has counted is lost in its restart.
 TEST_CASE("sample reports, node restarts, its earlier counts are kept",
           "[exposure]")
