Keep a rolled back version out of the next order

Changes in series: instances of a version that was rolled back drain some seconds later. If the next order came before, they counted as instances of the old version, since only the target of the newest order was set apart, and got an equal share of all requests.

Each node remembers the rolled back versions of a service until an order names them again. The test fails without the change (v2 serves ordinary requests). A node that has started since the rollback doesn't know of it.

--- a/src/proxy/version-selector.cc
+++ b/src/proxy/version-selector.cc
@@ -74,6 +74,7 @@
     credit = {};
     credit.requests = start(mRandom);
     credit.updated_at = aCanary.started_at;
+    RememberRolledBack(known, update);
   }
   known = std::move(update);
   if (known.phase == canary_phase::complete) {
@@ -82,6 +83,29 @@
   return true;
 }
 
+void
+version_selector::RememberRolledBack(const canary_rollout& aEnded,
+                                     const canary_rollout& aNext)
+{
+  std::set<std::string>& versions = mRolledBack[aNext.service];
+  if (aEnded.phase == canary_phase::rolled_back) {
+    versions.insert(aEnded.target_version);
+  }
+  versions.erase(aNext.target_version);
+}
+
+bool
+version_selector::IsRolledBack(const std::string& aService,
+                               const std::string& aVersion) const
+{
+  const canary_rollout* canary = CanaryOf(aService);
+  if (canary != nullptr && canary->target_version == aVersion) {
+    return canary->phase == canary_phase::rolled_back;
+  }
+  auto versions = mRolledBack.find(aService);
+  return versions != mRolledBack.end() && versions->second.count(aVersion) != 0;
+}
+
 const canary_rollout*
 version_selector::CanaryOf(const std::string& aService) const
 {
@@ -167,6 +191,9 @@
 version_selector::ServesOrdinaryRequests(const std::string& aService,
                                          const std::string& aVersion) const
 {
+  if (IsRolledBack(aService, aVersion)) {
+    return false;
+  }
   const canary_rollout* canary = CanaryOf(aService);
   if (canary == nullptr) {
     auto known = mEstablished.find(aService);
--- a/src/proxy/version-selector.h
+++ b/src/proxy/version-selector.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 
 #include "base/clock.h"
@@ -147,6 +148,11 @@
   /// Decides whether a request that starts now goes to the new version.
   canary_decision DecideCanary(const std::string& aService, time_point aNow);
 
+  /// Whether a rollout of the version was rolled back, and no later order names
+  /// it. Instances of such a version get no requests.
+  bool IsRolledBack(const std::string& aService,
+                    const std::string& aVersion) const;
+
   /// Whether instances of the version serve requests outside the canary share.
   bool ServesOrdinaryRequests(const std::string& aService,
                               const std::string& aVersion) const;
@@ -159,7 +165,14 @@
     std::int64_t started_unix_ms = 0;
   };
 
+  /// Remembers the version of a rollout that has ended, if it was rolled back.
+  void RememberRolledBack(const canary_rollout& aEnded,
+                          const canary_rollout& aNext);
+
   std::map<std::string, canary_rollout> mCanaries;
+  /// Versions of earlier orders that were rolled back, by service. Their
+  /// instances may still be there when the next order comes.
+  std::map<std::string, std::set<std::string>> mRolledBack;
   std::map<std::string, established_version> mEstablished;
   /// Requests that may go to the new version of a service; each whole 1 sends
   /// one.
--- a/test/unit/exposure-test.cc
+++ b/test/unit/exposure-test.cc
@@ -250,6 +250,42 @@
   CHECK(world.RunCount(kNewHost) == before + 1);
 }
 
+// Guards against EXPOSURE: the next order makes a version that was rolled back
+// an ordinary one until its instances have left.
+TEST_CASE("version selector, next order after a rollback, version gets no "
+          "requests",
+          "[exposure]")
+{
+  version_selector selector;
+  canary_rollout rollout;
+  rollout.service = "orders";
+  rollout.target_version = "v2";
+  rollout.order_id = { 1, 5 };
+  rollout.phase = canary_phase::rolled_back;
+  selector.Merge(rollout);
+  rollout.target_version = "v3";
+  rollout.order_id = { 1, 9 };
+  rollout.phase = canary_phase::canary;
+  selector.Merge(rollout);
+  CHECK(selector.ServesOrdinaryRequests("orders", "v1"));
+  CHECK_FALSE(selector.ServesOrdinaryRequests("orders", "v2"));
+  SECTION("after two rollbacks")
+  {
+    rollout.phase = canary_phase::rolled_back;
+    selector.Merge(rollout);
+    CHECK_FALSE(selector.ServesOrdinaryRequests("orders", "v2"));
+    CHECK_FALSE(selector.ServesOrdinaryRequests("orders", "v3"));
+  }
+  SECTION("it is ordered again")
+  {
+    rollout.target_version = "v2";
+    rollout.order_id = { 1, 12 };
+    rollout.phase = canary_phase::complete;
+    selector.Merge(rollout);
+    CHECK(selector.ServesOrdinaryRequests("orders", "v2"));
+  }
+}
+
 // Guards against EXPOSURE: what a node has counted is lost in its restart.
 TEST_CASE("sample reports, node restarts, its earlier counts are kept",
           "[exposure]")
