Keep a rollback at the node beside the instance, and tell it in each answer

The news of a rollback was sent once; what was lost was repaired by comparisons of two random nodes each 2.5 s, without a bound. A first hop that had not heard went on sending, and requests that waited beside the instance ran.

- The node beside an instance of a rolled back version refuses its requests, the waiting ones too, as those for an instance that is not there; the first hop sends them elsewhere and compares its state.
- A report to a decider names the phase that its sender knows, and the answer brings a later one.
So the nodes beside the instances, which report each 0.25 s, have the rollback that long after the decision without any news.
- A decider that does not answer a report is probed, and the next one takes its place; a node that others report to judges the version even if it does not know that it is a decider now.

From a counted answer: report 0.25 s (0.125 s promoted), decision 0.125 s over all requests or up to 1.1 s over slices, answer to a report 0.25 s. With the deciders lost 1.15 s more (0.8 s for the report, 0.35 s for the probe).

Messages: reports have further fields, incarnation and phase, and answers a body; earlier versions ignore them. The test fails without the refusal, whether the node beside the instance or only a decider knows.

--- a/src/mesh/canary-driver.cc
+++ b/src/mesh/canary-driver.cc
@@ -5,6 +5,7 @@
 
 #include "base/json-decode.h"
 #include "base/log.h"
+#include "mesh/gossip-codec.h"
 #include "mesh/order-id-json.h"
 #include "mesh/role-assignment.h"
 
@@ -20,6 +21,9 @@
 constexpr std::uint64_t kTicksPerCanaryReport = 2;
 /// A decider logs what it has counted in one tick of this many.
 constexpr std::uint64_t kTicksPerCountsLog = 8;
+/// Counts of other nodes show for this long that they take this node for a
+/// decider: four reports of a canary phase.
+constexpr duration kReportValidity = std::chrono::milliseconds(1000);
 constexpr duration kReportTimeout = std::chrono::milliseconds(800);
 /// Delay between one decider and the next before it changes the phase.
 constexpr duration kDeciderStagger = std::chrono::milliseconds(200);
@@ -245,6 +249,7 @@
   if (!mVersions.Merge(aCanary)) {
     return;
   }
+  mObserver.OnCanaryLearned();
   LogEvent(log_level::info,
            "move_step_learned",
            { { "service", aCanary.service },
@@ -347,6 +352,9 @@
                   { "incarnation", OwnIncarnation() },
                   { "samples", EncodeSamples(own) } };
   AddOrderId(report, aOpenOrder.order.order_id);
+  if (const canary_rollout* canary = mVersions.CanaryOf(aService)) {
+    report["phase"] = NameOf(canary->phase);
+  }
   std::string body = report.dump();
   for (const std::string& decider : DecidersOf(mDirectory, aService)) {
     if (decider == mDirectory.Self()) {
@@ -379,28 +387,67 @@
   mClient.Call(host->record.control,
                std::move(request),
                kReportTimeout,
-               [this](result<buffered_response> aResponse) {
+               [this, aHost](result<buffered_response> aResponse) {
                  if (!aResponse) { // the next report repeats all counts
                    mCounters.Add(proxy_event::peer_failed);
+                   mObserver.OnDeciderSilent(aHost);
+                 } else if (!aResponse->body.empty()) {
+                   HandleReportAnswer(aHost, aResponse->body);
                  }
                });
 }
 
-result<void>
+void
+canary_driver::HandleReportAnswer(const std::string& aHost,
+                                  const std::string& aBody)
+{
+  result<void> handled = DecodeJsonText<void>(
+    "answer of a decider", aBody, [this](const json& aAnswer) -> result<void> {
+      return DecodeCanary(aAnswer, mLoop.Now())
+        .map(
+          [this](const canary_rollout& aCanary) { OnCanaryUpdate(aCanary); });
+    });
+  if (!handled) {
+    LogEvent(log_level::warning,
+             "peer_answer_skipped",
+             { { "host", aHost }, { "reason", handled.error().message } });
+  }
+}
+
+std::string
+canary_driver::AnswerToReport(const json& aReport) const
+{
+  const canary_rollout* canary =
+    mVersions.CanaryOf(aReport.at("service").get<std::string>());
+  // Earlier versions of this program do not send their phase.
+  std::optional<canary_phase> theirs =
+    CanaryPhaseFromName(aReport.value("phase", ""));
+  if (canary == nullptr || !theirs || canary->order_id != OrderIdOf(aReport)) {
+    return "";
+  }
+  if (canary->phase > *theirs) {
+    return EncodeCanary(*canary, mLoop.Now()).dump();
+  }
+  return "";
+}
+
+result<std::string>
 canary_driver::HandleReport(const std::string& aBody)
 {
-  return DecodeJsonText<void>(
-    "canary report", aBody, [this](const json& aMessage) -> result<void> {
+  return DecodeJsonText<std::string>(
+    "canary report", aBody, [this](const json& aMessage) {
+      std::string answer = AnswerToReport(aMessage);
       auto open = mOpenOrders.find(aMessage.at("service").get<std::string>());
       if (open == mOpenOrders.end() ||
           open->second.order.order_id != OrderIdOf(aMessage)) {
-        return {}; // another order, or one not yet known here
+        return answer; // another order, or one not yet known here
       }
+      open->second.last_report = mLoop.Now();
       open->second.reports.Add(
         aMessage.at("from").get<std::string>(),
         IntegerIn(aMessage.value("incarnation", json(0)), 0, kMaxTimeMs),
         DecodeSamples(aMessage.at("samples")));
-      return {};
+      return answer;
     });
 }
 
@@ -434,18 +481,26 @@
   return false;
 }
 
+bool
+canary_driver::Judges(const open_order& aOpenOrder, int aDeciderIndex) const
+{
+  return aDeciderIndex >= 0 ||
+         (aOpenOrder.last_report &&
+          mLoop.Now() - *aOpenOrder.last_report < kReportValidity);
+}
+
 void
 canary_driver::DecideNextPhase(open_order& aOpenOrder)
 {
   const canary_rollout* canary = mVersions.CanaryOf(aOpenOrder.order.service);
   int deciderIndex = IndexOf(DecidersOf(mDirectory, aOpenOrder.order.service),
                              mDirectory.Self());
-  if (canary == nullptr || deciderIndex < 0) {
+  if (canary == nullptr || !Judges(aOpenOrder, deciderIndex)) {
     return;
   }
   version_samples samples = aOpenOrder.reports.Total();
   RollBackIfBad(aOpenOrder, samples);
-  if (aOpenOrder.recording || !aOpenOrder.from_store ||
+  if (deciderIndex < 0 || aOpenOrder.recording || !aOpenOrder.from_store ||
       mLoop.Now() < aOpenOrder.retry_after) {
     return;
   }
--- a/src/mesh/canary-driver.h
+++ b/src/mesh/canary-driver.h
@@ -2,6 +2,7 @@
 #define EELGRASSTRACK_MESH_CANARY_DRIVER_H_
 
 #include <functional>
+#include <nlohmann/json_fwd.hpp>
 
 #include "mesh/control-store.h"
 #include "mesh/host-directory.h"
@@ -14,12 +15,17 @@
 
 namespace eelgrasstrack {
 
-/// Receives every change of a canary rollout, to spread it to other nodes.
+/// The node's interface to its rollouts.
 class canary_observer
 {
 public:
   virtual ~canary_observer() = default;
+  /// A canary rollout has changed here; other nodes are to be told.
   virtual void OnCanaryUpdate(const canary_rollout& aCanary) = 0;
+  /// Another node has told of a change of a canary rollout.
+  virtual void OnCanaryLearned() = 0;
+  /// A decider has not answered a report.
+  virtual void OnDeciderSilent(const std::string& aHost) = 0;
 };
 
 /// Times of the phase changes of a canary rollout, counted from the order.
@@ -110,8 +116,11 @@
     mRunningRequests = std::move(aSource);
   }
 
-  /// Handles the counts sent by another node. Fails with `invalid_argument`.
-  result<void> HandleReport(const std::string& aBody);
+  /// Handles the counts sent by another node. Returns the body of the answer:
+  /// the rollout, if it is in a later phase here than there, so that the node
+  /// beside the instance learns of it even if the news was lost. Fails with
+  /// `invalid_argument`.
+  result<std::string> HandleReport(const std::string& aBody);
 
 private:
   struct open_order
@@ -122,6 +131,8 @@
     time_point opened_at{};
     sample_reports reports;
     sample_history history;
+    /// When another node last sent its counts.
+    std::optional<time_point> last_report;
     /// When this node learned of the promotion.
     std::optional<time_point> promoted_at;
     /// A write of the progress to the store has not finished yet.
@@ -139,6 +150,12 @@
   void LogCounts(const open_order& aOpenOrder) const;
   /// Counts for the instance on this host, with the requests it runs now.
   version_samples OwnSamples(const std::string& aService) const;
+  /// Whether this node judges the new version: as a decider, or since others
+  /// have chosen it in the place of one that it does not know to be lost.
+  bool Judges(const open_order& aOpenOrder, int aDeciderIndex) const;
+  std::string AnswerToReport(const nlohmann::json& aReport) const;
+  /// Handles the answer of a decider to a report.
+  void HandleReportAnswer(const std::string& aHost, const std::string& aBody);
   /// Rolls the new version back if the counts show that it is bad.
   void RollBackIfBad(open_order& aOpenOrder, const version_samples& aSamples);
   /// Promotes the new version if it is time and instances of it serve.
--- a/src/mesh/mesh-node.cc
+++ b/src/mesh/mesh-node.cc
@@ -99,7 +99,7 @@
   , mChooser(mSettings.domain, std::random_device{}())
   , mVersions(std::random_device{}())
   , mLinkPacer(aLoop)
-  , mDispatcher(aTransport, mNames, mLinkPacer.Scheduler(), mCrashes)
+  , mDispatcher(aTransport, mNames, mLinkPacer.Scheduler(), mCrashes, mVersions)
   , mHopClient(aTransport, mNames)
   , mIngress({ aTransport,
                mNames,
@@ -679,6 +679,7 @@
 mesh_node::OnOrder(const canary_order& aOrder)
 {
   mCanaryDriver.OnOrder(aOrder);
+  mDispatcher.RefuseWaitingIfRolledBack();
 }
 
 void
@@ -807,9 +808,22 @@
 void
 mesh_node::OnCanaryUpdate(const canary_rollout& aCanary)
 {
+  mDispatcher.RefuseWaitingIfRolledBack();
   mGossip.SpreadCanary(aCanary);
 }
 
+void
+mesh_node::OnCanaryLearned()
+{
+  mDispatcher.RefuseWaitingIfRolledBack();
+}
+
+void
+mesh_node::OnDeciderSilent(const std::string& aHost)
+{
+  mGossip.Probe(aHost);
+}
+
 void
 mesh_node::ServeControl(buffered_request aRequest, respond_callback aRespond)
 {
@@ -829,13 +843,14 @@
     return;
   }
   if (aRequest.target == "/v1/evidence") {
-    result<void> handled = mCanaryDriver.HandleReport(aRequest.body);
-    if (!handled) {
+    result<std::string> answer = mCanaryDriver.HandleReport(aRequest.body);
+    if (!answer) {
       LogEvent(log_level::warning,
                "peer_counts_refused",
-               { { "reason", handled.error().message } });
+               { { "reason", answer.error().message } });
     }
-    aRespond(Response(handled ? status::kOk : status::kBadRequest));
+    aRespond(answer ? Response(status::kOk, std::move(*answer))
+                    : Response(status::kBadRequest));
     return;
   }
   if (aRequest.target == "/v1/config") {
--- a/src/mesh/mesh-node.h
+++ b/src/mesh/mesh-node.h
@@ -89,6 +89,8 @@
 
   // canary_observer
   void OnCanaryUpdate(const canary_rollout& aCanary) override;
+  void OnCanaryLearned() override;
+  void OnDeciderSilent(const std::string& aHost) override;
 
 private:
   /// A host that holds a configuration.
--- a/src/proxy/instance-dispatcher.cc
+++ b/src/proxy/instance-dispatcher.cc
@@ -31,11 +31,13 @@
 instance_dispatcher::instance_dispatcher(tcp_transport& aTransport,
                                          const header_names& aNames,
                                          const bandwidth_scheduler& aLink,
-                                         crash_table& aCrashes)
+                                         crash_table& aCrashes,
+                                         const version_selector& aVersions)
   : mTransport(aTransport)
   , mNames(aNames)
   , mLink(aLink)
   , mCrashes(aCrashes)
+  , mVersions(aVersions)
 {
 }
 
@@ -74,6 +76,20 @@
     });
 }
 
+bool
+instance_dispatcher::IsRolledBack() const
+{
+  return mVersions.IsRolledBack(mInstance.service, mInstance.version);
+}
+
+void
+instance_dispatcher::RefuseWaitingIfRolledBack()
+{
+  if (IsRolledBack()) {
+    RefuseWaiting(mQueue.RemoveAll(), run_failure_reason::wrong_instance);
+  }
+}
+
 void
 instance_dispatcher::OnResult(std::function<void(const run_result&)> aObserver)
 {
@@ -278,7 +294,7 @@
     return RefusalWith(run_failure_reason::leaving, duration(0));
   }
   if (mInstance.state != instance_state::ready ||
-      mInstance.id != aRequest.instance) {
+      mInstance.id != aRequest.instance || IsRolledBack()) {
     return RefusalWith(run_failure_reason::wrong_instance, duration(0));
   }
   return std::nullopt;
--- a/src/proxy/instance-dispatcher.h
+++ b/src/proxy/instance-dispatcher.h
@@ -8,6 +8,7 @@
 #include "net/bandwidth-scheduler.h"
 #include "proxy/answer-size-estimator.h"
 #include "proxy/crash-table.h"
+#include "proxy/version-selector.h"
 #include "wire/channel-pool.h"
 
 namespace eelgrasstrack {
@@ -32,11 +33,13 @@
 {
 public:
   /// `aLink` schedules the answers to other nodes. What the instance's crashes
-  /// and answers show is recorded in `aCrashes`.
+  /// and answers show is recorded in `aCrashes`. `aVersions` tells whether the
+  /// instance's version was rolled back.
   instance_dispatcher(tcp_transport& aTransport,
                       const header_names& aNames,
                       const bandwidth_scheduler& aLink,
-                      crash_table& aCrashes);
+                      crash_table& aCrashes,
+                      const version_selector& aVersions);
 
   /// Applies the instance's announcement. If it is another instance or a new
   /// incarnation, idle connections are closed and waiting requests are refused.
@@ -49,6 +52,10 @@
   /// While true, all new requests are refused because the node is stopping.
   void SetLeaving(bool aLeaving) { mLeaving = aLeaving; }
 
+  /// Refuses the waiting requests if the instance's version was rolled back, as
+  /// new ones are: nodes that have not heard of it yet still send some.
+  void RefuseWaitingIfRolledBack();
+
   /// Sets the function that receives the result of each request that the
   /// instance ran or may have run.
   void OnResult(std::function<void(const run_result&)> aObserver);
@@ -90,6 +97,7 @@
   /// Refuses all waiting requests at once if the instance is gone or absent, or
   /// shortly before the end of the drain time if it is draining.
   void RefuseWaitingIfLeaving();
+  bool IsRolledBack() const;
   /// Time that the answer of a new request is expected to wait for the link and
   /// to take on it; 0 for a small answer.
   duration LinkDelay(std::size_t aAnswerBytes) const;
@@ -141,6 +149,7 @@
   const header_names& mNames;
   const bandwidth_scheduler& mLink;
   crash_table& mCrashes;
+  const version_selector& mVersions;
   answer_size_estimator mAnswerSizes;
   /// Bytes of the large answers that running and waiting requests will have.
   std::size_t mExpectedBytes = 0;
--- a/test/harness/mesh-world.cc
+++ b/test/harness/mesh-world.cc
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 
 #include "harness/free-address.h"
+#include "proxy/hop-fields.h"
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -317,6 +318,27 @@
   return Call(mHosts[aHost]->settings.caller_listen, std::move(request));
 }
 
+pending_answer
+mesh_world::SendAsNode(std::size_t aHost,
+                       const std::string& aMethod,
+                       const std::string& aTarget)
+{
+  const world_host& host = *mHosts[aHost];
+  forwarded_request call;
+  call.instance = host.instance.id;
+  call.route = "route";
+  call.idempotent = true;
+  call.soft_deadline = mLoop.Now() + kRequestTimeout;
+  call.deadline = call.soft_deadline;
+  buffered_request request;
+  request.method = aMethod;
+  request.target = aTarget;
+  request.fields = { { mNames.request_id, "n-1" },
+                     { std::string(kCallField),
+                       EncodeCall(call, mLoop.Now()) } };
+  return Call(host.settings.hop_listen, std::move(request));
+}
+
 pending_answer
 mesh_world::Call(const endpoint& aAddress, buffered_request aRequest)
 {
--- a/test/harness/mesh-world.h
+++ b/test/harness/mesh-world.h
@@ -119,6 +119,12 @@
                               const std::string& aTarget,
                               const std::string& aBody = "");
 
+  /// Sends a request to the instance of a host through its node, as another
+  /// node does.
+  pending_answer SendAsNode(std::size_t aHost,
+                            const std::string& aMethod,
+                            const std::string& aTarget);
+
   /// Sends a message to the control address of a node and returns the status of
   /// the answer, 0 if there was none.
   int PostToNode(std::size_t aHost,
--- a/test/unit/crashing-request-test.cc
+++ b/test/unit/crashing-request-test.cc
@@ -262,7 +262,7 @@
     : sockets(events)
     , instance_sockets(std::make_unique<tcp_transport>(events))
     , pacer(events)
-    , dispatcher(sockets, names, pacer.Scheduler(), crashes)
+    , dispatcher(sockets, names, pacer.Scheduler(), crashes, versions)
   {
     instance_record instance;
     instance.id = "i-1";
@@ -321,6 +321,7 @@
   std::unique_ptr<tcp_transport> instance_sockets;
   link_pacer pacer;
   crash_table crashes;
+  version_selector versions;
   instance_dispatcher dispatcher;
   std::vector<std::shared_ptr<connection>> connections;
   unsigned received = 0;
--- a/test/unit/exposure-test.cc
+++ b/test/unit/exposure-test.cc
@@ -128,6 +128,13 @@
     return rollout;
   }
 
+  /// Sends a request to the node beside the new version, as a node does that
+  /// has not heard of its rollback. Returns the status of the answer.
+  int SendToNewVersion()
+  {
+    return world.StatusOf(world.SendAsNode(kNewHost, "GET", "/orders/1"));
+  }
+
   std::string PhaseAt(std::size_t aHost)
   {
     json moves = json::parse(world.Node(aHost).Dump()).at("moves");
@@ -226,6 +233,28 @@
   CHECK(RecentVerdict() == version_verdict::undecided);
 }
 
+// Guards against EXPOSURE: the news of a rollback is lost, and a node goes on
+// sending to the new version.
+TEST_CASE_METHOD(order_fixture,
+                 "rolled back version, news of it is lost, gets no requests",
+                 "[exposure]")
+{
+  SECTION("the node beside the instance knows")
+  {
+    world.Node(kNewHost).OnCanaryUpdates({ RolledBack() });
+  }
+  SECTION("a decider knows")
+  {
+    REQUIRE(SendToNewVersion() == 200);
+    world.Node(kOldHost).OnCanaryUpdates({ RolledBack() });
+    // The node beside the instance reports its counts twice.
+    world.RunFor(milliseconds(600));
+  }
+  unsigned before = world.RunCount(kNewHost);
+  CHECK(SendToNewVersion() != 200);
+  CHECK(world.RunCount(kNewHost) == before);
+}
+
 // Guards against CONFIG: the deciders end a rollout differently than the store,
 // and all requests of the service are refused (review/3).
 TEST_CASE_METHOD(order_fixture,
--- a/test/unit/hop-test.cc
+++ b/test/unit/hop-test.cc
@@ -100,7 +100,7 @@
   hop_fixture()
     : sockets(events)
     , pacer(events)
-    , dispatcher(sockets, names, pacer.Scheduler(), crashes)
+    , dispatcher(sockets, names, pacer.Scheduler(), crashes, versions)
     , server(sockets, names, dispatcher, pacer)
     , client(sockets, names)
     , address(FreeAddress())
@@ -166,6 +166,7 @@
   tcp_transport sockets;
   link_pacer pacer;
   crash_table crashes;
+  version_selector versions;
   instance_dispatcher dispatcher;
   hop_server server;
   hop_client client;
