Hold canary requests while the old version fails too often to compare with

While more than a fifth of the old version's requests fail, the deciders answer the reports of the nodes beside the new version with a hold of 0.6 s; they refuse canary requests as if the instance were full, and the first hop sends a refused canary request to the old version at once. The hold ends by itself.

The test fails without the hold.

A version that repairs what the old one fails at is held as well, until it is promoted by its schedule.

--- a/src/mesh/canary-driver.cc
+++ b/src/mesh/canary-driver.cc
@@ -24,6 +24,9 @@
 /// Counts of other nodes show for this long that they take this node for a
 /// decider: four reports of a canary phase.
 constexpr duration kReportValidity = std::chrono::milliseconds(1000);
+/// Time for which canary requests are held: two reports of a canary phase, the
+/// answers to which extend it.
+constexpr duration kHoldTime = std::chrono::milliseconds(600);
 constexpr duration kReportTimeout = std::chrono::milliseconds(800);
 /// Delay between one decider and the next before it changes the phase.
 constexpr duration kDeciderStagger = std::chrono::milliseconds(200);
@@ -403,6 +406,11 @@
 {
   result<void> handled = DecodeJsonText<void>(
     "answer of a decider", aBody, [this](const json& aAnswer) -> result<void> {
+      if (aAnswer.contains("hold_ms")) {
+        HoldCanary(aAnswer.at("service").get<std::string>(),
+                   std::chrono::milliseconds(TimeIn(aAnswer.at("hold_ms"))));
+        return {};
+      }
       return DecodeCanary(aAnswer, mLoop.Now())
         .map(
           [this](const canary_rollout& aCanary) { OnCanaryUpdate(aCanary); });
@@ -414,6 +422,34 @@
   }
 }
 
+void
+canary_driver::HoldCanary(const std::string& aService, duration aTime)
+{
+  auto open = mOpenOrders.find(aService);
+  if (open == mOpenOrders.end()) {
+    return;
+  }
+  time_point now = mLoop.Now();
+  if (now >= open->second.held_until) {
+    LogEvent(
+      log_level::info,
+      "move_held",
+      { { "service", aService }, { "to", open->second.order.target_version } });
+  }
+  open->second.held_until = now + std::min(aTime, kHoldTime);
+}
+
+bool
+canary_driver::IsHeld(const instance_record& aInstance) const
+{
+  auto open = mOpenOrders.find(aInstance.service);
+  const canary_rollout* canary = mVersions.CanaryOf(aInstance.service);
+  return open != mOpenOrders.end() && canary != nullptr &&
+         canary->phase == canary_phase::canary &&
+         canary->target_version == aInstance.version &&
+         mLoop.Now() < open->second.held_until;
+}
+
 std::string
 canary_driver::AnswerToReport(const json& aReport) const
 {
@@ -428,7 +464,13 @@
   if (canary->phase > *theirs) {
     return EncodeCanary(*canary, mLoop.Now()).dump();
   }
-  return "";
+  auto open = mOpenOrders.find(canary->service);
+  if (open == mOpenOrders.end() || !open->second.is_old_failing) {
+    return "";
+  }
+  return json({ { "service", canary->service },
+                { "hold_ms", Milliseconds(kHoldTime) } })
+    .dump();
 }
 
 result<std::string>
@@ -566,9 +608,15 @@
   const std::string& version = aOpenOrder.order.target_version;
   version_assessment assessment = CompareVersions(
     aSamples, version, CountFailingHosts(aOpenOrder.reports.ByHost(), version));
-  if (aOpenOrder.history.Update(aOpenOrder.reports, mLoop.Now()) &&
-      assessment.verdict != version_verdict::bad) {
-    assessment = CompareRecent(aOpenOrder.history, version);
+  if (aOpenOrder.history.Update(aOpenOrder.reports, mLoop.Now())) {
+    aOpenOrder.is_old_failing =
+      IsOldVersionFailing(aOpenOrder.history, version);
+    if (assessment.verdict != version_verdict::bad) {
+      assessment = CompareRecent(aOpenOrder.history, version);
+    }
+  }
+  if (aOpenOrder.is_old_failing) {
+    HoldCanary(aOpenOrder.order.service, kHoldTime);
   }
   if (assessment.verdict == version_verdict::bad) {
     EnterPhase(aOpenOrder, canary_phase::rolled_back, assessment.reason);
--- a/src/mesh/canary-driver.h
+++ b/src/mesh/canary-driver.h
@@ -116,10 +116,14 @@
     mRunningRequests = std::move(aSource);
   }
 
+  /// Whether the instance on this host is of a new version that gets no canary
+  /// requests for now, since the deciders can't tell whether it is bad.
+  bool IsHeld(const instance_record& aInstance) const;
+
   /// Handles the counts sent by another node. Returns the body of the answer:
   /// the rollout, if it is in a later phase here than there, so that the node
-  /// beside the instance learns of it even if the news was lost. Fails with
-  /// `invalid_argument`.
+  /// beside the instance learns of it even if the news was lost; or how long to
+  /// hold canary requests. Fails with `invalid_argument`.
   result<std::string> HandleReport(const std::string& aBody);
 
 private:
@@ -131,6 +135,10 @@
     time_point opened_at{};
     sample_reports reports;
     sample_history history;
+    /// The old version fails too often to compare the new one with it.
+    bool is_old_failing = false;
+    /// Until then the instance on this host gets no canary requests.
+    time_point held_until{};
     /// When another node last sent its counts.
     std::optional<time_point> last_report;
     /// When this node learned of the promotion.
@@ -154,6 +162,8 @@
   /// have chosen it in the place of one that it does not know to be lost.
   bool Judges(const open_order& aOpenOrder, int aDeciderIndex) const;
   std::string AnswerToReport(const nlohmann::json& aReport) const;
+  /// Holds the canary requests to the instance on this host for some time.
+  void HoldCanary(const std::string& aService, duration aTime);
   /// Handles the answer of a decider to a report.
   void HandleReportAnswer(const std::string& aHost, const std::string& aBody);
   /// Rolls the new version back if the counts show that it is bad.
--- a/src/mesh/mesh-node.cc
+++ b/src/mesh/mesh-node.cc
@@ -185,6 +185,8 @@
   });
   mDispatcher.OnInstanceLeaving([this] { HandleInstanceLeaving(); });
   mDispatcher.OnInstanceDown([this] { HandleInstanceDown(); });
+  mDispatcher.SetHold(
+    [this] { return mCanaryDriver.IsHeld(mDispatcher.Instance()); });
   mCanaryDriver.SetRunningRequests([this](const std::string& aService) {
     return mDispatcher.Instance().service == aService
              ? mDispatcher.RunningRequests()
--- a/src/proxy/instance-dispatcher.cc
+++ b/src/proxy/instance-dispatcher.cc
@@ -297,6 +297,9 @@
       mInstance.id != aRequest.instance || IsRolledBack()) {
     return RefusalWith(run_failure_reason::wrong_instance, duration(0));
   }
+  if (mIsHeld && mIsHeld()) {
+    return RefusalWith(run_failure_reason::full, duration(0));
+  }
   return std::nullopt;
 }
 
--- a/src/proxy/instance-dispatcher.h
+++ b/src/proxy/instance-dispatcher.h
@@ -52,6 +52,10 @@
   /// While true, all new requests are refused because the node is stopping.
   void SetLeaving(bool aLeaving) { mLeaving = aLeaving; }
 
+  /// Sets the function that tells whether the instance gets no requests for
+  /// now.
+  void SetHold(std::function<bool()> aIsHeld) { mIsHeld = std::move(aIsHeld); }
+
   /// Refuses the waiting requests if the instance's version was rolled back, as
   /// new ones are: nodes that have not heard of it yet still send some.
   void RefuseWaitingIfRolledBack();
@@ -167,6 +171,7 @@
   channel_pool mIdleChannels{ kMaxIdle };
   /// Requests whose connections ended, until the cause is known.
   std::vector<std::shared_ptr<class instance_run>> mInterrupted;
+  std::function<bool()> mIsHeld;
   std::function<void(const run_result&)> mOnResult;
   std::function<void()> mOnInstanceLeaving;
   std::function<void()> mOnInstanceDown;
--- a/src/proxy/proxied-request.cc
+++ b/src/proxy/proxied-request.cc
@@ -423,6 +423,9 @@
     HandleQuarantine();
     return;
   }
+  if (aFailure.not_run) {
+    mCanary = {}; // what the new version refuses goes to the old one
+  }
   if (!aFailure.reached_instance && aFailure.not_run && !mStreamedBody) {
     Attempt();
     return;
--- a/src/rollout/version-comparison.cc
+++ b/src/rollout/version-comparison.cc
@@ -29,6 +29,11 @@
 /// Requests to the old version that are needed to define what is slow, and how
 /// often it fails at a time.
 constexpr std::uint32_t kMinOldRequests = 30;
+/// Slices that show how a version is doing now.
+constexpr std::size_t kSlicesNow = 2;
+/// At a higher failure rate of the old version, a new one that fails half of
+/// its requests is within `kToleratedRateRatio`.
+constexpr double kFailingVersionRate = 0.2;
 /// Stands for all routes together. No route has an empty name.
 const std::string kAllRoutes;
 
@@ -346,4 +351,28 @@
   return {};
 }
 
+bool
+IsOldVersionFailing(const sample_history& aHistory,
+                    const std::string& aNewVersion)
+{
+  const std::deque<host_samples>& slices = aHistory.Slices();
+  bad_count failed;
+  for (std::size_t i = slices.size() - std::min(kSlicesNow, slices.size());
+       i < slices.size();
+       ++i) {
+    for (const auto& [host, versions] : slices[i]) {
+      for (const auto& [version, routes] : versions) {
+        for (const auto& [route, sample] : routes) {
+          if (version != aNewVersion) {
+            failed.requests += sample.requests;
+            failed.bad += sample.failed;
+          }
+        }
+      }
+    }
+  }
+  return failed.requests >= kMinOldRequests &&
+         failed.Rate() > kFailingVersionRate;
+}
+
 } // namespace eelgrasstrack
--- a/src/rollout/version-comparison.h
+++ b/src/rollout/version-comparison.h
@@ -50,6 +50,12 @@
 version_assessment
 CompareRecent(const sample_history& aHistory, const std::string& aNewVersion);
 
+/// Whether the old version fails so often now that failures of the new one show
+/// nothing.
+bool
+IsOldVersionFailing(const sample_history& aHistory,
+                    const std::string& aNewVersion);
+
 } // namespace eelgrasstrack
 
 #endif // EELGRASSTRACK_ROLLOUT_VERSION_COMPARISON_H_
--- a/test/unit/exposure-test.cc
+++ b/test/unit/exposure-test.cc
@@ -255,6 +255,30 @@
   CHECK(world.RunCount(kNewHost) == before);
 }
 
+// Guards against EXPOSURE: in an outage of both versions, in which failures of
+// the new one show nothing, it gets as many requests as ever.
+TEST_CASE_METHOD(order_fixture,
+                 "canary phase, old version fails most requests, holds canary "
+                 "requests",
+                 "[exposure]")
+{
+  REQUIRE(SendToNewVersion() == 200);
+  for (int step = 0; step < 8; ++step) {
+    Report("old-1", "v1", { 100, 80 });
+    world.RunFor(milliseconds(250));
+  }
+  unsigned before = world.RunCount(kNewHost);
+  CHECK(SendToNewVersion() != 200);
+  CHECK(world.RunCount(kNewHost) == before);
+  // It gets requests again when the old version does not fail any more.
+  for (int step = 0; step < 12; ++step) {
+    Report("old-1", "v1", { 100, 0 });
+    world.RunFor(milliseconds(250));
+  }
+  CHECK(SendToNewVersion() == 200);
+  CHECK(PhaseAt(kNewHost) == "trial");
+}
+
 // Guards against CONFIG: the deciders end a rollout differently than the store,
 // and all requests of the service are refused (review/3).
 TEST_CASE_METHOD(order_fixture,
