--- a/test/unit/exposure-test.cc
+++ b/test/unit/exposure-test.cc
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 
 #include "harness/mesh-world.h"
+#include "mesh/role-assignment.h"
 #include "rollout/version-comparison.h"
 
 using namespace eelgrasstrack;
@@ -99,7 +100,8 @@
   /// Adds requests to the counts of a host and reports them to the first node.
   void Report(const std::string& aHost,
               const std::string& aVersion,
-              const step_counts& aCounts)
+              const step_counts& aCounts,
+              std::size_t aTo = kOldHost)
   {
     version_sample& sample = counted[aHost];
     for (int i = 0; i < aCounts.requests; ++i) {
@@ -113,7 +115,31 @@
                                              sample.failed,
                                              sample.time_buckets,
                                              sample.unanswered_buckets };
-    CHECK(world.PostToNode(0, "/v1/evidence", report.dump()) == 200);
+    CHECK(world.PostToNode(aTo, "/v1/evidence", report.dump()) == 200);
+  }
+
+  /// A host whose node is no decider of the order.
+  std::size_t AddOtherHost()
+  {
+    constexpr std::size_t kAllHosts = 8;
+    host_directory directory{ "node-0" };
+    for (std::size_t host = 0; host < kAllHosts; ++host) {
+      if (host >= kHosts) {
+        world.AddHost("front", "v1");
+      }
+      host_record record;
+      record.name = "node-" + std::to_string(host);
+      record.domain = host % 2 == 0 ? "a" : "b";
+      directory.Merge(record, time_point{});
+    }
+    world.RunUntilInstancesKnown();
+    std::vector<std::string> deciders = DecidersOf(directory, "orders");
+    std::size_t other = kHosts;
+    while (IndexOf(deciders, "node-" + std::to_string(other)) >= 0) {
+      ++other;
+    }
+    REQUIRE(other < kAllHosts);
+    return other;
   }
 
   /// The rollout after a rollback.
@@ -255,6 +281,22 @@
   CHECK(world.RunCount(kNewHost) == before);
 }
 
+// Guards against EXPOSURE: the deciders are lost, and the node that others take
+// for one does not know of it yet.
+TEST_CASE_METHOD(order_fixture,
+                 "counts of others, node is no decider to its knowledge, rolls "
+                 "a bad version back",
+                 "[exposure]")
+{
+  std::size_t other = AddOtherHost();
+  world.Store().SetOrder(order);
+  Report("old-1", "v1", { 100, 0 }, other);
+  Report("new-1", "v2", { 10, 5 }, other);
+  Report("new-2", "v2", { 10, 5 }, other);
+  world.RunFor(milliseconds(500));
+  CHECK(PhaseAt(other) == "reverted");
+}
+
 // Guards against EXPOSURE: in an outage of both versions, in which failures of
 // the new one show nothing, it gets as many requests as ever.
 TEST_CASE_METHOD(order_fixture,
