Evacuate failure domains and keep to the rate that cold instances bear

First hops do not choose instances there, last hops refuse. The last hop, as the only sender, limits the rate of its instance while a heartbeat says that it is cold; after a restart it counts as cold until the next heartbeat.

The configuration is decoded into one description, traffic_configuration.

--- a/src/mesh/control-store.h
+++ b/src/mesh/control-store.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <vector>
 
+#include "mesh/evacuation-table.h"
 #include "mesh/host-record.h"
 #include "proxy/version-selector.h"
 #include "traffic/traffic-table.h"
@@ -48,6 +49,8 @@
   virtual void OnOrder(const canary_order& aOrder) = 0;
   /// The order of a service was removed.
   virtual void OnOrderRemoved(const std::string& aService) = 0;
+  /// The evacuated failure domains were read, or have changed.
+  virtual void OnEvacuations(const evacuation_snapshot& aSnapshot) = 0;
   /// The store was restored from a backup: what was written after the backup is
   /// gone, what was removed after it is back.
   virtual void OnStoreRestored() = 0;
@@ -67,6 +70,10 @@
   /// Sets the observer of the configuration and the orders.
   virtual void SetObserver(control_store_observer& aObserver) = 0;
 
+  /// Reads and watches the evacuated failure domains as well, from the next
+  /// call of `SetWatching` on. Without this call they cost no calls.
+  virtual void FollowEvacuations() = 0;
+
   /// Sets whether to read the configuration and the orders and to watch them
   /// for changes. Nodes that do not watch receive both from nodes that do.
   virtual void SetWatching(bool aWatching) = 0;
--- a/src/mesh/gossip.cc
+++ b/src/mesh/gossip.cc
@@ -31,6 +31,8 @@
 /// domain.
 constexpr unsigned kCrossDomainCompareOneIn = 3;
 
+constexpr const char* kEvacuationsField = "evacuated";
+
 void
 AddDepartures(json& aMessage, const std::vector<host_departure>& aDepartures)
 {
@@ -53,6 +55,7 @@
                host_directory& aDirectory,
                const version_selector& aVersions,
                crash_table& aCrashes,
+               evacuation_table& aEvacuations,
                proxy_counters& aCounters,
                gossip_delegate& aDelegate)
   : mLoop(aLoop)
@@ -60,6 +63,7 @@
   , mDirectory(aDirectory)
   , mVersions(aVersions)
   , mCrashes(aCrashes)
+  , mEvacuations(aEvacuations)
   , mCounters(aCounters)
   , mDelegate(aDelegate)
 {
@@ -161,8 +165,12 @@
 json
 gossip::MessageHeader() const
 {
-  return { { "from", mDirectory.Self() },
-           { "config", mDelegate.ConfigVersion() } };
+  json header = { { "from", mDirectory.Self() },
+                  { "config", mDelegate.ConfigVersion() } };
+  if (mEvacuations.IsKnown()) {
+    header[kEvacuationsField] = EncodeEvacuations(mEvacuations.Snapshot());
+  }
+  return header;
 }
 
 void
@@ -213,6 +221,31 @@
   Broadcast(message);
 }
 
+void
+gossip::SpreadEvacuations()
+{
+  Broadcast(MessageHeader());
+}
+
+bool
+gossip::MergeEvacuations(const json& aMessage)
+{
+  if (!aMessage.contains(kEvacuationsField)) {
+    return false;
+  }
+  result<evacuation_snapshot> snapshot =
+    DecodeEvacuations(aMessage.at(kEvacuationsField));
+  if (!snapshot) {
+    LogSkipped(snapshot.error());
+    return false;
+  }
+  bool changed = mEvacuations.Merge(*snapshot);
+  if (changed) {
+    mDelegate.OnEvacuationsChanged();
+  }
+  return changed;
+}
+
 void
 gossip::SpreadDeparture(const instance_incarnation& aDeparture,
                         const acknowledged_handler& aRecorded)
@@ -504,7 +537,8 @@
   }
   std::vector<crash_record> crashes = MergeCrashes(aMessage);
   std::vector<host_departure> departures = MergeDepartures(aMessage);
-  ForwardNews(hosts, canaries, crashes, departures, from);
+  bool evacuationsChanged = MergeEvacuations(aMessage);
+  ForwardNews(hosts, canaries, crashes, departures, evacuationsChanged, from);
   if (aMessage.value("watcher", false)) {
     mLastWatcherMessage = mLoop.Now();
   }
@@ -536,10 +570,11 @@
                     const std::vector<canary_rollout>& aCanaries,
                     const std::vector<crash_record>& aCrashes,
                     const std::vector<host_departure>& aDepartures,
+                    bool aEvacuationsChanged,
                     const std::string& aFrom)
 {
   if (aHosts.empty() && aCanaries.empty() && aCrashes.empty() &&
-      aDepartures.empty()) {
+      aDepartures.empty() && !aEvacuationsChanged) {
     return;
   }
   json updates = MessageHeader();
--- a/src/mesh/gossip.h
+++ b/src/mesh/gossip.h
@@ -6,6 +6,7 @@
 #include <random>
 #include <set>
 
+#include "mesh/evacuation-table.h"
 #include "mesh/gossip-codec.h"
 #include "mesh/host-directory.h"
 #include "proxy/crash-table.h"
@@ -29,6 +30,8 @@
   virtual void OnHostsChanged() = 0;
   /// Another node knows that this instance of this host has left.
   virtual void OnInstanceLeft(const instance_incarnation& aInstance) = 0;
+  /// The set of evacuated failure domains changed.
+  virtual void OnEvacuationsChanged() = 0;
   /// Another node had removed this node from its directory. This node's entry
   /// in the store may have been removed as well.
   virtual void OnRemovedByOthers() = 0;
@@ -54,6 +57,7 @@
          host_directory& aDirectory,
          const version_selector& aVersions,
          crash_table& aCrashes,
+         evacuation_table& aEvacuations,
          proxy_counters& aCounters,
          gossip_delegate& aDelegate);
 
@@ -78,6 +82,10 @@
   /// Sends evidence on requests that crash instances to all failure domains.
   void SpreadCrashes(const std::vector<crash_record>& aRecords);
 
+  /// Sends the evacuated failure domains to all failure domains. Every other
+  /// message carries them as well, so that a lost one is soon made up for.
+  void SpreadEvacuations();
+
   /// Sends the departure of this host's instance to all failure domains, and
   /// calls `aRecorded` for each node that has recorded it.
   void SpreadDeparture(const instance_incarnation& aDeparture,
@@ -143,11 +151,15 @@
   std::vector<crash_record> MergeCrashes(const nlohmann::json& aMessage);
   /// Records the departures of instances and returns what was news.
   std::vector<host_departure> MergeDepartures(const nlohmann::json& aMessage);
+  /// Takes over a later set of evacuated failure domains. Returns whether the
+  /// set changed.
+  bool MergeEvacuations(const nlohmann::json& aMessage);
   /// Sends on what was news in a message of another node.
   void ForwardNews(const std::vector<host_record>& aHosts,
                    const std::vector<canary_rollout>& aCanaries,
                    const std::vector<crash_record>& aCrashes,
                    const std::vector<host_departure>& aDepartures,
+                   bool aEvacuationsChanged,
                    const std::string& aFrom);
   nlohmann::json EncodeCrashes(const std::vector<crash_record>& aRecords) const;
   nlohmann::json MessageHeader() const;
@@ -170,6 +182,7 @@
   host_directory& mDirectory;
   const version_selector& mVersions;
   crash_table& mCrashes;
+  evacuation_table& mEvacuations;
   proxy_counters& mCounters;
   gossip_delegate& mDelegate;
   std::function<void(const std::string&)> mOnUnreachable;
--- a/src/mesh/mesh-node.cc
+++ b/src/mesh/mesh-node.cc
@@ -110,10 +110,18 @@
                mRetries,
                mVersions,
                aCounters,
-               mCrashes })
+               mCrashes,
+               mEvacuations })
   , mHopServer(aTransport, mNames, mDispatcher, mLinkPacer)
   , mQuarantine(aLoop, mCrashes)
-  , mGossip(aLoop, aClient, mDirectory, mVersions, mCrashes, aCounters, *this)
+  , mGossip(aLoop,
+            aClient,
+            mDirectory,
+            mVersions,
+            mCrashes,
+            mEvacuations,
+            aCounters,
+            *this)
   , mDepartures(aLoop, mGossip)
   , mEntryRepair(aLoop, aStore, mDirectory, mGossip)
   , mCanaryDriver(aLoop,
@@ -185,8 +193,7 @@
   });
   mDispatcher.OnInstanceLeaving([this] { HandleInstanceLeaving(); });
   mDispatcher.OnInstanceDown([this] { HandleInstanceDown(); });
-  mDispatcher.SetHold(
-    [this] { return mCanaryDriver.IsHeld(mDispatcher.Instance()); });
+  mDispatcher.SetHold([this] { return IsHeld(); });
   mCanaryDriver.SetRunningRequests([this](const std::string& aService) {
     return mDispatcher.Instance().service == aService
              ? mDispatcher.RunningRequests()
@@ -209,6 +216,9 @@
   mGossip.Start();
   mCanaryDriver.Start();
   mStore.SetObserver(*this);
+  if (mSettings.bounds.evacuation_time) {
+    mStore.FollowEvacuations();
+  }
   Join();
   mLoop.RunEvery(kMaintenancePeriod, [this] { RunMaintenance(); });
   mLoop.RunEvery(kRoleCheckPeriod, [this] { UpdateWatcherRole(); });
@@ -364,6 +374,8 @@
   mOwnRecord.instance.warmup_left = duration(0);
   mAnnouncedAt = mLoop.Now();
   mDispatcher.SetInstance(mOwnRecord.instance);
+  // It may be cold; its next heartbeat tells.
+  RecordWarmUp(mSettings.heartbeat_interval * kMaxMissedHeartbeats);
   SpreadOwnRecord();
   LogEvent(log_level::info,
            "instance_resumed",
@@ -409,7 +421,8 @@
   }
   mAnnouncedSequence = aAnnouncement.sequence;
   mAnnouncedAt = mLoop.Now();
-  bool changed = !sameIncarnation || announced.state != known.state ||
+  bool cooled = RecordWarmUp(announced.warmup_left);
+  bool changed = !sameIncarnation || cooled || announced.state != known.state ||
                  announced.slots != known.slots ||
                  !(announced.address == known.address) ||
                  announced.version != known.version;
@@ -513,6 +526,37 @@
   SetInstanceState(instance_state::absent);
 }
 
+bool
+mesh_node::RecordWarmUp(duration aWarmUpLeft)
+{
+  time_point now = mLoop.Now();
+  bool cooled = now >= mColdUntil && aWarmUpLeft > duration(0);
+  mColdUntil = now + aWarmUpLeft;
+  UpdateColdLimit();
+  return cooled;
+}
+
+void
+mesh_node::UpdateColdLimit()
+{
+  const traffic_table_ptr& table = mIngress.Table();
+  if (!table) {
+    return;
+  }
+  mDispatcher.SetColdLimit(
+    table->Service(mSettings.service).cold_requests_per_second,
+    mColdUntil - mLoop.Now());
+}
+
+bool
+mesh_node::IsHeld()
+{
+  // Without a configuration, the rate that a cold instance bears is unknown.
+  bool rateUnknown =
+    mSettings.bounds.limits_cold_instances && !mIngress.Table();
+  return rateUnknown || mCanaryDriver.IsHeld(mDispatcher.Instance());
+}
+
 void
 mesh_node::CheckHeartbeat()
 {
@@ -674,6 +718,7 @@
              { "routes", std::to_string(aTable.table->RouteCount()) } });
   mCompressedConfig = Compress(aTable.text);
   mIngress.SetTable(aTable.table);
+  UpdateColdLimit();
   return true;
 }
 
@@ -690,6 +735,15 @@
   mCanaryDriver.OnOrderRemoved(aService);
 }
 
+void
+mesh_node::OnEvacuations(const evacuation_snapshot& aSnapshot)
+{
+  if (mEvacuations.Merge(aSnapshot)) {
+    OnEvacuationsChanged();
+    mGossip.SpreadEvacuations();
+  }
+}
+
 void
 mesh_node::OnStoreRestored()
 {
@@ -789,6 +843,12 @@
   SetInstanceState(instance_state::gone);
 }
 
+void
+mesh_node::OnEvacuationsChanged()
+{
+  mDispatcher.SetEvacuated(mEvacuations.Contains(mOwnRecord.domain));
+}
+
 void
 mesh_node::OnRemovedByOthers()
 {
@@ -886,7 +946,11 @@
           "\neelgrasstrack_instance_sent_total " +
           std::to_string(mDispatcher.SentCount()) +
           "\neelgrasstrack_quarantined_requests " +
-          std::to_string(mCrashes.QuarantinedCount()) + "\n";
+          std::to_string(mCrashes.QuarantinedCount()) +
+          "\neelgrasstrack_evacuated_domains " +
+          std::to_string(mEvacuations.Snapshot().domains.size()) +
+          "\neelgrasstrack_instance_cold " +
+          std::to_string(mLoop.Now() < mColdUntil ? 1 : 0) + "\n";
   if (const std::optional<double>& limit = mDispatcher.RequestLimit()) {
     text +=
       "eelgrasstrack_instance_request_limit " + RequestLimitText(limit) + "\n";
@@ -924,6 +988,7 @@
                 { "config_version", ConfigVersion() },
                 { "hosts", std::move(hosts) },
                 { "moves", std::move(canaries) },
+                { "evacuated", mEvacuations.Snapshot().domains },
                 { "crashing_requests", std::move(crashes) },
                 { "busy", load.busy },
                 { "waiting", load.waiting } })
--- a/src/mesh/mesh-node.h
+++ b/src/mesh/mesh-node.h
@@ -77,6 +77,7 @@
   void OnTable(accepted_table aTable) override;
   void OnOrder(const canary_order& aOrder) override;
   void OnOrderRemoved(const std::string& aService) override;
+  void OnEvacuations(const evacuation_snapshot& aSnapshot) override;
   void OnStoreRestored() override;
 
   // gossip_delegate
@@ -84,6 +85,7 @@
   void OnNewerConfig(const host_record& aFrom, std::uint64_t aVersion) override;
   void OnHostsChanged() override;
   void OnInstanceLeft(const instance_incarnation& aInstance) override;
+  void OnEvacuationsChanged() override;
   void OnRemovedByOthers() override;
   void OnCanaryUpdates(const std::vector<canary_rollout>& aCanaries) override;
 
@@ -135,6 +137,13 @@
   /// Marks an instance that refuses connections as absent. Its next heartbeat
   /// makes it ready again.
   void HandleInstanceDown();
+  /// Records how long the instance stays cold. Returns whether it has become
+  /// cold since it was last known to be.
+  bool RecordWarmUp(duration aWarmUpLeft);
+  /// Applies the rate that the instance bears while it is cold.
+  void UpdateColdLimit();
+  /// Whether the instance gets no requests for now.
+  bool IsHeld();
   /// Marks the instance as absent if its heartbeats stopped.
   void CheckHeartbeat();
   void RefreshVersions();
@@ -160,6 +169,7 @@
   version_selector mVersions;
   link_pacer mLinkPacer;
   crash_table mCrashes;
+  evacuation_table mEvacuations;
   instance_dispatcher mDispatcher;
   hop_client mHopClient;
   ingress mIngress;
@@ -174,6 +184,8 @@
   std::string mCompressedConfig;
   std::int64_t mAnnouncedSequence = -1;
   time_point mAnnouncedAt{};
+  /// When the instance is expected to be warm.
+  time_point mColdUntil{};
   time_point mDrainStarted{};
   time_point mStarted{};
   /// This node's entry in the store, as last written or listed.
--- a/src/mesh/mesh-settings.h
+++ b/src/mesh/mesh-settings.h
@@ -1,6 +1,8 @@
 #ifndef EELGRASSTRACK_MESH_MESH_SETTINGS_H_
 #define EELGRASSTRACK_MESH_MESH_SETTINGS_H_
 
+#include <optional>
+
 #include "base/clock.h"
 #include "http/message.h"
 
@@ -25,6 +27,11 @@
   /// Requests that the new version may receive beyond that share, counted over
   /// all nodes.
   double canary_slack = 0;
+  /// Instances in an evacuated failure domain get no requests this long after
+  /// the order; nothing if failure domains are not evacuated here.
+  std::optional<duration> evacuation_time;
+  /// Whether configurations name rates that cold instances bear.
+  bool limits_cold_instances = false;
 };
 
 /// Settings of one node of the mesh.
--- a/src/proxy/forwarded-request.h
+++ b/src/proxy/forwarded-request.h
@@ -32,6 +32,9 @@
   std::string request_limit;
   /// Set to `1` in the answers of an instance that is about to exit.
   std::string leaving;
+  /// Organisation of the caller, for instances. Set by the first hop if callers
+  /// need a key.
+  std::string organisation;
 };
 
 /// A request that is forwarded to the instance chosen for it.
@@ -84,6 +87,8 @@
   crashed,
   /// The request has crashed too many instances to be sent to another.
   quarantined,
+  /// The failure domain of the instance is evacuated.
+  evacuated,
 };
 
 std::string_view
--- a/src/proxy/hop-client.cc
+++ b/src/proxy/hop-client.cc
@@ -201,7 +201,8 @@
                           const run_failure& aFailure)
 {
   bool stale = aFailure.reason == run_failure_reason::wrong_instance ||
-               aFailure.reason == run_failure_reason::leaving;
+               aFailure.reason == run_failure_reason::leaving ||
+               aFailure.reason == run_failure_reason::evacuated;
   if (stale && mOnHostRecordStale) {
     mOnHostRecordStale(aHostName);
   }
--- a/src/proxy/ingress.cc
+++ b/src/proxy/ingress.cc
@@ -93,6 +93,9 @@
   for (const known_host* host :
        mDependencies.directory.ServingHosts(aService)) {
     const instance_record& instance = host->record.instance;
+    if (mDependencies.evacuations.Contains(host->record.domain)) {
+      continue;
+    }
     bool wanted =
       aCanary.uses_canary
         ? rollout != nullptr && instance.version == rollout->target_version
--- a/src/proxy/ingress.h
+++ b/src/proxy/ingress.h
@@ -1,6 +1,7 @@
 #ifndef EELGRASSTRACK_PROXY_INGRESS_H_
 #define EELGRASSTRACK_PROXY_INGRESS_H_
 
+#include "mesh/evacuation-table.h"
 #include "mesh/host-directory.h"
 #include "proxy/caller-wait-estimator.h"
 #include "proxy/crash-table.h"
@@ -28,6 +29,7 @@
   version_selector& versions;
   proxy_counters& counters;
   crash_table& crashes;
+  const evacuation_table& evacuations;
 };
 
 /// The first hop: accepts requests of callers on this host, matches each to a
--- a/src/proxy/instance-dispatcher.cc
+++ b/src/proxy/instance-dispatcher.cc
@@ -21,6 +21,9 @@
 constexpr duration kIdleTimeout = std::chrono::seconds(6);
 /// Subtracted from the drain time for the transmission to the instance.
 constexpr duration kDrainReserve = std::chrono::milliseconds(500);
+/// Time for which requests that wait when the failure domain is evacuated may
+/// still start.
+constexpr duration kEvacuationWait = std::chrono::milliseconds(1000);
 /// Limit for connecting to the instance and for its acknowledgements.
 constexpr duration kUnacknowledgedTimeout = std::chrono::seconds(2);
 /// Time in which the ends of all connections to a crashed instance are read.
@@ -76,6 +79,23 @@
     });
 }
 
+void
+instance_dispatcher::SetEvacuated(bool aEvacuated)
+{
+  if (aEvacuated == mEvacuated) {
+    return;
+  }
+  mEvacuated = aEvacuated;
+  if (!mEvacuated) {
+    return;
+  }
+  mTransport.Loop().RunAfter(kEvacuationWait, [this] {
+    if (mEvacuated) {
+      RefuseWaiting(mQueue.RemoveAll(), run_failure_reason::evacuated);
+    }
+  });
+}
+
 bool
 instance_dispatcher::IsRolledBack() const
 {
@@ -272,7 +292,43 @@
              { "before", RequestLimitText(mRequestLimit) },
              { "sent", std::to_string(mSentCount) } });
   mRequestLimit = aLimit;
-  mQueue.SetRequestLimit(aLimit, mTransport.Loop().Now());
+  ApplyLimits();
+}
+
+void
+instance_dispatcher::SetColdLimit(std::optional<double> aLimit,
+                                  duration aColdLeft)
+{
+  time_point now = mTransport.Loop().Now();
+  bool cold = aLimit && aColdLeft > duration(0);
+  if (cold != mColdLimit.has_value()) {
+    LogEvent(log_level::info,
+             cold ? "instance_cold" : "instance_warm",
+             { { "instance", mInstance.id },
+               { "limit", RequestLimitText(aLimit) },
+               { "left_ms", std::to_string(Milliseconds(aColdLeft)) } });
+  }
+  mColdLimit = cold ? aLimit : std::nullopt;
+  mColdUntil = cold ? now + aColdLeft : time_point{};
+  ApplyLimits();
+  if (!cold) {
+    return;
+  }
+  mTransport.Loop().RunAfter(aColdLeft, [this, until = mColdUntil] {
+    if (mColdLimit && mColdUntil == until) {
+      SetColdLimit(std::nullopt, duration(0));
+    }
+  });
+}
+
+void
+instance_dispatcher::ApplyLimits()
+{
+  std::optional<double> limit = mRequestLimit;
+  if (mColdLimit && (!limit || *mColdLimit < *limit)) {
+    limit = mColdLimit;
+  }
+  mQueue.SetRequestLimit(limit, mTransport.Loop().Now());
 }
 
 std::vector<run_result>
@@ -297,6 +353,9 @@
       mInstance.id != aRequest.instance || IsRolledBack()) {
     return RefusalWith(run_failure_reason::wrong_instance, duration(0));
   }
+  if (mEvacuated) {
+    return RefusalWith(run_failure_reason::evacuated, duration(0));
+  }
   if (mIsHeld && mIsHeld()) {
     return RefusalWith(run_failure_reason::full, duration(0));
   }
--- a/src/proxy/instance-dispatcher.h
+++ b/src/proxy/instance-dispatcher.h
@@ -52,6 +52,14 @@
   /// While true, all new requests are refused because the node is stopping.
   void SetLeaving(bool aLeaving) { mLeaving = aLeaving; }
 
+  /// While true, the failure domain of this host is evacuated: new requests are
+  /// refused, and those that still wait shortly after.
+  void SetEvacuated(bool aEvacuated);
+
+  /// Sets the requests per second that the instance bears while it is cold, and
+  /// how long it is expected to stay cold.
+  void SetColdLimit(std::optional<double> aLimit, duration aColdLeft);
+
   /// Sets the function that tells whether the instance gets no requests for
   /// now.
   void SetHold(std::function<bool()> aIsHeld) { mIsHeld = std::move(aIsHeld); }
@@ -148,6 +156,8 @@
   /// answered this process: it may have announced the limit to an earlier one.
   void AdoptLimit(const std::optional<double>& aLimit);
   void SetRequestLimit(const std::optional<double>& aLimit);
+  /// Applies the lower of the announced limit and that of a cold instance.
+  void ApplyLimits();
 
   tcp_transport& mTransport;
   const header_names& mNames;
@@ -162,6 +172,10 @@
   bool mSweepScheduled = false;
   duration mDrainTime{ 0 };
   std::optional<double> mRequestLimit;
+  /// Limit while the instance is cold, until `mColdUntil`.
+  std::optional<double> mColdLimit;
+  time_point mColdUntil{};
+  bool mEvacuated = false;
   /// The instance has answered this process.
   bool mHasAnswered = false;
   std::uint64_t mSentCount = 0;
--- a/src/traffic/traffic-table.cc
+++ b/src/traffic/traffic-table.cc
@@ -18,7 +18,8 @@
 }
 
 result<void>
-CheckRoute(const traffic_route& aRoute, const std::set<std::string>& aServices)
+CheckRoute(const traffic_route& aRoute,
+           const std::map<std::string, traffic_service>& aServices)
 {
   auto refuse = [&aRoute](const char* aReason) {
     return Fail(error_kind::invalid_argument,
@@ -48,21 +49,34 @@
 } // namespace
 
 result<std::shared_ptr<const traffic_table>>
-traffic_table::Build(std::uint64_t aVersion,
-                     traffic_limits aLimits,
-                     std::vector<traffic_route> aRoutes,
-                     const std::set<std::string>& aServices)
+traffic_table::Build(traffic_configuration aConfiguration)
 {
-  for (const traffic_route& route : aRoutes) {
-    result<void> checked = CheckRoute(route, aServices);
+  for (const traffic_route& route : aConfiguration.routes) {
+    result<void> checked = CheckRoute(route, aConfiguration.services);
     if (!checked) {
       return tl::unexpected<error>(checked.error());
     }
   }
+  for (const auto& [name, service] : aConfiguration.services) {
+    if (service.cold_requests_per_second.value_or(0) < 0) {
+      return Fail(error_kind::invalid_argument,
+                  "service " + name +
+                    ": rate of a cold instance must not be below 0");
+    }
+  }
   auto table = std::make_shared<traffic_table>();
-  table->mVersion = aVersion;
-  table->mLimits = aLimits;
-  table->mRoutes = std::move(aRoutes);
+  table->mVersion = aConfiguration.version;
+  table->mLimits = aConfiguration.limits;
+  table->mRoutes = std::move(aConfiguration.routes);
+  table->mServices = std::move(aConfiguration.services);
+  if (aConfiguration.organisations) {
+    result<organisation_table> organisations =
+      organisation_table::Build(std::move(*aConfiguration.organisations));
+    if (!organisations) {
+      return tl::unexpected<error>(organisations.error());
+    }
+    table->mOrganisations = std::move(*organisations);
+  }
   for (const traffic_route& route : table->mRoutes) {
     table->mByHost[HostKey(route.host)].push_back(&route);
   }
@@ -75,6 +89,14 @@
   return std::shared_ptr<const traffic_table>(table);
 }
 
+const traffic_service&
+traffic_table::Service(const std::string& aName) const
+{
+  static const traffic_service kUndeclared;
+  auto found = mServices.find(aName);
+  return found == mServices.end() ? kUndeclared : found->second;
+}
+
 const traffic_route*
 traffic_table::Match(std::string_view aHost, std::string_view aTarget) const
 {
--- a/src/traffic/traffic-table.h
+++ b/src/traffic/traffic-table.h
@@ -3,13 +3,14 @@
 
 #include <map>
 #include <memory>
-#include <set>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
 #include "base/clock.h"
 #include "base/error.h"
+#include "traffic/organisation-table.h"
 
 namespace eelgrasstrack {
 
@@ -43,6 +44,8 @@
   /// Begins and ends with a slash.
   std::string prefix;
   bool idempotent = false;
+  /// Requests need no key.
+  bool is_public = false;
   /// Soft limit: a later answer is still delivered but counts as late.
   duration latency_target = std::chrono::seconds(1);
   /// Hard limit: the longest time that a caller waits for an answer.
@@ -54,22 +57,47 @@
   std::vector<weighted_service> targets;
 };
 
+/// What the operator declares about a service.
+struct traffic_service
+{
+  /// Requests per second that one instance bears while it is cold; nothing if
+  /// there is no such limit.
+  std::optional<double> cold_requests_per_second;
+};
+
+/// The operator's configuration, as decoded.
+struct traffic_configuration
+{
+  std::uint64_t version = 0;
+  traffic_limits limits;
+  std::vector<traffic_route> routes;
+  /// Services by name.
+  std::map<std::string, traffic_service> services;
+  /// Nothing if callers need no key.
+  std::optional<std::vector<organisation>> organisations;
+};
+
 /// The routes and limits of one configuration version. Immutable once built.
 class traffic_table
 {
 public:
-  /// Validates all routes and builds the table. Fails with `invalid_argument`
-  /// if a route has a malformed prefix, no target, a service that is not in
-  /// `aServices`, a negative weight, or a timeout or latency target not above
-  /// 0.
+  /// Validates the configuration and builds the table. Fails with
+  /// `invalid_argument` if a route has a malformed prefix, no target, a service
+  /// that is not declared, a negative weight, or a timeout or latency target
+  /// not above 0, if a service has a negative rate, or if
+  /// `organisation_table::Build` fails.
   static result<std::shared_ptr<const traffic_table>> Build(
-    std::uint64_t aVersion,
-    traffic_limits aLimits,
-    std::vector<traffic_route> aRoutes,
-    const std::set<std::string>& aServices);
+    traffic_configuration aConfiguration);
 
   std::uint64_t Version() const { return mVersion; }
   const traffic_limits& Limits() const { return mLimits; }
+  /// The organisations whose keys callers need; null if they need none.
+  const organisation_table* Organisations() const
+  {
+    return mOrganisations ? &*mOrganisations : nullptr;
+  }
+  /// What is declared about a service; the defaults if it is not declared.
+  const traffic_service& Service(const std::string& aName) const;
 
   /// Returns the route of the host with the longest prefix that matches the
   /// path of `aTarget`, or null. A port in `aHost` is ignored.
@@ -82,6 +110,8 @@
   std::uint64_t mVersion = 0;
   traffic_limits mLimits;
   std::vector<traffic_route> mRoutes;
+  std::map<std::string, traffic_service> mServices;
+  std::optional<organisation_table> mOrganisations;
   /// Routes by host name in lower case, longest prefix first.
   std::unordered_map<std::string, std::vector<const traffic_route*>> mByHost;
 };
--- a/test/harness/mesh-world.cc
+++ b/test/harness/mesh-world.cc
@@ -21,8 +21,9 @@
 header_names
 TestHeaderNames()
 {
-  return { "X-Request-Id", "X-Timeout-Ms",   "X-Target",     "X-Caller",
-           "X-Stamp",      "X-Not-Executed", "Server-Limit", "Server-Leaving" };
+  return { "X-Request-Id", "X-Timeout-Ms",   "X-Target",
+           "X-Caller",     "X-Stamp",        "X-Not-Executed",
+           "Server-Limit", "Server-Leaving", "X-Organisation" };
 }
 
 } // namespace
@@ -44,6 +45,16 @@
   }
 }
 
+void
+memory_store::SetEvacuated(const std::set<std::string>& aDomains)
+{
+  evacuations.domains = aDomains;
+  evacuations.revision = { 1, evacuations.revision.number + 1 };
+  for (store_access* access : accesses) {
+    access->NotifyEvacuations();
+  }
+}
+
 store_access::store_access(loop& aLoop, memory_store& aStore)
   : mLoop(aLoop)
   , mStore(aStore)
@@ -67,6 +78,14 @@
   }
 }
 
+void
+store_access::NotifyEvacuations()
+{
+  if (mObserver != nullptr && IsReachable()) {
+    mObserver->OnEvacuations(mStore.evacuations);
+  }
+}
+
 void
 store_access::SetObserver(control_store_observer& aObserver)
 {
@@ -258,6 +277,7 @@
     return;
   }
   ++aHost.run_count;
+  aHost.last_fields = aRequest.fields;
   aHost.last_timeout = std::chrono::milliseconds(
     NumberField(aRequest.fields, mNames.timeout_ms).value_or(0));
   if (!behaviour.crash_target.empty() &&
@@ -294,9 +314,10 @@
 mesh_world::SendRequest(std::size_t aHost,
                         const std::string& aMethod,
                         const std::string& aTarget,
-                        const std::string& aBody)
+                        const std::string& aBody,
+                        const header_fields& aFields)
 {
-  pending_answer answer = StartRequest(aHost, aMethod, aTarget, aBody);
+  pending_answer answer = StartRequest(aHost, aMethod, aTarget, aBody, aFields);
   WaitFor(answer);
   return **answer;
 }
@@ -305,7 +326,8 @@
 mesh_world::StartRequest(std::size_t aHost,
                          const std::string& aMethod,
                          const std::string& aTarget,
-                         const std::string& aBody)
+                         const std::string& aBody,
+                         const header_fields& aFields)
 {
   static int sNextId = 0;
   buffered_request request;
@@ -315,6 +337,7 @@
   request.fields = { { "X-Route-Host", kHostName },
                      { mNames.request_id, "q-" + std::to_string(++sNextId) },
                      { mNames.timeout_ms, "2000" } };
+  request.fields.insert(request.fields.end(), aFields.begin(), aFields.end());
   return Call(mHosts[aHost]->settings.caller_listen, std::move(request));
 }
 
@@ -437,26 +460,48 @@
   FAIL("nodes do not know the instances of all hosts after 10 s");
 }
 
-void
-mesh_world::SetRoute(std::uint64_t aVersion,
-                     const std::string& aPrefix,
-                     const std::string& aService,
-                     bool aIdempotent)
+traffic_configuration
+mesh_world::ConfigurationFor(std::uint64_t aVersion,
+                             const std::string& aPrefix,
+                             const std::string& aService)
 {
   traffic_route route;
   route.name = "route";
   // The caller sends the address that it calls as the host name.
   route.host = "127.0.0.1";
   route.prefix = aPrefix;
-  route.idempotent = aIdempotent;
+  route.idempotent = true;
   route.max_attempts = 2;
   route.latency_target = std::chrono::milliseconds(500);
   route.timeout = std::chrono::seconds(2);
   route.targets = { { aService, 1 } };
+  traffic_configuration configuration;
+  configuration.version = aVersion;
+  configuration.routes = { route };
+  configuration.services = { { aService, {} } };
+  return configuration;
+}
+
+void
+mesh_world::SetRoute(std::uint64_t aVersion,
+                     const std::string& aPrefix,
+                     const std::string& aService,
+                     bool aIdempotent)
+{
+  traffic_configuration configuration =
+    ConfigurationFor(aVersion, aPrefix, aService);
+  configuration.routes.front().idempotent = aIdempotent;
+  SetConfiguration(std::move(configuration));
+}
+
+void
+mesh_world::SetConfiguration(traffic_configuration aConfiguration)
+{
+  std::uint64_t version = aConfiguration.version;
   result<std::shared_ptr<const traffic_table>> table =
-    traffic_table::Build(aVersion, {}, { route }, { aService });
+    traffic_table::Build(std::move(aConfiguration));
   REQUIRE(table);
-  mStore.SetTable({ *table, "table " + std::to_string(aVersion) });
+  mStore.SetTable({ *table, "table " + std::to_string(version) });
 }
 
 } // namespace eelgrasstrack::test
--- a/test/harness/mesh-world.h
+++ b/test/harness/mesh-world.h
@@ -12,12 +12,15 @@
 {
   /// Stores a configuration and notifies all nodes.
   void SetTable(accepted_table aTable);
+  /// Notifies all nodes of the evacuated failure domains.
+  void SetEvacuated(const std::set<std::string>& aDomains);
   /// Notifies all nodes of a canary order.
   void SetOrder(const canary_order& aOrder);
 
   /// Publishing and removing hosts fails, and no node is notified.
   bool unavailable = false;
   std::optional<accepted_table> table;
+  evacuation_snapshot evacuations;
   std::map<std::string, host_record> hosts;
   std::vector<store_access*> accesses;
 };
@@ -34,8 +37,10 @@
   /// Passes the stored configuration to the node.
   void NotifyTable();
   void NotifyOrder(const canary_order& aOrder);
+  void NotifyEvacuations();
 
   void SetObserver(control_store_observer& aObserver) override;
+  void FollowEvacuations() override {}
   void SetWatching(bool) override {}
   std::uint64_t Era() const override { return 1; }
   bool AnsweredSince(time_point) const override { return IsReachable(); }
@@ -111,13 +116,15 @@
   result<buffered_response> SendRequest(std::size_t aHost,
                                         const std::string& aMethod,
                                         const std::string& aTarget,
-                                        const std::string& aBody = "");
+                                        const std::string& aBody = "",
+                                        const header_fields& aFields = {});
 
   /// Sends a request without waiting for the answer.
   pending_answer StartRequest(std::size_t aHost,
                               const std::string& aMethod,
                               const std::string& aTarget,
-                              const std::string& aBody = "");
+                              const std::string& aBody = "",
+                              const header_fields& aFields = {});
 
   /// Sends a request to the instance of a host through its node, as another
   /// node does.
@@ -147,6 +154,14 @@
                 const std::string& aService,
                 bool aIdempotent);
 
+  /// Stores a configuration with one route to a service.
+  void SetConfiguration(traffic_configuration aConfiguration);
+
+  /// A configuration with one idempotent route to a service.
+  static traffic_configuration ConfigurationFor(std::uint64_t aVersion,
+                                                const std::string& aPrefix,
+                                                const std::string& aService);
+
   loop& Loop() { return mLoop; }
   tcp_transport& Sockets() { return mSockets; }
   memory_store& Store() { return mStore; }
@@ -167,6 +182,18 @@
   {
     return mHosts[aHost]->last_timeout;
   }
+  /// Fields of the last request that the instance of a host has run.
+  const header_fields& LastFields(std::size_t aHost) const
+  {
+    return mHosts[aHost]->last_fields;
+  }
+  /// Sets how long the instance of a host says in its next announcements that
+  /// it stays cold.
+  void SetWarmUp(std::size_t aHost, duration aLeft)
+  {
+    mHosts[aHost]->instance.warmup_left = aLeft;
+  }
+  const header_names& Names() const { return mNames; }
   /// Number of requests that the instance of a host has run.
   unsigned RunCount(std::size_t aHost) const
   {
@@ -204,6 +231,7 @@
     unsigned run_count = 0;
     unsigned crash_count = 0;
     duration last_timeout{ 0 };
+    header_fields last_fields;
     std::int64_t sequence = 0;
   };
 
--- a/test/unit/mesh-test.cc
+++ b/test/unit/mesh-test.cc
@@ -96,7 +96,8 @@
 
 TEST_CASE("traffic table, several prefixes match, uses the longest", "[mesh]")
 {
-  auto table = traffic_table::Build(1, {}, Routes(), { "orders" });
+  auto table =
+    traffic_table::Build({ 1, {}, Routes(), { { "orders", {} } }, {} });
   REQUIRE(table);
   CHECK((*table)->Match("H.example:80", "/a/b/c?x=/")->name == "deep");
   CHECK((*table)->Match("h.example", "/a/b")->name == "root");
@@ -105,7 +106,8 @@
 
 TEST_CASE("traffic table, route to an unknown service, is rejected", "[mesh]")
 {
-  CHECK_FALSE(traffic_table::Build(1, {}, Routes(), { { "other", {} } }));
+  CHECK_FALSE(
+    traffic_table::Build({ 1, {}, Routes(), { { "other", {} } }, {} }));
 }
 
 TEST_CASE("traffic table, prefix without a trailing slash, is rejected",
@@ -113,7 +115,8 @@
 {
   std::vector<traffic_route> routes = Routes();
   routes[1].prefix = "/a/b";
-  CHECK_FALSE(traffic_table::Build(1, {}, routes, { "orders" }));
+  CHECK_FALSE(
+    traffic_table::Build({ 1, {}, routes, { { "orders", {} } }, {} }));
 }
 
 TEST_CASE_METHOD(
--- a/test/unit/odd-entry-test.cc
+++ b/test/unit/odd-entry-test.cc
@@ -74,6 +74,7 @@
     services.insert(aOrder.service);
   }
   void OnOrderRemoved(const std::string&) override {}
+  void OnEvacuations(const evacuation_snapshot&) override {}
   void OnStoreRestored() override {}
 
   std::uint64_t version = 0;
--- a/test/unit/store-client-test.cc
+++ b/test/unit/store-client-test.cc
@@ -34,10 +34,15 @@
     orders.push_back(aOrder);
   }
   void OnOrderRemoved(const std::string&) override {}
+  void OnEvacuations(const evacuation_snapshot& aSnapshot) override
+  {
+    evacuations = aSnapshot;
+  }
   void OnStoreRestored() override {}
 
   std::vector<std::uint64_t> versions;
   std::vector<canary_order> orders;
+  evacuation_snapshot evacuations;
 };
 
 /// A store client connected to a fake store over loopback.
