Identify organisations by the keys of their callers

Callers need a key if the configuration declares organisations and the route is not public. An unknown key gets 401; the key is replaced by the name of the organisation, whose priority goes before that of the route. Without organisations requests are served as before.

--- a/src/proxy/proxied-request.cc
+++ b/src/proxy/proxied-request.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "base/invariant.h"
+#include "proxy/caller-credentials.h"
 #include "proxy/instance-notices.h"
 #include "wire/status.h"
 
@@ -89,6 +90,12 @@
     AnswerLocally(status::kNotFound, {});
     return;
   }
+  if (!Authenticate()) {
+    mDependencies.counters.Add(proxy_event::unknown_key);
+    Log(NameOf(proxy_event::unknown_key), {});
+    AnswerLocally(status::kUnauthorized, { { "WWW-Authenticate", "Bearer" } });
+    return;
+  }
   if (IsQuarantined()) {
     RefuseQuarantined();
     return;
@@ -107,6 +114,27 @@
   Attempt();
 }
 
+bool
+proxied_request::Authenticate()
+{
+  const organisation_table* organisations = mTable->Organisations();
+  if (organisations == nullptr) {
+    return true;
+  }
+  header_fields& fields = mReceived.head.fields;
+  mOrganisation = OrganisationOf(fields, *organisations);
+  ReplaceCredentials(fields, mDependencies.names, mOrganisation);
+  return mOrganisation != nullptr || mRoute->is_public;
+}
+
+unsigned
+proxied_request::Priority() const
+{
+  return mOrganisation != nullptr
+           ? mOrganisation->priority.value_or(mRoute->priority)
+           : mRoute->priority;
+}
+
 void
 proxied_request::OnClientDisconnected()
 {
@@ -365,7 +393,7 @@
   request.instance = mInstance;
   request.route = mRoute->name;
   request.idempotent = mRoute->idempotent;
-  request.priority = mRoute->priority;
+  request.priority = Priority();
   request.soft_deadline = mSoftDeadline;
   request.deadline = mDeadline;
   request.request_limit = mIngress.RequestLimits().Find(mInstance);
@@ -386,6 +414,7 @@
     case run_failure_reason::full:
     case run_failure_reason::leaving:
     case run_failure_reason::wrong_instance:
+    case run_failure_reason::evacuated:
       return instance_chooser::outcome::refused;
     default:
       return instance_chooser::outcome::failed;
--- a/src/proxy/proxied-request.h
+++ b/src/proxy/proxied-request.h
@@ -66,6 +66,11 @@
   /// Forwards the instance's answer, or the rest of it, to the caller.
   void ForwardAnswer();
   void SetDeadlines();
+  /// Identifies the caller's organisation if callers need a key, and removes
+  /// the key. Returns whether the request may be served.
+  bool Authenticate();
+  /// Priority of the caller's organisation or, without one, of the route.
+  unsigned Priority() const;
   /// Whether this process runs long enough for a timely answer.
   bool FitsBeforeExit();
   /// Chooses an instance and sends the request to it. Falls back to the current
@@ -78,7 +83,7 @@
   /// Urgency of the request, for the choice of an instance.
   request_urgency Urgency()
   {
-    return { mRoute->priority,
+    return { Priority(),
              mSoftDeadline - Now(),
              mIngress.AnswerSizes().Expected(mRoute->name) };
   }
@@ -140,6 +145,8 @@
   traffic_table_ptr mTable;
   received_request mReceived;
   const traffic_route* mRoute = nullptr;
+  /// Null if callers need no key, or the caller has none.
+  const organisation* mOrganisation = nullptr;
   std::string mRequestId;
   std::string mService;
   std::string mInstance;
--- a/src/proxy/proxy-counters.h
+++ b/src/proxy/proxy-counters.h
@@ -35,6 +35,7 @@
   peer_message,
   peer_failed,
   refused_quarantined,
+  unknown_key,
   count,
 };
 
--- a/src/wire/status.h
+++ b/src/wire/status.h
@@ -10,6 +10,7 @@
 constexpr int kNoContent = 204;
 constexpr int kNotModified = 304;
 constexpr int kBadRequest = 400;
+constexpr int kUnauthorized = 401;
 constexpr int kNotFound = 404;
 constexpr int kRequestTimeout = 408;
 constexpr int kConflict = 409;
