Adapt the test of entry repair to evacuations

unit-tests does not compile: gossip has a table of evacuations and its delegate a callback that unused_delegate lacks. With both, the test of host entry repair builds and passes as before.

--- a/test/unit/store-restored-test.cc
+++ b/test/unit/store-restored-test.cc
@@ -201,6 +201,7 @@
   void OnNewerConfig(const host_record&, std::uint64_t) override {}
   void OnHostsChanged() override {}
   void OnInstanceLeft(const instance_incarnation&) override {}
+  void OnEvacuationsChanged() override {}
   void OnRemovedByOthers() override {}
   void OnCanaryUpdates(const std::vector<canary_rollout>&) override {}
 };
@@ -216,6 +217,7 @@
             directory,
             versions,
             crashes,
+            evacuations,
             counters,
             delegate)
     , repair(event_loop, client, directory, peers)
@@ -237,6 +239,7 @@
   proxy_counters counters;
   version_selector versions;
   crash_table crashes;
+  evacuation_table evacuations;
   unused_delegate delegate;
   host_directory directory{ "node-1" };
   store_client client;
