--- a/src/mesh/host-directory.cc
+++ b/src/mesh/host-directory.cc
@@ -17,7 +17,7 @@
   auto known = mHosts.find(aRecord.name);
   if (known == mHosts.end()) {
     mHosts.emplace(aRecord.name, known_host{ aRecord, aNow, false, {} });
-    mIndexValid = false;
+    MarkChanged();
     mRemoved.erase(aRecord.name);
     return true;
   }
@@ -26,7 +26,7 @@
   }
   RememberIfLeaving(known->second.record, aNow);
   known->second.record = aRecord;
-  mIndexValid = false;
+  MarkChanged();
   known->second.updated_at = aNow;
   known->second.unreachable = false; // the newer record came from the host
   return true;
@@ -44,7 +44,7 @@
     return false;
   }
   mLeaving.insert_or_assign(aHost, leaving_instance{ aInstance, aNow });
-  mIndexValid = false;
+  MarkChanged();
   return true;
 }
 
@@ -112,6 +112,7 @@
   }
   known->second.unreachable = true;
   known->second.unreachable_since = aNow;
+  ++mRevision;
 }
 
 bool
@@ -122,6 +123,7 @@
     return false;
   }
   known->second.unreachable = false;
+  ++mRevision;
   return true;
 }
 
@@ -150,7 +152,7 @@
       RememberIfLeaving(host.record, aNow);
       removed.push_back(host.record);
       entry = mHosts.erase(entry);
-      mIndexValid = false;
+      MarkChanged();
     } else {
       ++entry;
     }
--- a/src/mesh/host-directory.h
+++ b/src/mesh/host-directory.h
@@ -71,6 +71,8 @@
   const known_host* Find(const std::string& aName) const;
   const std::map<std::string, known_host>& All() const { return mHosts; }
   const std::string& Self() const { return mSelf; }
+  /// Increases with each change of a record and of whether a host is reachable.
+  std::uint64_t Revision() const { return mRevision; }
 
   /// Hosts with a ready instance of the service that accept new requests,
   /// sorted by name. The reference is valid until the directory changes.
@@ -92,6 +94,11 @@
   bool ReachesMajority() const;
   bool IsServing(const host_record& aRecord) const;
   void RebuildIndex() const;
+  void MarkChanged()
+  {
+    mIndexValid = false;
+    ++mRevision;
+  }
 
   std::string mSelf;
   std::map<std::string, known_host> mHosts;
@@ -102,6 +109,7 @@
   /// change. Rebuilt by the first read after a change.
   mutable std::map<std::string, std::vector<const known_host*>> mServing;
   mutable bool mIndexValid = false;
+  std::uint64_t mRevision = 1;
 };
 
 } // namespace eelgrasstrack
