Limit the requests of organisations over all nodes

An organisation's rate_per_s and burst were read and not applied. A first hop now needs a permit for each request of an organisation with a limit; nodes get permits from its quota owner by POST /v1/permits and callers without one get 429 with a Retry-After. Requests without a limit take the same path as before.

--- a/src/mesh/mesh-node.cc
+++ b/src/mesh/mesh-node.cc
@@ -101,6 +101,7 @@
   , mLinkPacer(aLoop)
   , mDispatcher(aTransport, mNames, mLinkPacer.Scheduler(), mCrashes, mVersions)
   , mHopClient(aTransport, mNames)
+  , mQuota(aLoop, aClient, mDirectory)
   , mIngress({ aTransport,
                mNames,
                mDispatcher,
@@ -111,7 +112,8 @@
                mVersions,
                aCounters,
                mCrashes,
-               mEvacuations })
+               mEvacuations,
+               mQuota.Requests() })
   , mHopServer(aTransport, mNames, mDispatcher, mLinkPacer)
   , mQuarantine(aLoop, mCrashes)
   , mGossip(aLoop,
@@ -154,6 +156,7 @@
   retryOptions.window = mSettings.bounds.retry_window;
   mRetries.SetOptions(retryOptions);
   mCanaryDriver.SetBounds(mSettings.bounds);
+  mQuota.SetBounds(mSettings.bounds.quota);
   mDispatcher.SetDrainTime(mSettings.bounds.drain_time);
   if (mDraining) {
     LimitServingTime();
@@ -205,6 +208,7 @@
     [this](const std::string& aName) { mGossip.CompareUnlessRecent(aName); });
   mGossip.OnUnreachable([this](const std::string& aName) {
     mHopClient.HandleUnreachableHost(aName);
+    mQuota.HandleUnreachableHost();
   });
   mCrashes.OnChange([this](const std::vector<crash_record>& aRecords) {
     mGossip.SpreadCrashes(aRecords);
@@ -215,6 +219,7 @@
   mEntryRepair.OnOwnEntryLost([this] { OnRemovedByOthers(); });
   mGossip.Start();
   mCanaryDriver.Start();
+  mQuota.Start([this](const std::string& aName) { mGossip.Probe(aName); });
   mStore.SetObserver(*this);
   if (mSettings.bounds.evacuation_time) {
     mStore.FollowEvacuations();
@@ -622,6 +627,9 @@
   for (const host_record& removed :
        mDirectory.RemoveUnreachable(kRemoveHostAfter, now)) {
     LogEvent(log_level::info, "host_dropped", { { "host", removed.name } });
+    if (!removed.leaving) {
+      mQuota.HandleRemovedHost(removed.name);
+    }
     if (IsRemoverOf(mDirectory, removed.name) &&
         mStore.AnsweredSince(now - kStoreAnswerWindow)) {
       mStore.RemoveHost(removed.name, removed.incarnation);
@@ -718,6 +726,7 @@
              { "routes", std::to_string(aTable.table->RouteCount()) } });
   mCompressedConfig = Compress(aTable.text);
   mIngress.SetTable(aTable.table);
+  mQuota.SetTable(aTable.table);
   UpdateColdLimit();
   return true;
 }
@@ -915,6 +924,10 @@
                     : Response(status::kBadRequest));
     return;
   }
+  if (aRequest.target == kPermitsTarget) {
+    aRespond(mQuota.HandleMessage(aRequest.body));
+    return;
+  }
   if (aRequest.target == "/v1/config") {
     aRespond(mCompressedConfig.empty()
                ? Response(status::kNotFound)
@@ -937,6 +950,7 @@
 {
   std::string text;
   mCounters.AppendMetrics(text);
+  mQuota.AppendMetrics(text);
   run_load load = mDispatcher.Load();
   text += "eelgrasstrack_config_version " + std::to_string(ConfigVersion()) +
           "\neelgrasstrack_hosts " + std::to_string(mDirectory.All().size()) +
--- a/src/mesh/mesh-node.h
+++ b/src/mesh/mesh-node.h
@@ -10,6 +10,7 @@
 #include "mesh/quarantine-entries.h"
 #include "proxy/hop-server.h"
 #include "proxy/ingress.h"
+#include "quota/quota-service.h"
 #include "wire/service-port.h"
 
 namespace eelgrasstrack {
@@ -172,6 +173,7 @@
   evacuation_table mEvacuations;
   instance_dispatcher mDispatcher;
   hop_client mHopClient;
+  quota_service mQuota;
   ingress mIngress;
   hop_server mHopServer;
   quarantine_entries mQuarantine;
--- a/src/mesh/mesh-settings.h
+++ b/src/mesh/mesh-settings.h
@@ -5,6 +5,7 @@
 
 #include "base/clock.h"
 #include "http/message.h"
+#include "quota/quota-terms.h"
 
 namespace eelgrasstrack {
 
@@ -32,6 +33,8 @@
   std::optional<duration> evacuation_time;
   /// Whether configurations name rates that cold instances bear.
   bool limits_cold_instances = false;
+  /// How far organisations may exceed their limits.
+  quota_bounds quota;
 };
 
 /// Settings of one node of the mesh.
--- a/src/proxy/ingress.h
+++ b/src/proxy/ingress.h
@@ -13,6 +13,7 @@
 #include "proxy/server-session.h"
 #include "proxy/shared-retry-budget.h"
 #include "proxy/version-selector.h"
+#include "quota/request-quota.h"
 
 namespace eelgrasstrack {
 
@@ -30,6 +31,7 @@
   proxy_counters& counters;
   crash_table& crashes;
   const evacuation_table& evacuations;
+  request_quota& quota;
 };
 
 /// The first hop: accepts requests of callers on this host, matches each to a
--- a/src/proxy/proxied-request.cc
+++ b/src/proxy/proxied-request.cc
@@ -105,12 +105,82 @@
     Refuse(proxy_event::node_stopping, kRetryAfterNodeNotReady);
     return;
   }
-  mService = mIngress.SelectTarget(*mRoute);
-  mCanary = mDependencies.versions.DecideCanary(mService, Now());
-  mDependencies.retries.RecordFirstAttempt(mService, Now());
   KeepEndToEndFields(mReceived.head.fields, mDependencies.names);
   mTimer = Loop().RunAfter(mDeadline + kDeadlineGrace - Now(),
                            [self = shared_from_this()] { self->OnTimeout(); });
+  AcquirePermit();
+}
+
+void
+proxied_request::AcquirePermit()
+{
+  if (mOrganisation == nullptr || !mOrganisation->HasLimit()) {
+    BeginAttempts();
+    return;
+  }
+  quota_decision decision =
+    mDependencies.quota.Admit(*mOrganisation, shared_from_this());
+  switch (decision.outcome) {
+    case quota_outcome::admitted:
+      OnPermit(decision.permit);
+      return;
+    case quota_outcome::refused:
+      OnQuotaRefused(decision.retry_after);
+      return;
+    case quota_outcome::waiting:
+      mAwaitsPermit = true;
+      if (!mReceived.body_complete) {
+        mExchange->PauseBody(true);
+      }
+      return;
+  }
+}
+
+void
+proxied_request::OnPermit(const quota_permit& aPermit)
+{
+  mPermit = aPermit;
+  bool waited = std::exchange(mAwaitsPermit, false);
+  std::shared_ptr<server_exchange> exchange = mExchange;
+  BeginAttempts();
+  if (waited) {
+    exchange->PauseBody(false);
+  }
+}
+
+void
+proxied_request::OnQuotaRefused(duration aRetryAfter)
+{
+  if (std::exchange(mAwaitsPermit, false) && mExchange) {
+    mExchange->PauseBody(false);
+  }
+  mDependencies.counters.Add(proxy_event::refused_quota);
+  std::string retryAfter = RetryAfterText(aRetryAfter, Random());
+  if (std::optional<unsigned> refusals =
+        mDependencies.quota.RecordRefusal(*mOrganisation)) {
+    Log(NameOf(proxy_event::refused_quota),
+        { { "organisation", mOrganisation->name },
+          { "refusals", std::to_string(*refusals) },
+          { "retry_after_s", retryAfter } });
+  }
+  AnswerLocally(status::kTooManyRequests, { { "Retry-After", retryAfter } });
+}
+
+void
+proxied_request::ReturnPermit()
+{
+  if (mPermit) {
+    mDependencies.quota.Return(*mOrganisation, *mPermit);
+    mPermit.reset();
+  }
+}
+
+void
+proxied_request::BeginAttempts()
+{
+  mService = mIngress.SelectTarget(*mRoute);
+  mCanary = mDependencies.versions.DecideCanary(mService, Now());
+  mDependencies.retries.RecordFirstAttempt(mService, Now());
   Attempt();
 }
 
@@ -147,6 +217,11 @@
 proxied_request::OnRequestBody(std::string_view aBytes, bool aLast)
 {
   mReceived.body_complete = aLast;
+  if (mAwaitsPermit) {
+    // What was received before reading stopped; the first attempt sends it.
+    mReceived.body += aBytes;
+    return;
+  }
   mStreamedBody = true;
   streamed_exchange::OnRequestBody(aBytes, aLast);
 }
@@ -530,6 +605,9 @@
 proxied_request::OnTimeout()
 {
   mTimer = 0;
+  if (mAwaitsPermit && mExchange) {
+    mExchange->PauseBody(false);
+  }
   CancelRun(instance_chooser::outcome::failed);
   if (mAnswerBegun) {
     AbortAnswer();
@@ -549,6 +627,7 @@
                             const std::string& aRetryAfterText)
 {
   CheckInvariant(invariant::not_run_is_true, !mAttempts.may_have_run);
+  ReturnPermit();
   mDependencies.counters.Add(aEvent);
   Log(NameOf(aEvent),
       { { "service", mService },
@@ -643,6 +722,9 @@
 proxied_request::Finish()
 {
   mExchange.reset();
+  if (std::exchange(mAwaitsPermit, false)) {
+    mDependencies.quota.Cancel(*mOrganisation, *this);
+  }
   if (mTimer != 0) {
     Loop().Cancel(mTimer);
     mTimer = 0;
--- a/src/proxy/proxied-request.h
+++ b/src/proxy/proxied-request.h
@@ -12,6 +12,7 @@
 /// Handles one request of a caller, from matching the route to the answer.
 class proxied_request final
   : public streamed_exchange
+  , public quota_waiter
   , public std::enable_shared_from_this<proxied_request>
 {
 public:
@@ -35,6 +36,11 @@
   void OnAnswerEnd() override;
   void OnRunFailed(const run_failure& aFailure) override;
 
+  // quota_waiter
+
+  void OnPermit(const quota_permit& aPermit) override;
+  void OnQuotaRefused(duration aRetryAfter) override;
+
 private:
   /// The part of an instance's answer that has not been forwarded yet.
   struct buffered_answer
@@ -69,6 +75,12 @@
   /// Identifies the caller's organisation if callers need a key, and removes
   /// the key. Returns whether the request may be served.
   bool Authenticate();
+  /// Gets a permit if the caller's organisation has a limit, then goes on.
+  void AcquirePermit();
+  /// Returns the permit of a request that has not run.
+  void ReturnPermit();
+  /// Selects the service and makes the first attempt.
+  void BeginAttempts();
   /// Priority of the caller's organisation or, without one, of the route.
   unsigned Priority() const;
   /// Whether this process runs long enough for a timely answer.
@@ -147,6 +159,10 @@
   const traffic_route* mRoute = nullptr;
   /// Null if callers need no key, or the caller has none.
   const organisation* mOrganisation = nullptr;
+  /// The permit that the request runs by, if its organisation has a limit.
+  std::optional<quota_permit> mPermit;
+  /// A quota owner was asked for the permit and has not answered.
+  bool mAwaitsPermit = false;
   std::string mRequestId;
   std::string mService;
   std::string mInstance;
--- a/src/proxy/proxy-counters.cc
+++ b/src/proxy/proxy-counters.cc
@@ -19,7 +19,7 @@
     "hop_failed",       "store_call",
     "store_failed",     "peer_message",
     "peer_failed",      "refused_quarantined",
-    "unknown_key",
+    "unknown_key",      "refused_quota",
   };
 
 } // namespace
--- a/src/proxy/proxy-counters.h
+++ b/src/proxy/proxy-counters.h
@@ -36,6 +36,7 @@
   peer_failed,
   refused_quarantined,
   unknown_key,
+  refused_quota,
   count,
 };
 
--- a/src/traffic/organisation-table.h
+++ b/src/traffic/organisation-table.h
@@ -43,6 +43,8 @@
   const organisation* FindByKey(std::string_view aKey) const;
   /// Returns null if there is none of this name.
   const organisation* FindByName(const std::string& aName) const;
+  /// All organisations, without their keys.
+  const std::vector<organisation>& All() const { return mOrganisations; }
 
 private:
   /// Two independent 64-bit hashes of a key.
--- a/test/harness/mesh-world.h
+++ b/test/harness/mesh-world.h
@@ -175,6 +175,11 @@
   {
     return mHosts[aHost]->behaviour;
   }
+  /// Address at which the node of a host takes requests of callers.
+  const endpoint& CallerAddress(std::size_t aHost) const
+  {
+    return mHosts[aHost]->settings.caller_listen;
+  }
   /// Sets the time from the stop of a node until its process is killed.
   void SetShutdownGrace(std::size_t aHost, duration aGrace);
   /// Time that the last request to the instance of a host said it would wait.
