--- a/bench/bench-main.cc
+++ b/bench/bench-main.cc
@@ -22,7 +22,7 @@
 constexpr experiment_row kExperiments[] = {
   { "convergence", RunConvergence }, { "control", RunControl },
   { "rollout", RunRollout },         { "calls", RunCalls },
-  { "capacity", RunCapacity },
+  { "capacity", RunCapacity },       { "quota", RunQuota },
 };
 
 int
--- a/bench/experiments.h
+++ b/bench/experiments.h
@@ -50,6 +50,12 @@
 int
 RunCalls(const experiment_options& aOptions);
 
+/// Compares ways to divide the limits of organisations between nodes over
+/// synthetic arrivals on a virtual clock: what passes, what is refused below
+/// the limit, and control traffic. Returns the exit status.
+int
+RunQuota(const experiment_options& aOptions);
+
 } // namespace eelgrasstrack::bench
 
 #endif // EELGRASSTRACK_BENCH_EXPERIMENTS_H_
