Probe a part of the hosts after one was lost

An owner probed all hosts after each loss. On a busy machine late answers then mark further hosts as lost, and each of them leads to probes of all. It probes 8 hosts or a sixteenth now, which finds the rest of a partition and does not spread from single losses.

--- a/src/quota/permit-lease.cc
+++ b/src/quota/permit-lease.cc
@@ -23,6 +23,8 @@
 /// An ask that is not answered makes its requests wait, so the next one is made
 /// when the failure detector may have found another owner.
 constexpr duration kSilentHold = std::chrono::milliseconds(250);
+/// An error is answered at once and makes no request wait.
+constexpr duration kErrorHold = std::chrono::milliseconds(100);
 constexpr duration kMaxRetryAfter = std::chrono::seconds(2);
 
 double
@@ -168,11 +170,11 @@
 }
 
 void
-permit_lease::HandleSilentOwner(time_point aNow)
+permit_lease::HandleSilentOwner(bool aTimedOut, time_point aNow)
 {
   mAsked = 0;
   mOwnerSilent = true;
-  mHeldUntil = aNow + kSilentHold;
+  mHeldUntil = aNow + (aTimedOut ? kSilentHold : kErrorHold);
 }
 
 void
--- a/src/quota/permit-lease.h
+++ b/src/quota/permit-lease.h
@@ -39,8 +39,9 @@
 
   /// Handles the owner's answer to the ask.
   void HandleGrant(unsigned aGranted, duration aWait, time_point aNow);
-  /// Handles that the owner has not answered.
-  void HandleSilentOwner(time_point aNow);
+  /// Handles that the owner has not granted or refused: it did not answer in
+  /// time, or at once with an error, so that the next ask may follow sooner.
+  void HandleSilentOwner(bool aTimedOut, time_point aNow);
   /// Handles a change of the owner: the former one's refusal and silence no
   /// longer count.
   void HandleNewOwner();
--- a/src/quota/quota-client.cc
+++ b/src/quota/quota-client.cc
@@ -147,11 +147,12 @@
   mCounts.asked += count;
   aLeased.lease.BeginAsk(count, now);
   if (aLeased.owner.empty()) {
-    HandleAnswer(aLeased, count, std::nullopt);
+    HandleAnswer(aLeased, count, std::nullopt, false);
     return;
   }
   if (aLeased.owner == mDirectory.Self()) {
-    HandleAnswer(aLeased, count, mKeeper.Take(aName, aLeased.owner, count));
+    HandleAnswer(
+      aLeased, count, mKeeper.Take(aName, aLeased.owner, count), false);
     return;
   }
   ScheduleSending();
@@ -213,13 +214,17 @@
   if (!aResponse && mProbe) {
     mProbe(aOwner);
   }
+  bool timedOut =
+    !aResponse && aResponse.error().kind == error_kind::deadline_exceeded;
   for (const permit_ask& ask : aAsks) {
     auto leased = mLeased.find(ask.organisation);
     if (leased == mLeased.end() || !leased->second.lease.IsAsking()) {
       continue; // its limit has been lifted meanwhile
     }
-    HandleAnswer(
-      leased->second, ask.count, FindGrant(answers, ask.organisation));
+    HandleAnswer(leased->second,
+                 ask.count,
+                 FindGrant(answers, ask.organisation),
+                 timedOut);
     SettleWaiters(ask.organisation);
   }
 }
@@ -227,11 +232,12 @@
 void
 quota_client::HandleAnswer(leased_organisation& aLeased,
                            unsigned aAsked,
-                           const std::optional<permit_grant>& aGrant)
+                           const std::optional<permit_grant>& aGrant,
+                           bool aTimedOut)
 {
   if (!aGrant) {
     ++mCounts.owner_timeouts;
-    aLeased.lease.HandleSilentOwner(mLoop.Now());
+    aLeased.lease.HandleSilentOwner(aTimedOut, mLoop.Now());
     return;
   }
   unsigned granted = std::min(aGrant->count, aAsked);
--- a/src/quota/quota-client.h
+++ b/src/quota/quota-client.h
@@ -85,7 +85,8 @@
                       const result<buffered_response>& aResponse);
   void HandleAnswer(leased_organisation& aLeased,
                     unsigned aAsked,
-                    const std::optional<permit_grant>& aGrant);
+                    const std::optional<permit_grant>& aGrant,
+                    bool aTimedOut);
   /// Decides on the waiting requests as far as possible.
   void SettleWaiters(const std::string& aName);
   /// Decides on a request that gets no permit now.
--- a/src/quota/quota-keeper.cc
+++ b/src/quota/quota-keeper.cc
@@ -1,12 +1,19 @@
 #include "quota/quota-keeper.h"
 
+#include <algorithm>
+#include <iterator>
+
 #include "base/log.h"
 
 namespace eelgrasstrack {
 
 namespace {
 
-constexpr duration kMinProbeAllInterval = std::chrono::seconds(1);
+/// Hosts that are probed after one was lost, at least and as a part of all. In
+/// a partition, several of them are lost too and lead to the others; a single
+/// lost host, or a probe that a busy host answers late, does not spread.
+constexpr std::size_t kMinProbesAfterLoss = 8;
+constexpr std::size_t kHostsPerProbe = 16;
 /// Minimum time between two log lines on one organisation at its limit.
 constexpr duration kLogInterval = std::chrono::seconds(10);
 
@@ -99,36 +106,36 @@
 void
 quota_keeper::ProbeNext()
 {
-  if (mOwned.empty() || !mProbe) {
-    return;
-  }
-  std::vector<std::string> names;
-  for (const auto& [name, host] : mDirectory.All()) {
-    if (!host.unreachable && name != mDirectory.Self()) {
-      names.push_back(name);
-    }
-  }
-  if (!names.empty()) {
-    mProbe(names[mRandom() % names.size()]);
-  }
+  ProbeRandomHosts(1);
 }
 
 void
 quota_keeper::HandleUnreachableHost()
+{
+  ProbeRandomHosts(
+    std::max(kMinProbesAfterLoss, mDirectory.All().size() / kHostsPerProbe));
+}
+
+void
+quota_keeper::ProbeRandomHosts(std::size_t aCount)
 {
   Update();
-  time_point now = mClock.Now();
-  if (mOwned.empty() || !mProbe || now - mProbedAllAt < kMinProbeAllInterval) {
+  if (mOwned.empty() || !mProbe) {
     return;
   }
-  mProbedAllAt = now;
-  std::vector<std::string> names;
+  std::vector<std::string> reachable;
   for (const auto& [name, host] : mDirectory.All()) {
     if (!host.unreachable && name != mDirectory.Self()) {
-      names.push_back(name);
+      reachable.push_back(name);
     }
   }
-  for (const std::string& name : names) {
+  std::vector<std::string> chosen;
+  std::sample(reachable.begin(),
+              reachable.end(),
+              std::back_inserter(chosen),
+              aCount,
+              mRandom);
+  for (const std::string& name : chosen) {
     mProbe(name);
   }
 }
--- a/src/quota/quota-keeper.h
+++ b/src/quota/quota-keeper.h
@@ -32,8 +32,8 @@
 
   /// Probes one other host, so that an owner soon learns of a partition.
   void ProbeNext();
-  /// Probes all other hosts after one was lost: the rest of a partition is
-  /// likely to be lost too, and the refill must not count it.
+  /// Probes a part of the hosts after one was lost: in a partition more are
+  /// lost, and the refill must not count them.
   void HandleUnreachableHost();
 
   /// Takes permits from a bucket of this node; nothing if it does not own the
@@ -60,6 +60,7 @@
 
   /// Creates or updates the bucket of an organisation, or ends the ownership.
   void UpdateOwnership(const organisation& aOrganisation, double aShare);
+  void ProbeRandomHosts(std::size_t aCount);
   void RecordRefused(const std::string& aOrganisation,
                      owned_organisation& aOwned,
                      unsigned aRefused);
@@ -73,7 +74,6 @@
   std::map<std::string, owned_organisation> mOwned;
   /// Revision of the directory that `mOwned` reflects.
   std::optional<std::uint64_t> mRevision;
-  time_point mProbedAllAt{};
   std::mt19937_64 mRandom{ std::random_device{}() };
 };
 
