Admit large answers by the time that they wait for the link

Cause: on hosts with a narrow link, each file was accepted that could meet its deadline, so under overload most of them were late.

A file that will be late is accepted only while the link has little to send; a refused one is told when the link will have room.

--- a/src/proxy/instance-dispatcher.cc
+++ b/src/proxy/instance-dispatcher.cc
@@ -371,13 +371,20 @@
   return load;
 }
 
-duration
-instance_dispatcher::LinkDelay(std::size_t aAnswerBytes) const
+std::optional<link_demand>
+instance_dispatcher::LinkDemandOf(const forwarded_request& aRequest) const
 {
-  if (aAnswerBytes <= kSmallMessageBytes) {
-    return duration(0);
+  std::size_t bytes = mAnswerSizes.Expected(aRequest.route);
+  if (bytes <= kSmallMessageBytes) {
+    return std::nullopt;
   }
-  return mLink.SendTime(mLink.QueuedBytes() + mExpectedBytes + aAnswerBytes);
+  link_demand demand;
+  demand.run_time = mQueue.AverageDuration(aRequest.route);
+  demand.backlog = mLink.SendTime(mLink.QueuedBytes() + mExpectedBytes);
+  demand.send_time = mLink.SendTime(bytes);
+  demand.soft_deadline = aRequest.soft_deadline;
+  demand.deadline = aRequest.deadline;
+  return demand;
 }
 
 run_failure
@@ -407,19 +414,18 @@
   if (std::optional<run_failure> refusal = SuspectRefusalOf(aRequest)) {
     return tl::unexpected<run_failure>(*refusal);
   }
-  duration linkDelay = LinkDelay(mAnswerSizes.Expected(aRequest.route));
-  if (linkDelay > duration(0) &&
-      now + mQueue.AverageDuration(aRequest.route) + linkDelay >
-        aRequest.deadline) {
+  std::optional<link_demand> demand = LinkDemandOf(aRequest);
+  if (demand && !FitsLink(*demand, now)) {
     return tl::unexpected<run_failure>(
-      RefusalWith(run_failure_reason::full, linkDelay));
+      RefusalWith(run_failure_reason::full, TimeUntilLinkFits(*demand, now)));
   }
+  duration sendTime = demand ? demand->send_time : duration(0);
   run_entry entry;
   entry.id = mNextId++;
   entry.key = aRequest.route;
   entry.priority = aRequest.priority;
-  entry.soft_deadline = aRequest.soft_deadline - linkDelay;
-  entry.deadline = aRequest.deadline - linkDelay;
+  entry.soft_deadline = aRequest.soft_deadline - sendTime;
+  entry.deadline = aRequest.deadline - sendTime;
   run_admission admission = mQueue.Admit(entry, now);
   if (admission.decision == run_decision::refuse) {
     return tl::unexpected<run_failure>(
--- a/src/proxy/instance-dispatcher.h
+++ b/src/proxy/instance-dispatcher.h
@@ -8,6 +8,7 @@
 #include "net/bandwidth-scheduler.h"
 #include "proxy/answer-size-estimator.h"
 #include "proxy/crash-table.h"
+#include "proxy/link-admission.h"
 #include "proxy/version-selector.h"
 #include "wire/channel-pool.h"
 
@@ -110,9 +111,10 @@
   /// shortly before the end of the drain time if it is draining.
   void RefuseWaitingIfLeaving();
   bool IsRolledBack() const;
-  /// Time that the answer of a new request is expected to wait for the link and
-  /// to take on it; 0 for a small answer.
-  duration LinkDelay(std::size_t aAnswerBytes) const;
+  /// What a new request with a large answer needs of the link; nothing for one
+  /// with a small answer.
+  std::optional<link_demand> LinkDemandOf(
+    const forwarded_request& aRequest) const;
   /// Why a new request must be refused, if it must.
   std::optional<run_failure> RefusalOf(const forwarded_request& aRequest) const;
   /// Failure of a request that is refused here, so that it has not run.
