Refuse at an instance what is expected to be late while others wait

Cause: a request could wait at an instance as long as it met its deadline, so under overload answers that just missed their soft deadlines took the slots of those that would have met them; and a long request that had waited longest went ahead of short urgent ones of its priority.

A request waits only if it is expected to meet its soft deadline or few wait. Within a priority, requests that take much less time than others go first.

--- a/src/proxy/run-queue.cc
+++ b/src/proxy/run-queue.cc
@@ -113,6 +113,9 @@
   if (aLeft.priority != aRight.priority) {
     return aLeft.priority < aRight.priority;
   }
+  if (IsShort(aLeft.key) != IsShort(aRight.key)) {
+    return IsShort(aLeft.key);
+  }
   return aLeft.soft_deadline < aRight.soft_deadline;
 }
 
@@ -159,10 +162,12 @@
 }
 
 bool
-run_queue::IsTooLateToWait(const run_entry& aEntry, time_point aNow) const
+run_queue::IsTooLateToWait(const run_entry& aEntry,
+                           double aWait,
+                           time_point aNow) const
 {
-  return IsLate(aEntry, aNow) && !IsShort(aEntry.key) &&
-         mWaiting.size() * kSlotsPerLateRequest >= mSlots;
+  return mWaiting.size() * kSlotsPerLateRequest >= mSlots &&
+         !IsShort(aEntry.key) && IsLate(aEntry, aNow + Microseconds(aWait));
 }
 
 run_admission
@@ -176,7 +181,8 @@
     return admission;
   }
   double wait = ExpectedWait(aEntry, aNow);
-  if (!FinishesInTime(aEntry, wait, aNow) || IsTooLateToWait(aEntry, aNow)) {
+  if (!FinishesInTime(aEntry, wait, aNow) ||
+      IsTooLateToWait(aEntry, wait, aNow)) {
     admission.retry_after = Microseconds(wait);
     return admission;
   }
--- a/src/proxy/run-queue.h
+++ b/src/proxy/run-queue.h
@@ -65,14 +65,17 @@
 /// Queue of requests for the slots of one instance, which may also limit the
 /// rate at which they start.
 ///
-/// A request waits only while it is expected to finish by its soft deadline or,
-/// if few requests are waiting, by its deadline. Requests that can still meet
-/// their soft deadline go first, then those of higher priority, then those with
-/// the earlier soft deadline. A new request evicts waiting ones that cannot
-/// finish in time behind it.
+/// A request waits only if it is expected to finish by its soft deadline or, if
+/// few requests are waiting, by its deadline: under overload, answers that just
+/// miss their soft deadlines would take the slots of those that meet them.
 ///
-/// A request that takes much less time than others keeps its place after its
-/// soft deadline: it delays them little, and it is often a call on which a
+/// Requests that can still meet their soft deadline go first, then those of
+/// higher priority, then those that take much less time than others, then those
+/// with the earlier soft deadline. A new request evicts waiting ones that
+/// cannot finish in time behind it.
+///
+/// A request that takes much less time than others also keeps its place after
+/// its soft deadline: it delays them little, and it is often a call on which a
 /// request that holds a slot of another instance waits.
 class run_queue
 {
@@ -141,8 +144,11 @@
   bool FinishesInTime(const run_entry& aEntry,
                       double aWait,
                       time_point aNow) const;
-  /// Whether a request will miss its soft deadline while too many others wait.
-  bool IsTooLateToWait(const run_entry& aEntry, time_point aNow) const;
+  /// Whether a request that waits `aWait` microseconds is likely to miss its
+  /// soft deadline while many others wait.
+  bool IsTooLateToWait(const run_entry& aEntry,
+                       double aWait,
+                       time_point aNow) const;
   /// Removes and returns waiting requests that cannot finish in time.
   std::vector<run_id> EvictLate(time_point aNow);
   void Insert(const run_entry& aEntry, time_point aNow);
