Treat answers with a status outside 200 to 599 as invalid

Cause: client_channel took every status below 200 for interim and every other one for final. After 000 or 101 a request waited for its route's time, 600 and 999 reached the caller, and interim answers were skipped without limit. An answer to HEAD in the same bytes as an interim answer was parsed before the parser knew that it has no body.

Change: 100 to 199 without 101 is interim, at most 8 times for one request; 200 to 599 is final; anything else fails the exchange at once and closes the connection. message_parser::Next takes whether the message has a body. The first hop logs hop_answer_invalid with the reason.

Status words that are not three digits were refused before, and still are.

--- a/src/proxy/hop-client.cc
+++ b/src/proxy/hop-client.cc
@@ -1,5 +1,6 @@
 #include "proxy/hop-client.h"
 
+#include "base/log.h"
 #include "proxy/channel-run.h"
 #include "proxy/hop-fields.h"
 
@@ -146,6 +147,13 @@
     failure.not_run = unsent;
     failure.reached_instance = !unsent;
     mChannel.reset();
+    if (!aFailure.connection_ended) {
+      LogEvent(log_level::info,
+               "hop_answer_invalid",
+               { { "request", mRequest.request_id },
+                 { "host", mHostName },
+                 { "reason", aFailure.reason } });
+    }
     std::string host = mHostName;
     hop_client& client = mClient;
     FailWith(failure);
--- a/src/wire/client-channel.cc
+++ b/src/wire/client-channel.cc
@@ -4,6 +4,8 @@
 #include <charconv>
 #include <cmath>
 
+#include "base/status-class.h"
+
 namespace eelgrasstrack {
 
 namespace {
@@ -17,6 +19,9 @@
 /// Bytes of unwanted bodies that are read in one exchange to keep the
 /// connection.
 constexpr std::size_t kMaxDroppedBytes = 64U << 10U;
+/// Interim answers to one request that are skipped. A server that sends more
+/// would hold the request until its deadline.
+constexpr unsigned kMaxInterimAnswers = 8;
 
 } // namespace
 
@@ -52,6 +57,7 @@
   mHeadDelivered = false;
   mDropsBody = false;
   mDroppedBytes = 0;
+  mInterimCount = 0;
   mInExchange = true;
   if (mProperties.head_only) {
     mParser.ExpectNoBody();
@@ -157,11 +163,7 @@
   }
   if (mSkippingAnswer) {
     mSkippingAnswer = false;
-    result<void> next = mParser.Next();
-    if (mProperties.head_only) {
-      mParser.ExpectNoBody();
-    }
-    if (!next) {
+    if (result<void> next = mParser.Next(mProperties.head_only); !next) {
       FailInvalid(next.error());
       return false;
     }
@@ -175,10 +177,13 @@
 client_channel::ProcessHead()
 {
   message_head& head = mParser.Head();
-  constexpr int kFirstFinalStatus = 200;
-  if (head.status < kFirstFinalStatus) {
-    mSkippingAnswer = true;
-    return true;
+  if (status::IsInterim(head.status)) {
+    return SkipInterimAnswer();
+  }
+  if (!status::IsFinal(head.status)) {
+    FailInvalid({ error_kind::invalid_argument,
+                  "status " + std::to_string(head.status) });
+    return false;
   }
   if (!mIdentity.field.empty()) {
     const std::string* echoed = FindField(head.fields, mIdentity.field);
@@ -197,6 +202,20 @@
   return mInExchange;
 }
 
+bool
+client_channel::SkipInterimAnswer()
+{
+  ++mInterimCount;
+  if (mInterimCount > kMaxInterimAnswers) {
+    FailInvalid({ error_kind::invalid_argument,
+                  "more than " + std::to_string(kMaxInterimAnswers) +
+                    " interim answers" });
+    return false;
+  }
+  mSkippingAnswer = true;
+  return true;
+}
+
 void
 client_channel::EndLongBody()
 {
--- a/src/wire/client-channel.h
+++ b/src/wire/client-channel.h
@@ -110,9 +110,12 @@
   /// Processes the parsed bytes of one answer. Returns true if it was skipped
   /// and another one may follow in the parser.
   bool ReadAnswer();
-  /// Delivers a head, or starts to skip an interim answer (1xx) or the answer
-  /// to an earlier request. Returns whether the exchange goes on.
+  /// Delivers a head, or starts to skip an interim answer or the answer to an
+  /// earlier request. Returns whether the exchange goes on.
   bool ProcessHead();
+  /// Starts to skip an interim answer, or fails if there were too many. Returns
+  /// whether the exchange goes on.
+  bool SkipInterimAnswer();
   /// Ends an exchange or a connection rather than reading a long body that is
   /// dropped.
   void EndLongBody();
@@ -136,6 +139,8 @@
   bool mDropsBody = false;
   /// Bytes of dropped bodies in this exchange.
   std::size_t mDroppedBytes = 0;
+  /// Interim answers in this exchange.
+  unsigned mInterimCount = 0;
   bool mKeepOpen = true;
   bool mInExchange = false;
   bool mUsedBefore = false;
--- a/src/wire/message-parser.cc
+++ b/src/wire/message-parser.cc
@@ -267,9 +267,13 @@
 }
 
 result<void>
-message_parser::Next()
+message_parser::Next(bool aWithoutBody)
 {
   MakeParser();
+  if (aWithoutBody) {
+    // The parser reads the buffered bytes at once, also the end of the head.
+    ExpectNoBody();
+  }
   return Consume();
 }
 
--- a/src/wire/message-parser.h
+++ b/src/wire/message-parser.h
@@ -69,7 +69,8 @@
   std::size_t RemainingBytes() const { return mBuffer.size(); }
 
   /// Starts to parse the next message, beginning with the buffered bytes.
-  result<void> Next();
+  /// `aWithoutBody`: the message has no body, as in a response to HEAD.
+  result<void> Next(bool aWithoutBody = false);
 
 private:
   result<void> Consume();
--- a/test/unit/client-channel-test.cc
+++ b/test/unit/client-channel-test.cc
@@ -1,6 +1,7 @@
 #include <catch2/catch.hpp>
 
 #include "harness/free-address.h"
+#include "harness/invalid-statuses.h"
 #include "wire/client-channel.h"
 
 using namespace eelgrasstrack;
@@ -244,3 +245,105 @@
   CHECK(request->complete);
   CHECK(channel->Reusable(events.Now()));
 }
+
+// Guards against CONFIG and a status that no caller can handle: 000 was skipped
+// like an interim answer until the route's time, and 600 was taken for an
+// answer.
+TEST_CASE_METHOD(channel_fixture,
+                 "client channel, status is not valid, fails at once",
+                 "[wire]")
+{
+  const std::string word = GENERATE(from_range(InvalidStatusWords()));
+  CAPTURE(word);
+  auto request = Request("1", kGet);
+  Reply(AnswerWithStatus(word, "X-Id: 1\r\n"));
+  CHECK(request->failed);
+  CHECK_FALSE(request->complete);
+  CHECK(request->status == 0);
+  CHECK_FALSE(channel->IsOpen());
+  CHECK_FALSE(channel->Reusable(events.Now()));
+}
+
+// Guards against an invalid answer that hides behind the id of an earlier
+// request or an interim answer.
+TEST_CASE_METHOD(channel_fixture,
+                 "client channel, invalid status after a skipped answer, fails "
+                 "at once",
+                 "[wire]")
+{
+  const std::string skipped = GENERATE(Answer("0", "old"), InterimAnswers(1));
+  auto request = Request("1", kGet);
+  Reply(skipped + AnswerWithStatus("600", "X-Id: 1\r\n"));
+  CHECK(request->failed);
+  CHECK(request->status == 0);
+  CHECK_FALSE(channel->IsOpen());
+}
+
+TEST_CASE_METHOD(channel_fixture,
+                 "client channel, first and last valid statuses, are delivered",
+                 "[wire]")
+{
+  const int status = GENERATE(200, 299, 418, 599);
+  auto request = Request("1", kGet);
+  Reply(AnswerWithStatus(std::to_string(status), "X-Id: 1\r\n"));
+  CHECK(request->complete);
+  CHECK(request->status == status);
+  CHECK(channel->Reusable(events.Now()));
+}
+
+// Guards against a limit that counts the interim answers of a connection
+// instead of those of a request.
+TEST_CASE_METHOD(channel_fixture,
+                 "client channel, as many interim answers as are skipped, each "
+                 "request gets its answer",
+                 "[wire]")
+{
+  for (const char* id : { "1", "2" }) {
+    auto request = Request(id, kGet);
+    Reply(InterimAnswers(kMaxInterim) + Answer(id, "done"));
+    CHECK(request->body == "done");
+    CHECK(request->complete);
+  }
+  CHECK(channel->Reusable(events.Now()));
+}
+
+// Guards against CONFIG: interim answers without end keep a request until the
+// route's time.
+TEST_CASE_METHOD(channel_fixture,
+                 "client channel, more interim answers than are skipped, fails "
+                 "at once",
+                 "[wire]")
+{
+  const bool together = GENERATE(true, false);
+  auto request = Request("1", kGet);
+  if (together) {
+    Reply(InterimAnswers(kMaxInterim + 1));
+  } else {
+    Reply(InterimAnswers(kMaxInterim));
+    CHECK_FALSE(request->failed);
+    Reply(InterimAnswers(1));
+  }
+  CHECK(request->failed);
+  CHECK_FALSE(request->complete);
+  CHECK_FALSE(channel->IsOpen());
+}
+
+// Guards against CONFIG: the parser waits for the body of an answer to HEAD if
+// its head arrives together with an interim answer.
+TEST_CASE_METHOD(
+  channel_fixture,
+  "client channel, interim answer and answer to HEAD in the same "
+  "bytes, is complete",
+  "[wire]")
+{
+  auto request = std::make_shared<recording_observer>();
+  channel->Begin("HEAD / HTTP/1.1\r\nHost: h\r\n\r\n",
+                 request,
+                 { "X-Id", "1" },
+                 { true, true });
+  Wait();
+  Reply(InterimAnswers(1) +
+        "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 5\r\n\r\n");
+  CHECK(request->complete);
+  CHECK(channel->Reusable(events.Now()));
+}
--- a/test/unit/faulty-instance-test.cc
+++ b/test/unit/faulty-instance-test.cc
@@ -1,6 +1,7 @@
 #include <catch2/catch.hpp>
 
 #include "harness/free-address.h"
+#include "harness/invalid-statuses.h"
 #include "harness/mesh-world.h"
 
 using namespace eelgrasstrack;
@@ -299,3 +300,76 @@
   REQUIRE(told);
   CHECK(told->status == answer.told); // 504 at the deadline
 }
+
+// Guards against a status that no caller can handle, and against CONFIG: 600
+// reached the caller, and after 000 the caller waited for the route's time.
+TEST_CASE_METHOD(faulty_instance_fixture,
+                 "faulty instance, answers with an invalid status, caller is "
+                 "told 502 and the connection is not used again",
+                 "[faulty-instance]")
+{
+  const std::string word = GENERATE(from_range(InvalidStatusWords()));
+  CAPTURE(word);
+  on_request = [&](raw_connection& aInstance, const std::string& aId) {
+    aInstance.Send(
+      connections == 1
+        ? AnswerWithStatus(word, "X-Request-Id: " + aId + "\r\nX-Stamp: s\r\n")
+        : AnswerTo(aId, "done"));
+  };
+  result<buffered_response> first = Send();
+  REQUIRE(first);
+  CHECK(first->status == 502); // 504 at the deadline
+  result<buffered_response> second = Send();
+  REQUIRE(second);
+  CHECK(second->status == 200);
+  CHECK(connections == 2);
+}
+
+// Guards against LOST: a request that another instance can run fails because
+// of an invalid status.
+TEST_CASE_METHOD(faulty_instance_fixture,
+                 "faulty instance, answers with an invalid status, repeatable "
+                 "request runs at another instance",
+                 "[faulty-instance]")
+{
+  const std::string word = GENERATE("000", "101", "600", "2000");
+  CAPTURE(word);
+  // Hosts alternate between two failure domains: both instances share one.
+  world.AddHost("front", "v1");
+  std::size_t sound = world.AddHost("orders", "v1");
+  world.SetRoute(2, "/orders/", "orders", true);
+  world.RunUntilInstancesKnown();
+  unsigned received = 0;
+  on_request = [&](raw_connection& aInstance, const std::string& aId) {
+    ++received;
+    aInstance.Send(
+      AnswerWithStatus(word, "X-Request-Id: " + aId + "\r\nX-Stamp: s\r\n"));
+  };
+  constexpr unsigned kMaxRequests = 60;
+  for (unsigned i = 0; i < kMaxRequests && received == 0; ++i) {
+    result<buffered_response> answer = Send("GET");
+    REQUIRE(answer);
+    CHECK(answer->status == 200);
+  }
+  CHECK(received == 1);
+  CHECK(world.RunCount(sound) > 0);
+}
+
+// Guards against CONFIG: interim answers without end keep a request until the
+// route's time.
+TEST_CASE_METHOD(faulty_instance_fixture,
+                 "faulty instance, many interim answers in a row, caller gets "
+                 "the answer or is told 502",
+                 "[faulty-instance]")
+{
+  const unsigned extra = GENERATE(0U, 1U);
+  on_request = [&](raw_connection& aInstance, const std::string& aId) {
+    aInstance.Send(InterimAnswers(kMaxInterim + extra));
+    if (extra == 0) {
+      aInstance.Send(AnswerTo(aId, "done"));
+    }
+  };
+  result<buffered_response> answer = Send();
+  REQUIRE(answer);
+  CHECK(answer->status == (extra == 0 ? 200 : 502)); // 504 at the deadline
+}
--- a/test/unit/hop-test.cc
+++ b/test/unit/hop-test.cc
@@ -1,6 +1,7 @@
 #include <catch2/catch.hpp>
 
 #include "harness/free-address.h"
+#include "harness/invalid-statuses.h"
 #include "harness/silent-connection.h"
 #include "proxy/hop-client.h"
 #include "proxy/hop-fields.h"
@@ -20,10 +21,11 @@
   {
   }
 
-  void OnAnswer(message_head,
+  void OnAnswer(message_head aHead,
                 std::optional<std::uint64_t>,
                 const run_load&) override
   {
+    status = aHead.status;
   }
   void OnAnswerBody(std::string_view) override {}
   void OnAnswerEnd() override { mLoop.Stop(); }
@@ -38,6 +40,8 @@
   }
 
   std::optional<run_failure> failure;
+  /// Status of the answer; empty if there was none.
+  std::optional<int> status;
   bool cancel_on_unresponsive_host = false;
 
 private:
@@ -74,7 +78,7 @@
   bool mAnswered = false;
 };
 
-/// A node that answers each request with the same text.
+/// A node or an instance that answers each request with the same text.
 class scripted_node final : public connection::observer
 {
 public:
@@ -135,6 +139,19 @@
     return request;
   }
 
+  /// Answers each request on a new address with the same text; counts the
+  /// connections.
+  endpoint ListenWithAnswer(const std::string& aText)
+  {
+    endpoint listening = FreeAddress();
+    REQUIRE(sockets.Listen(
+      listening, [this, aText](std::shared_ptr<connection> aNew) {
+        ++connections;
+        aNew->SetObserver(std::make_shared<scripted_node>(aNew, aText));
+      }));
+    return listening;
+  }
+
   /// Starts a request on the only slot of an unresponsive instance and queues
   /// another one.
   void FillUnresponsiveInstance()
@@ -175,6 +192,7 @@
   std::vector<std::string> stale_hosts;
   instance_record unresponsive;
   unsigned received = 0;
+  unsigned connections = 0;
   run_start running;
   std::shared_ptr<recording_sink> running_sink =
     std::make_shared<recording_sink>(events);
@@ -343,6 +361,88 @@
   CHECK(sink->failure->not_run);
 }
 
+// Guards against a status that no caller can handle, and against CONFIG: the
+// first hop passed 600 on, and after 000 it waited for the route's time.
+TEST_CASE_METHOD(hop_fixture,
+                 "hop client, invalid status, fails at once and does not use "
+                 "the connection again",
+                 "[hop]")
+{
+  const std::string word = GENERATE(from_range(InvalidStatusWords()));
+  CAPTURE(word);
+  endpoint other = ListenWithAnswer(AnswerWithStatus(word, ""));
+  for (unsigned i = 1; i <= 2; ++i) {
+    sink->failure.reset();
+    REQUIRE(Send(other, "i-there"));
+    RunFor(std::chrono::milliseconds(1000));
+    REQUIRE(sink->failure);
+    CHECK(sink->failure->reason == run_failure_reason::broken);
+    CHECK_FALSE(sink->failure->not_run);
+    CHECK_FALSE(sink->status);
+    CHECK(connections == i);
+  }
+}
+
+// Guards against a failure that passes as an answer: the fields of a failure do
+// not make an invalid status valid.
+TEST_CASE_METHOD(hop_fixture,
+                 "hop client, failure with an invalid status, is not taken as "
+                 "not run",
+                 "[hop]")
+{
+  run_failure full;
+  full.reason = run_failure_reason::full;
+  full.not_run = true;
+  endpoint other = ListenWithAnswer(AnswerWithStatus(
+    "600", std::string(kFailedField) + ": " + EncodeFailure(full) + "\r\n"));
+  REQUIRE(Send(other, "i-there"));
+  RunFor(std::chrono::milliseconds(1000));
+  REQUIRE(sink->failure);
+  CHECK(sink->failure->reason == run_failure_reason::broken);
+  CHECK_FALSE(sink->failure->not_run);
+}
+
+// Guards against CONFIG: interim answers without end keep a request until the
+// route's time.
+TEST_CASE_METHOD(hop_fixture,
+                 "hop client, more interim answers than are skipped, fails at "
+                 "once",
+                 "[hop]")
+{
+  endpoint other = ListenWithAnswer(InterimAnswers(kMaxInterim + 1));
+  REQUIRE(Send(other, "i-there"));
+  RunFor(std::chrono::milliseconds(1000));
+  REQUIRE(sink->failure);
+  CHECK(sink->failure->reason == run_failure_reason::broken);
+}
+
+// Guards against EXPOSURE: a version that answers with an invalid status counts
+// as one that serves.
+TEST_CASE_METHOD(hop_fixture,
+                 "instance dispatcher, invalid status, is a failed run",
+                 "[hop]")
+{
+  const std::string word = GENERATE(from_range(InvalidStatusWords()));
+  CAPTURE(word);
+  std::vector<run_result> results;
+  dispatcher.OnResult(
+    [&results](const run_result& aResult) { results.push_back(aResult); });
+  instance_record instance;
+  instance.id = "i-odd";
+  instance.state = instance_state::ready;
+  instance.address = ListenWithAnswer(AnswerWithStatus(word, "X-Stamp: s\r\n"));
+  dispatcher.SetInstance(instance);
+  REQUIRE(Send(address, "i-odd"));
+  RunFor(std::chrono::milliseconds(1000));
+  REQUIRE(sink->failure);
+  CHECK(sink->failure->reason == run_failure_reason::broken);
+  CHECK(sink->failure->reached_instance);
+  CHECK_FALSE(sink->failure->not_run);
+  REQUIRE(results.size() == 1);
+  CHECK(results[0].failed);
+  CHECK_FALSE(results[0].unanswered);
+}
+
 TEST_CASE("hop fields, time out of its range, are refused", "[hop]")
 {
   std::string time = GENERATE("9223372036854775807", "-9223372036854775808");
