Refuse invalid statuses in the daemon's client and in messages of nodes

Cause: http_client passed on any status that libwebsockets parsed, also from words such as 2000 or 20, and waited for its timeout after an interim answer. The codec of nodes' messages accepted any number as the status of an answer.

Change: http_client reads the status word itself and fails at once unless it is final by the rule of base/status-class.h. libwebsockets can't skip an interim answer, so one fails the call too. A message with an invalid status is refused like any other malformed message: the link is closed, and its calls are repeated where their routes allow it.

--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -4,6 +4,7 @@
 #include <cstring>
 #include <libwebsockets.h>
 
+#include "base/status-class.h"
 #include "http/header-reader.h"
 
 namespace eelgrasstrack {
@@ -407,8 +408,13 @@
 int
 http_channel::ReceiveHead(lws* aConnection)
 {
-  mResponse.status =
-    static_cast<int>(lws_http_client_http_response(aConnection));
+  mResponse.status = ReadStatus(aConnection);
+  if (!status::IsFinal(mResponse.status)) {
+    // libwebsockets can't skip an interim response: it takes what follows for
+    // a body.
+    FailCall("response has no valid final status");
+    return -1;
+  }
   mResponse.headers = ReadHeaders(aConnection);
   mExpectedLength = ReadContentLength(aConnection);
   if (mExpectedLength > static_cast<std::int64_t>(mMaxBody)) {
--- a/src/http/header-reader.cc
+++ b/src/http/header-reader.cc
@@ -79,6 +79,18 @@
   return headers;
 }
 
+int
+ReadStatus(lws* aConnection)
+{
+  constexpr std::size_t kDigits = 3;
+  std::string text = KnownValue(aConnection, WSI_TOKEN_HTTP);
+  std::string_view word = std::string_view(text).substr(0, text.find(' '));
+  if (word.size() != kDigits) {
+    return 0;
+  }
+  return ParseNumber<std::uint16_t>(word).value_or(0);
+}
+
 std::int64_t
 ReadContentLength(lws* aConnection)
 {
--- a/src/http/header-reader.h
+++ b/src/http/header-reader.h
@@ -11,6 +11,11 @@
 http_headers
 ReadHeaders(lws* aConnection);
 
+/// Returns the status of a response, or 0 if it is not a number of three
+/// digits.
+int
+ReadStatus(lws* aConnection);
+
 /// Returns `content-length`, or -1 if it is absent or not a valid length.
 std::int64_t
 ReadContentLength(lws* aConnection);
--- a/src/peer/codec.cc
+++ b/src/peer/codec.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
+#include "base/status-class.h"
+
 namespace eelgrasstrack {
 
 namespace {
@@ -518,12 +520,27 @@
   return call;
 }
 
+/// Marks a decoded answer whose status is not valid.
+constexpr int kInvalidStatus = -1;
+
+/// Decodes the status of an answer, 0 if the call failed.
+int
+DecodeStatus(const json& aValue)
+{
+  if (!aValue.is_number_integer()) {
+    return kInvalidStatus;
+  }
+  auto number = aValue.get<std::int64_t>();
+  bool valid = number == 0 || status::IsFinal(number);
+  return valid ? static_cast<int>(number) : kInvalidStatus;
+}
+
 peer_message
 DecodeAnswer(const json& aFields)
 {
   answer_message answer;
   answer.id = aFields.at(1).get<std::uint64_t>();
-  answer.status = aFields.at(2).get<int>();
+  answer.status = DecodeStatus(aFields.at(2));
   answer.failure.kind = ErrorKindFromName(aFields.at(3).get<std::string>())
                           .value_or(error_kind::internal);
   answer.failure.message = aFields.at(4).get<std::string>();
@@ -639,6 +656,11 @@
       }
       body->bytes = std::string(aFrame.substr(end + 1));
     }
+    const auto* answer = std::get_if<answer_message>(&message);
+    if (answer != nullptr && answer->status == kInvalidStatus) {
+      return Fail(error_kind::invalid_argument,
+                  "answer message: invalid status");
+    }
     return message;
   } catch (const json::exception& problem) {
     return Fail(error_kind::invalid_argument,
--- a/test/unit/distribution-test.cc
+++ b/test/unit/distribution-test.cc
@@ -202,3 +202,33 @@
     REQUIRE(!DecodeMessage(malformed));
   }
 }
+
+// Guards against a status that no caller can handle: the first hop passed any
+// status that another node named on to its caller.
+TEST_CASE("peer codec, answer with an invalid status, is refused", "[codec]")
+{
+  const int status = GENERATE(-1, 1, 99, 100, 101, 199, 600, 999);
+  answer_message answer;
+  answer.status = status;
+  CHECK_FALSE(DecodeMessage(EncodeMessage(answer)));
+}
+
+// Guards against a status beyond 32 bits that is cut to a valid one.
+TEST_CASE("peer codec, status out of range, is refused", "[codec]")
+{
+  answer_message answer;
+  answer.id = 7;
+  answer.status = 200;
+  std::string frame = EncodeMessage(answer);
+  std::size_t at = frame.find(",200,");
+  REQUIRE(at != std::string::npos);
+  frame.replace(at, 5, ",4294967496,");
+  CHECK_FALSE(DecodeMessage(frame));
+}
+
+TEST_CASE("peer codec, valid status or failure, is accepted", "[codec]")
+{
+  answer_message answer;
+  answer.status = GENERATE(0, 200, 599); // 0: the call failed
+  CHECK(DecodeMessage(EncodeMessage(answer)));
+}
