Split the schedule and the codec of counts out of the canary driver

Cause: canary-driver.cc held three jobs in 680 lines.

Change: mesh/canary-schedule has the times of the phase changes, mesh/version-sample-json the JSON of counts between nodes. Code is moved unchanged; canary-driver.cc has 571 lines.

--- a/src/mesh/canary-driver.cc
+++ b/src/mesh/canary-driver.cc
@@ -8,6 +8,7 @@
 #include "mesh/gossip-codec.h"
 #include "mesh/order-id-json.h"
 #include "mesh/role-assignment.h"
+#include "mesh/version-sample-json.h"
 
 namespace eelgrasstrack {
 
@@ -35,122 +36,12 @@
 /// does not show it. Until then the record of another decider may be on its
 /// way.
 constexpr duration kMissingRecordDelay = std::chrono::milliseconds(800);
-/// Time for which a decider must have known an order before it promotes: every
-/// node repeats its counts several times within it.
-constexpr duration kMinKnownTime = std::chrono::milliseconds(1000);
-/// Time between promotion and the deadline of a rollout with a short time
-/// limit, if the allowed exposure has room for it.
-constexpr duration kPromotedTime = std::chrono::milliseconds(2000);
-/// Minimum time between promotion and the deadline: the rollout must be
-/// recorded before the deadline, and requests on the old version need time to
-/// finish.
-constexpr duration kMinPromotedTime = std::chrono::milliseconds(800);
-/// Part of the time limit between promotion and the deadline.
-constexpr double kPromotedTimeFraction = 0.12;
-/// Time before the deadline at which the rollout is recorded as complete.
-constexpr duration kRecordingTime = std::chrono::milliseconds(800);
-/// The same after a late promotion.
-constexpr duration kMinRecordingTime = std::chrono::milliseconds(450);
-/// Part of the time between promotion and the deadline that is for recording.
-constexpr double kRecordingFraction = 0.25;
-/// Part of the allowed exposure that is planned for. The rest is for requests
-/// that arrive late, and for changes of the request rate.
-constexpr double kPlannedExposure = 0.95;
 /// Part of the allowed exposure that the steady canary share uses. The rest is
 /// for canary bursts and for the time between promotion and a rollback.
 constexpr double kSteadyShareFraction = 0.15;
 
-json
-EncodeSamples(const version_samples& aSamples)
-{
-  json all = json::object();
-  for (const auto& [version, routes] : aSamples) {
-    for (const auto& [route, sample] : routes) {
-      all[version][route] = { sample.requests,
-                              sample.failed,
-                              sample.time_buckets,
-                              sample.unanswered_buckets };
-    }
-  }
-  return all;
-}
-
-version_samples
-DecodeSamples(const json& aJson)
-{
-  version_samples samples;
-  for (const auto& [version, routes] : aJson.items()) {
-    for (const auto& [route, counts] : routes.items()) {
-      version_sample& sample = samples[version][route];
-      sample.requests = UnsignedIn<std::uint32_t>(counts.at(0));
-      sample.failed = UnsignedIn<std::uint32_t>(counts.at(1));
-      counts.at(2).get_to(sample.time_buckets);
-      constexpr std::size_t kUnansweredField = 3;
-      if (counts.size() > kUnansweredField) {
-        counts.at(kUnansweredField).get_to(sample.unanswered_buckets);
-      }
-    }
-  }
-  return samples;
-}
-
 } // namespace
 
-canary_schedule
-ScheduleFor(duration aTimeLimit)
-{
-  auto fraction = duration(static_cast<std::int64_t>(
-    static_cast<double>(aTimeLimit.count()) * kPromotedTimeFraction));
-  duration promotedTime = std::max(fraction, kPromotedTime);
-  canary_schedule schedule;
-  schedule.promote_at = std::max(aTimeLimit / 2, aTimeLimit - promotedTime);
-  schedule.complete_at = CompletionTime(aTimeLimit, schedule.promote_at);
-  return schedule;
-}
-
-canary_schedule
-ScheduleFor(duration aTimeLimit,
-            duration aElapsed,
-            const canary_exposure& aExposure)
-{
-  canary_schedule schedule = ScheduleFor(aTimeLimit);
-  if (aExposure.requests <= 0 || aElapsed <= duration(0)) {
-    return schedule;
-  }
-  double perMicrosecond =
-    aExposure.requests / static_cast<double>(aElapsed.count());
-  double expected = perMicrosecond * static_cast<double>(aTimeLimit.count());
-  double allowed = kPlannedExposure * (aExposure.allowed_share * expected +
-                                       aExposure.allowed_slack);
-  double room = std::max(0.0, allowed - aExposure.canary_requests);
-  auto promotedTime =
-    std::max(duration(static_cast<std::int64_t>(room / perMicrosecond)),
-             std::min(kMinPromotedTime, aTimeLimit / 2));
-  schedule.promote_at =
-    std::max(schedule.promote_at, aTimeLimit - promotedTime);
-  schedule.complete_at = CompletionTime(aTimeLimit, schedule.promote_at);
-  return schedule;
-}
-
-duration
-CompletionTime(duration aTimeLimit, duration aPromotedAt)
-{
-  auto left = static_cast<double>((aTimeLimit - aPromotedAt).count());
-  auto recording =
-    std::clamp(duration(static_cast<std::int64_t>(left * kRecordingFraction)),
-               kMinRecordingTime,
-               kRecordingTime);
-  return std::max(aTimeLimit / 2, aTimeLimit - recording);
-}
-
-bool
-MayPromote(const canary_schedule& aSchedule,
-           duration aElapsed,
-           duration aKnownFor)
-{
-  return aElapsed >= aSchedule.promote_at && aKnownFor >= kMinKnownTime;
-}
-
 canary_driver::canary_driver(loop& aLoop,
                              control_client& aClient,
                              control_store& aStore,
--- a/test/unit/mesh-test.cc
+++ b/test/unit/mesh-test.cc
@@ -1,7 +1,7 @@
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
 
-#include "mesh/canary-driver.h"
+#include "mesh/canary-schedule.h"
 #include "mesh/host-directory.h"
 #include "mesh/role-assignment.h"
 #include "rollout/version-comparison.h"
