--- a/src/mesh/mesh-node.cc
+++ b/src/mesh/mesh-node.cc
@@ -149,6 +149,8 @@
   mSettings.bounds = aSettings.bounds;
   mSettings.heartbeat_interval = aSettings.heartbeat_interval;
   mSettings.link_bits_per_second = aSettings.link_bits_per_second;
+  mSettings.clients = aSettings.clients;
+  ApplyClientLimits();
   mLinkPacer.SetLinkRate(mSettings.link_bits_per_second);
   shared_retry_budget_options retryOptions;
   retryOptions.ratio = mSettings.bounds.retry_ratio;
@@ -163,6 +165,25 @@
   }
 }
 
+void
+mesh_node::ApplyClientLimits()
+{
+  const client_limits& limits = mSettings.clients;
+  mBodies.SetLimit(limits.body_bytes);
+  session_limits sessions;
+  sessions.stall_time = limits.stall_time;
+  sessions.stall_time_when_full = limits.stall_time_when_full;
+  sessions.max_connections = limits.caller_connections;
+  mIngress.SetClientLimits(mBodies, sessions);
+  // The first hop ends an upload that stands still; if it does not, the
+  // connection between the nodes is closed later.
+  session_limits hops;
+  hops.stall_time = limits.stall_time * 2;
+  hops.stall_time_when_full = limits.stall_time;
+  mHopServer.SetClientLimits(mBodies, hops);
+  mDispatcher.SetStallTimes(limits.stall_time, limits.stall_time_when_full);
+}
+
 result<void>
 mesh_node::Start()
 {
@@ -609,7 +630,7 @@
   time_point now = mLoop.Now();
   mIngress.Sweep(now);
   mHopServer.Sweep(now);
-  mDispatcher.CloseIdle(now);
+  mDispatcher.Sweep(now);
   mClient.CloseIdle(kIdleConnectionTimeout);
   mChooser.RemoveUnused(now);
   mCrashes.RemoveExpired(now);
@@ -945,12 +966,33 @@
   aRespond(Response(status::kNotFound));
 }
 
+std::string
+mesh_node::ClientMetrics() const
+{
+  const session_counts& callers = mIngress.SessionCounts();
+  const session_counts& nodes = mHopServer.SessionCounts();
+  std::string text;
+  auto add = [&text](const char* aName, std::uint64_t aValue) {
+    text += "eelgrasstrack_";
+    text += aName;
+    text += ' ' + std::to_string(aValue) + '\n';
+  };
+  add("body_bytes", mBodies.HeldBytes());
+  add("body_bytes_limit", mBodies.Limit());
+  add("bodies_refused_memory_total",
+      callers.refused_memory + nodes.refused_memory);
+  add("bodies_stalled_total", callers.stalled + nodes.stalled);
+  add("connections_closed_for_others_total", callers.closed_for_others);
+  return text;
+}
+
 std::string
 mesh_node::Metrics() const
 {
   std::string text;
   mCounters.AppendMetrics(text);
   mQuota.AppendMetrics(text);
+  text += ClientMetrics();
   run_load load = mDispatcher.Load();
   text += "eelgrasstrack_config_version " + std::to_string(ConfigVersion()) +
           "\neelgrasstrack_hosts " + std::to_string(mDirectory.All().size()) +
--- a/src/mesh/mesh-node.h
+++ b/src/mesh/mesh-node.h
@@ -116,6 +116,9 @@
   /// Takes over what this host's entry in the store says of its instance.
   void RestoreOwnEntry(const host_record& aEntry);
   void ResumeInstance(const instance_record& aInstance);
+  void ApplyClientLimits();
+  /// Metrics of what clients keep from others.
+  std::string ClientMetrics() const;
   /// Whether this node, after a restart, holds the latest configuration that
   /// another node has announced, or none has answered.
   bool HasCaughtUp() const;
@@ -171,6 +174,7 @@
   link_pacer mLinkPacer;
   crash_table mCrashes;
   evacuation_table mEvacuations;
+  body_budget mBodies;
   instance_dispatcher mDispatcher;
   hop_client mHopClient;
   quota_service mQuota;
--- a/src/mesh/mesh-settings.h
+++ b/src/mesh/mesh-settings.h
@@ -37,6 +37,19 @@
   quota_bounds quota;
 };
 
+/// Limits on what clients keep from others.
+struct client_limits
+{
+  /// Bytes of request bodies that the process keeps at a time.
+  std::size_t body_bytes = std::size_t{ 64 } << 20U;
+  /// A body that stands still for this long ends its request.
+  duration stall_time = std::chrono::seconds(10);
+  /// Same while the bytes for bodies or the slots of the instance are used up.
+  duration stall_time_when_full = std::chrono::seconds(1);
+  /// Open connections of callers. Above that, idle ones are closed.
+  std::size_t caller_connections = 3072;
+};
+
 /// Settings of one node of the mesh.
 struct mesh_settings
 {
@@ -62,6 +75,7 @@
   unsigned max_connections = 4096;
   /// Bits per second of the host's link; 0 if unknown.
   double link_bits_per_second = 0;
+  client_limits clients;
   mesh_bounds bounds;
 };
 
--- a/src/net/socket.cc
+++ b/src/net/socket.cc
@@ -25,6 +25,12 @@
 /// Number of sent bytes in the send buffer above which they are erased.
 constexpr std::size_t kCompactThresholdBytes = 65536;
 
+/// An empty send buffer is kept up to this size, as there are thousands of idle
+/// connections.
+constexpr std::size_t kMaxUnusedBytes = 16U << 10U;
+/// A peer that has read nothing for this long after `CloseAfterSending` does
+/// not keep the connection. As long as an idle one may stay open by default.
+constexpr duration kCloseTimeout = std::chrono::seconds(15);
 /// Timer lag from which the process counts as behind with its work.
 constexpr duration kOverloadLag = std::chrono::milliseconds(25);
 /// TCP keep-alive probes detect peers that disappeared without a reset.
@@ -232,6 +238,9 @@
   }
   mOutgoing.clear();
   mSentOffset = 0;
+  if (mOutgoing.capacity() > kMaxUnusedBytes) {
+    std::string().swap(mOutgoing);
+  }
   return true;
 }
 
@@ -245,6 +254,24 @@
     return;
   }
   mCloseWhenSent = true;
+  CloseUnlessSending();
+}
+
+void
+connection::CloseUnlessSending()
+{
+  mTransport.mLoop.RunAfter(kCloseTimeout,
+                            [weak = weak_from_this(), unsent = Unsent()] {
+                              std::shared_ptr<connection> self = weak.lock();
+                              if (!self || self->Closed()) {
+                                return;
+                              }
+                              if (self->Unsent() == unsent) {
+                                self->Release();
+                                return;
+                              }
+                              self->CloseUnlessSending();
+                            });
 }
 
 void
--- a/src/net/socket.h
+++ b/src/net/socket.h
@@ -61,7 +61,8 @@
   /// Sends bytes, and queues those that the kernel does not accept yet.
   void Send(std::string_view aBytes);
 
-  /// Sends the queued bytes, then closes. The observer gets no further events.
+  /// Sends the queued bytes, then closes; or closes if the peer reads none of
+  /// them for 15 s. The observer gets no further events.
   void CloseAfterSending();
 
   /// Closes immediately. The observer gets no further events.
@@ -91,6 +92,8 @@
   bool Flush();
   void End(close_reason aReason);
   void Release();
+  /// Closes the connection after a while if nothing was sent meanwhile.
+  void CloseUnlessSending();
   void RequestWritable();
 
   tcp_transport& mTransport;
--- /dev/null
+++ b/src/proxy/body-budget.cc
@@ -0,0 +1,55 @@
+#include "proxy/body-budget.h"
+
+#include <utility>
+
+namespace eelgrasstrack {
+
+bool
+body_budget::account::Admits(std::size_t aFrom, std::size_t aTo) const
+{
+  std::size_t allowed = aTo > kSmallBytes ? limit - limit / kSmallPart : limit;
+  std::size_t others = held - aFrom;
+  return others <= allowed && aTo <= allowed - others;
+}
+
+body_reservation::body_reservation(body_reservation&& aOther) noexcept
+  : mAccount(aOther.mAccount)
+  , mBytes(std::exchange(aOther.mBytes, 0))
+{
+}
+
+body_reservation&
+body_reservation::operator=(body_reservation&& aOther) noexcept
+{
+  if (this != &aOther) {
+    Release();
+    mAccount = aOther.mAccount;
+    mBytes = std::exchange(aOther.mBytes, 0);
+  }
+  return *this;
+}
+
+bool
+body_reservation::Resize(std::size_t aBytes)
+{
+  if (!mAccount || aBytes == mBytes) {
+    return true;
+  }
+  if (aBytes > mBytes && !mAccount->Admits(mBytes, aBytes)) {
+    return false;
+  }
+  mAccount->held = mAccount->held - mBytes + aBytes;
+  mBytes = aBytes;
+  return true;
+}
+
+void
+body_reservation::Release()
+{
+  if (mAccount) {
+    mAccount->held -= mBytes;
+  }
+  mBytes = 0;
+}
+
+} // namespace eelgrasstrack
--- a/src/proxy/forwarded-request.cc
+++ b/src/proxy/forwarded-request.cc
@@ -9,7 +9,7 @@
 namespace {
 
 /// These names are sent between nodes and must not change.
-constexpr name_table<run_failure_reason, 10> kReasonNames{ {
+constexpr name_table<run_failure_reason, 11> kReasonNames{ {
   { run_failure_reason::full, "full" },
   { run_failure_reason::leaving, "leaving" },
   { run_failure_reason::wrong_instance, "wrong_instance" },
@@ -20,6 +20,7 @@
   { run_failure_reason::crashed, "crashed" },
   { run_failure_reason::quarantined, "quarantined" },
   { run_failure_reason::evacuated, "evacuated" },
+  { run_failure_reason::upload_stalled, "upload_stalled" },
 } };
 
 bool
--- a/src/proxy/forwarded-request.h
+++ b/src/proxy/forwarded-request.h
@@ -89,6 +89,8 @@
   quarantined,
   /// The failure domain of the instance is evacuated.
   evacuated,
+  /// The rest of the body did not arrive, so the request lost its slot.
+  upload_stalled,
 };
 
 std::string_view
--- a/src/proxy/hop-client.cc
+++ b/src/proxy/hop-client.cc
@@ -51,6 +51,7 @@
     AppendForwardedFields(text, mRequest.head);
     AppendField(text, kCallField, EncodeCall(mRequest, mStartedAt));
     mBody.Begin(text, mRequest);
+    std::string().swap(mRequest.body); // the caller keeps what can be resent
     mChannel->Begin(text,
                     shared_from_this(),
                     { mClient.mNames.request_id, mRequest.request_id },
--- a/src/proxy/hop-server.cc
+++ b/src/proxy/hop-server.cc
@@ -16,6 +16,19 @@
 /// Longer than the client's idle timeout of 15 s, so that the client closes
 /// idle connections first.
 constexpr duration kIdleTimeout = std::chrono::seconds(60);
+/// Bodies that stand still are ended within about this time.
+constexpr duration kMemoryRetryAfter = std::chrono::seconds(1);
+
+/// Failure of a request for whose body there is no memory.
+run_failure
+MemoryRefusal()
+{
+  run_failure failure;
+  failure.reason = run_failure_reason::full;
+  failure.not_run = true;
+  failure.retry_after = kMemoryRetryAfter;
+  return failure;
+}
 
 /// A request from another node.
 class hop_request final
@@ -24,14 +37,21 @@
 {
 public:
   hop_request(instance_dispatcher& aDispatcher,
-              std::shared_ptr<server_exchange> aExchange)
+              std::shared_ptr<server_exchange> aExchange,
+              body_reservation aHeld)
     : streamed_exchange(std::move(aExchange))
     , mDispatcher(aDispatcher)
+    , mHeld(std::move(aHeld))
   {
   }
 
   void Start(forwarded_request aRequest)
   {
+    // The text that is sent to the instance holds the body a second time.
+    if (!mHeld.Resize(2 * mHeld.Bytes())) {
+      OnRunFailed(MemoryRefusal());
+      return;
+    }
     run_start started =
       mDispatcher.Dispatch(std::move(aRequest), shared_from_this());
     if (!started) {
@@ -95,6 +115,8 @@
 
 private:
   instance_dispatcher& mDispatcher;
+  /// Account of the body, also while it is on its way to the instance.
+  body_reservation mHeld;
   bool mAnswerBegun = false;
 };
 
@@ -129,11 +151,21 @@
   return limits;
 }
 
+header_fields
+hop_server::RefusalFields(int aStatus) const
+{
+  if (aStatus != status::kUnavailable && aStatus != status::kRequestTimeout) {
+    return {};
+  }
+  return { { std::string(kFailedField), EncodeFailure(MemoryRefusal()) } };
+}
+
 std::shared_ptr<request_handler>
 hop_server::Begin(received_request aRequest,
                   const std::shared_ptr<server_exchange>& aExchange)
 {
-  auto handler = std::make_shared<hop_request>(mDispatcher, aExchange);
+  auto handler = std::make_shared<hop_request>(
+    mDispatcher, aExchange, std::move(aRequest.held));
   forwarded_request request;
   const std::string* call = FindField(aRequest.head.fields, kCallField);
   result<void> decoded =
--- a/src/proxy/hop-server.h
+++ b/src/proxy/hop-server.h
@@ -20,12 +20,24 @@
   /// While true, connections are closed after the current answer.
   void SetClosing(bool aClosing) { mClosing = aClosing; }
   void Sweep(time_point aNow) { mSessions.Sweep(aNow); }
+  /// Sets the account of request bodies and the limits on connections.
+  /// `aBudget` outlives the server.
+  void SetClientLimits(const body_budget& aBudget,
+                       const session_limits& aLimits)
+  {
+    mSessions.SetBudget(aBudget);
+    mSessions.SetLimits(aLimits);
+  }
+  const session_counts& SessionCounts() const { return mSessions.Counts(); }
 
   traffic_limits Limits() const override;
   std::shared_ptr<request_handler> Begin(
     received_request aRequest,
     const std::shared_ptr<server_exchange>& aExchange) override;
   bool IsClosing() const override { return mClosing; }
+  /// Tells the first hop that the request has not run, so that it may be sent
+  /// elsewhere.
+  header_fields RefusalFields(int aStatus) const override;
 
 private:
   tcp_transport& mTransport;
--- a/src/proxy/ingress.cc
+++ b/src/proxy/ingress.cc
@@ -2,9 +2,18 @@
 
 #include "base/invariant.h"
 #include "proxy/proxied-request.h"
+#include "wire/status.h"
 
 namespace eelgrasstrack {
 
+namespace {
+
+/// Seconds after which a client refused for memory should come again: bodies
+/// that stand still are ended within this time.
+constexpr std::string_view kRetryAfterMemory = "1";
+
+} // namespace
+
 ingress::ingress(ingress_dependencies aDependencies)
   : mDependencies(aDependencies)
 {
@@ -38,6 +47,23 @@
   mClosing = aClosing;
 }
 
+void
+ingress::SetClientLimits(const body_budget& aBudget,
+                         const session_limits& aLimits)
+{
+  mSessions.SetBudget(aBudget);
+  mSessions.SetLimits(aLimits);
+}
+
+header_fields
+ingress::RefusalFields(int aStatus) const
+{
+  if (aStatus != status::kUnavailable) {
+    return {};
+  }
+  return { { "Retry-After", std::string(kRetryAfterMemory) } };
+}
+
 void
 ingress::Sweep(time_point aNow)
 {
--- a/src/proxy/ingress.h
+++ b/src/proxy/ingress.h
@@ -63,6 +63,12 @@
   /// exits.
   void SetServingUntil(time_point aTime) { mServingUntil = aTime; }
 
+  /// Sets the account of request bodies and the limits on connections.
+  /// `aBudget` outlives the ingress.
+  void SetClientLimits(const body_budget& aBudget,
+                       const session_limits& aLimits);
+  const session_counts& SessionCounts() const { return mSessions.Counts(); }
+
   /// Closes connections that exceeded the idle or the head timeout, and forgets
   /// limits of instances that were not confirmed for long.
   void Sweep(time_point aNow);
@@ -74,6 +80,7 @@
     received_request aRequest,
     const std::shared_ptr<server_exchange>& aExchange) override;
   bool IsClosing() const override { return mClosing; }
+  header_fields RefusalFields(int aStatus) const override;
 
   // Used by the requests in progress.
 
--- a/src/proxy/instance-dispatcher.cc
+++ b/src/proxy/instance-dispatcher.cc
@@ -420,6 +420,7 @@
       RefusalWith(run_failure_reason::full, TimeUntilLinkFits(*demand, now)));
   }
   duration sendTime = demand ? demand->send_time : duration(0);
+  EndStalledUploadIfFull();
   run_entry entry;
   entry.id = mNextId++;
   entry.key = aRequest.route;
@@ -435,6 +436,7 @@
     *this, entry.id, std::move(aRequest), std::move(aSink));
   mRuns.emplace(entry.id, run);
   mExpectedBytes += run->ExpectedBytes();
+  mUploads += run->IsUploading() ? 1 : 0;
   if (admission.decision == run_decision::run) {
     run->Start();
   } else {
@@ -471,6 +473,7 @@
   mSweepScheduled = true;
   mTransport.Loop().RunAfter(kSweepPeriod, [this] {
     mSweepScheduled = false;
+    EndStalledUploads(mStallTimeWhenFull, mQueue.Load().waiting);
     StartWaiting();
     if (mQueue.Load().waiting > 0) {
       ScheduleSweep();
@@ -501,6 +504,7 @@
   auto found = mRuns.find(aId);
   if (found != mRuns.end()) {
     mExpectedBytes -= found->second->ExpectedBytes();
+    mUploads -= found->second->IsUploading() ? 1 : 0;
     mRuns.erase(found);
   }
 }
@@ -530,9 +534,44 @@
 }
 
 void
-instance_dispatcher::CloseIdle(time_point aNow)
+instance_dispatcher::EndStalledUploads(duration aLimit, std::size_t aCount)
+{
+  if (mUploads == 0 || aCount == 0) {
+    return;
+  }
+  time_point now = mTransport.Loop().Now();
+  std::vector<std::shared_ptr<instance_run>> stalled;
+  for (const auto& [id, run] : mRuns) {
+    if (run->IsStalled(now, aLimit)) {
+      stalled.push_back(run);
+    }
+  }
+  std::sort(
+    stalled.begin(), stalled.end(), [](const auto& aLeft, const auto& aRight) {
+      return aLeft->MovedAt() < aRight->MovedAt();
+    });
+  stalled.resize(std::min(stalled.size(), aCount));
+  for (const auto& run : stalled) {
+    run->EndStalled();
+  }
+}
+
+void
+instance_dispatcher::EndStalledUploadIfFull()
+{
+  if (mUploads == 0) {
+    return;
+  }
+  if (run_load load = mQueue.Load(); load.busy >= load.slots) {
+    EndStalledUploads(mStallTimeWhenFull, 1);
+  }
+}
+
+void
+instance_dispatcher::Sweep(time_point aNow)
 {
   mIdleChannels.CloseIdle(kIdleTimeout, aNow);
+  EndStalledUploads(mStallTime, mUploads);
 }
 
 } // namespace eelgrasstrack
--- a/src/proxy/instance-dispatcher.h
+++ b/src/proxy/instance-dispatcher.h
@@ -50,6 +50,14 @@
   /// Time for which waiting requests may still be sent to a draining instance.
   void SetDrainTime(duration aTime) { mDrainTime = aTime; }
 
+  /// Sets how long the body of a running request may stand still: usually, and
+  /// while others wait for a slot.
+  void SetStallTimes(duration aTime, duration aTimeWhenFull)
+  {
+    mStallTime = aTime;
+    mStallTimeWhenFull = aTimeWhenFull;
+  }
+
   /// While true, all new requests are refused because the node is stopping.
   void SetLeaving(bool aLeaving) { mLeaving = aLeaving; }
 
@@ -98,8 +106,9 @@
   /// Requests that run or wait.
   std::size_t RequestCount() const { return mRuns.size(); }
 
-  /// Closes connections that have been idle for more than 6 s.
-  void CloseIdle(time_point aNow);
+  /// Closes connections that have been idle for more than 6 s, and ends uploads
+  /// that stand still.
+  void Sweep(time_point aNow);
 
 private:
   friend class instance_run;
@@ -124,6 +133,12 @@
   /// the process has no descriptor left.
   std::shared_ptr<client_channel> AcquireChannel(bool aNewOnly);
   void RemoveRun(run_id aId);
+  void RecordUploadEnd() { --mUploads; }
+  /// Ends at most `aCount` running requests whose body has stood still for
+  /// `aLimit`, first those that have for longest.
+  void EndStalledUploads(duration aLimit, std::size_t aCount);
+  /// Frees a slot for a new request if an upload that stands still has one.
+  void EndStalledUploadIfFull();
   /// Removes a started request, frees its slot and starts waiting requests.
   void FinishRun(run_id aId, const std::string& aRoute, duration aDuration);
   /// Starts waiting requests on all free slots and refuses those that are too
@@ -184,6 +199,10 @@
   run_queue mQueue{ 1 };
   run_id mNextId = 1;
   std::unordered_map<run_id, std::shared_ptr<class instance_run>> mRuns;
+  /// Number of `mRuns` whose body has not arrived completely.
+  std::size_t mUploads = 0;
+  duration mStallTime = std::chrono::seconds(10);
+  duration mStallTimeWhenFull = std::chrono::seconds(1);
   channel_pool mIdleChannels{ kMaxIdle };
   /// Requests whose connections ended, until the cause is known.
   std::vector<std::shared_ptr<class instance_run>> mInterrupted;
--- a/src/proxy/instance-run.cc
+++ b/src/proxy/instance-run.cc
@@ -10,6 +10,10 @@
 /// A connection to the instance that has been idle for longer is not reused for
 /// a request that is not idempotent, because the instance may be closing it.
 constexpr duration kNonIdempotentIdleTimeout = std::chrono::milliseconds(1500);
+/// A larger body is not kept after it was sent.
+constexpr std::size_t kMaxKeptBodyBytes = 16U << 10U;
+/// Fewer bytes count as no progress.
+constexpr std::size_t kMinProgressBytes = 4096;
 
 } // namespace
 
@@ -23,6 +27,7 @@
   , mVersion(aDispatcher.mInstance.version)
   , mIncarnation(IncarnationOf(aDispatcher.mInstance))
   , mExpectedBytes(aDispatcher.mAnswerSizes.Expected(mRequest.route))
+  , mUploading(!mRequest.body_complete)
 {
   if (mExpectedBytes <= kSmallMessageBytes) {
     mExpectedBytes = 0;
@@ -73,6 +78,11 @@
 void
 instance_run::SendBody(std::string_view aBytes, bool aLast)
 {
+  RecordMoved(aBytes.size());
+  if (aLast && mUploading && mSink) {
+    mUploading = false;
+    mDispatcher.RecordUploadEnd();
+  }
   if (!mChannel) {
     mRequest.body.append(aBytes);
     mRequest.body_complete = mRequest.body_complete || aLast;
@@ -81,6 +91,63 @@
   channel_run::SendBody(aBytes, aLast);
 }
 
+void
+instance_run::OnRequestSent()
+{
+  if (mUploading) {
+    mMovedAt = mDispatcher.mTransport.Loop().Now();
+  }
+  channel_run::OnRequestSent();
+}
+
+void
+instance_run::RecordMoved(std::size_t aBytes)
+{
+  mMovedBytes += aBytes;
+  if (mMovedBytes >= kMinProgressBytes) {
+    mMovedAt = mDispatcher.mTransport.Loop().Now();
+    mMovedBytes = 0;
+  }
+}
+
+bool
+instance_run::IsStalled(time_point aNow, duration aLimit) const
+{
+  return mStarted && mSink && IsUploading() && Unsent() == 0 &&
+         aNow - mMovedAt > aLimit;
+}
+
+void
+instance_run::EndStalled()
+{
+  if (mEnded || !mSink) {
+    return;
+  }
+  LogEvent(log_level::info,
+           "upload_stalled",
+           { { "request", mRequest.request_id },
+             { "instance", mRequest.instance },
+             { "after_ms", std::to_string(Milliseconds(Elapsed())) } });
+  if (mChannel) {
+    mChannel->Abort();
+    mChannel.reset();
+  }
+  mDispatcher.Report(UnansweredResult());
+  run_failure failure;
+  failure.reason = run_failure_reason::upload_stalled;
+  failure.reached_instance = true;
+  FailWith(failure);
+}
+
+void
+instance_run::DropSentBody()
+{
+  if (mRequest.body.size() > kMaxKeptBodyBytes) {
+    mFingerprint = Fingerprint();
+    std::string().swap(mRequest.body);
+  }
+}
+
 std::size_t
 instance_run::Unsent() const
 {
@@ -141,6 +208,9 @@
 instance_run::OnAnswerBody(std::string_view aBytes)
 {
   mAnswerBytes += aBytes.size();
+  if (IsUploading()) {
+    RecordMoved(aBytes.size());
+  }
   if (mSink) {
     mSink->OnAnswerBody(aBytes);
   }
@@ -195,6 +265,7 @@
 {
   time_point now = mDispatcher.mTransport.Loop().Now();
   mDispatchedAt = now;
+  mMovedAt = now;
   std::shared_ptr<client_channel> channel = mDispatcher.AcquireChannel(false);
   if (channel && !mRequest.idempotent && channel->UsedBefore() &&
       now - channel->IdleSince() > kNonIdempotentIdleTimeout) {
@@ -211,6 +282,7 @@
                  shared_from_this(),
                  { mDispatcher.mNames.request_id, mRequest.request_id },
                  { mRequest.head.method == "HEAD", mRequest.body_complete });
+  DropSentBody();
 }
 
 bool
--- a/src/proxy/instance-run.h
+++ b/src/proxy/instance-run.h
@@ -32,6 +32,18 @@
 
   std::size_t Unsent() const override;
 
+  void OnRequestSent() override;
+
+  /// Whether the rest of the body has not arrived yet.
+  bool IsUploading() const { return mUploading; }
+  /// Whether the request has a slot and neither its body nor its answer has
+  /// moved for `aLimit`, though the instance has taken all that arrived.
+  bool IsStalled(time_point aNow, duration aLimit) const;
+  /// When the body or the answer last moved.
+  time_point MovedAt() const { return mMovedAt; }
+  /// Ends a request that `IsStalled`. It may have run.
+  void EndStalled();
+
   /// Ends the request after its connection ended without an answer.
   void FailInterrupted(bool aCrashed);
 
@@ -40,7 +52,10 @@
   bool IsConnected() const { return mChannel && mChannel->Sent(); }
   time_point DispatchedAt() const { return mDispatchedAt; }
   const forwarded_request& Request() const { return mRequest; }
-  request_fingerprint Fingerprint() const { return FingerprintOf(mRequest); }
+  request_fingerprint Fingerprint() const
+  {
+    return mFingerprint ? *mFingerprint : FingerprintOf(mRequest);
+  }
   /// What was known of crashes beside the request when it was sent.
   const crash_count& KnownCrashes() const { return mKnownCrashes; }
 
@@ -75,6 +90,10 @@
   /// instance that answers at the deadline may still be running it.
   void RecordSurvival();
 
+  /// Gives up the copy of a large body that was sent, or whose rest follows.
+  void DropSentBody();
+  void RecordMoved(std::size_t aBytes);
+
   /// The head of the request and the first part of its body.
   std::string RequestText(time_point aNow);
 
@@ -96,8 +115,14 @@
   std::string mVersion;
   instance_incarnation mIncarnation;
   std::size_t mExpectedBytes;
+  bool mUploading;
   std::size_t mAnswerBytes = 0;
   time_point mDispatchedAt{};
+  /// When the body or the answer last moved enough, and the bytes since.
+  time_point mMovedAt{};
+  std::size_t mMovedBytes = 0;
+  /// Fingerprint of a body that was given up.
+  std::optional<request_fingerprint> mFingerprint;
   /// How the connection ended before the answer was complete; empty if it did
   /// not.
   std::string mInterruption;
--- a/src/proxy/proxied-request.cc
+++ b/src/proxy/proxied-request.cc
@@ -100,6 +100,10 @@
     RefuseQuarantined();
     return;
   }
+  if (!ReserveCopy()) {
+    Refuse(proxy_event::refused_memory, kRetryAfterNodeNotReady);
+    return;
+  }
   SetDeadlines();
   if (!FitsBeforeExit()) {
     Refuse(proxy_event::node_stopping, kRetryAfterNodeNotReady);
@@ -222,10 +226,40 @@
     mReceived.body += aBytes;
     return;
   }
-  mStreamedBody = true;
+  if (!mStreamedBody) {
+    mStreamedBody = true;
+    DropBufferedBody();
+  }
   streamed_exchange::OnRequestBody(aBytes, aLast);
 }
 
+bool
+proxied_request::ReserveCopy()
+{
+  return mReceived.held.Resize(2 * mReceived.held.Bytes());
+}
+
+void
+proxied_request::DropBufferedBody()
+{
+  Fingerprint(); // of the part that is given up
+  // The bytes stay reserved, for the parts of the body on their way.
+  std::string().swap(mReceived.body);
+}
+
+void
+proxied_request::OnBodyStalled()
+{
+  bool mayHaveRun = MayHaveRun();
+  CancelRun(instance_chooser::outcome::cancelled);
+  mAttempts.may_have_run = mayHaveRun;
+  if (mAnswerBegun) {
+    AbortAnswer();
+    return;
+  }
+  AnswerFailure(status::kGatewayTimeout, proxy_event::upload_stalled);
+}
+
 bool
 proxied_request::ShouldCancelOnUnresponsiveHost()
 {
@@ -491,6 +525,8 @@
     case run_failure_reason::wrong_instance:
     case run_failure_reason::evacuated:
       return instance_chooser::outcome::refused;
+    case run_failure_reason::upload_stalled:
+      return instance_chooser::outcome::cancelled;
     default:
       return instance_chooser::outcome::failed;
   }
@@ -534,6 +570,10 @@
     Attempt();
     return;
   }
+  if (aFailure.reason == run_failure_reason::upload_stalled) {
+    GiveUp(aFailure); // it would stand still at another instance, too
+    return;
+  }
   bool repeatable = aFailure.not_run || mRoute->idempotent;
   if (retryAcquired || (repeatable && TryAcquireRetry())) {
     Retry();
@@ -598,6 +638,10 @@
            RetryAfter());
     return;
   }
+  if (aFailure.reason == run_failure_reason::upload_stalled) {
+    AnswerFailure(status::kGatewayTimeout, proxy_event::upload_stalled);
+    return;
+  }
   AnswerFailure(status::kBadGateway, proxy_event::answer_broken);
 }
 
--- a/src/proxy/proxied-request.h
+++ b/src/proxy/proxied-request.h
@@ -25,6 +25,8 @@
 
   void OnClientDisconnected() override;
   void OnRequestBody(std::string_view aBytes, bool aLast) override;
+  void OnBodyStalled() override;
+  bool MayHaveRun() const override { return mAttempts.may_have_run || mRun; }
 
   // answer_sink
 
@@ -83,6 +85,12 @@
   void BeginAttempts();
   /// Priority of the caller's organisation or, without one, of the route.
   unsigned Priority() const;
+  /// Reserves memory for the copy of the body that the next hop gets. Returns
+  /// false if there is none.
+  bool ReserveCopy();
+  /// Gives up the buffered part of a body whose rest is streamed, as the
+  /// request can't be sent again.
+  void DropBufferedBody();
   /// Whether this process runs long enough for a timely answer.
   bool FitsBeforeExit();
   /// Chooses an instance and sends the request to it. Falls back to the current
--- a/src/proxy/proxy-counters.cc
+++ b/src/proxy/proxy-counters.cc
@@ -20,6 +20,7 @@
     "store_failed",     "peer_message",
     "peer_failed",      "refused_quarantined",
     "unknown_key",      "refused_quota",
+    "refused_memory",   "upload_stalled",
   };
 
 } // namespace
--- a/src/proxy/proxy-counters.h
+++ b/src/proxy/proxy-counters.h
@@ -37,6 +37,8 @@
   refused_quarantined,
   unknown_key,
   refused_quota,
+  refused_memory,
+  upload_stalled,
   count,
 };
 
--- a/src/proxy/server-session.cc
+++ b/src/proxy/server-session.cc
@@ -1,7 +1,10 @@
 #include "proxy/server-session.h"
 
+#include <algorithm>
+#include <utility>
 #include <vector>
 
+#include "base/log.h"
 #include "wire/status.h"
 
 namespace eelgrasstrack {
@@ -20,6 +23,27 @@
 /// No further pipelined request starts while more bytes of answers wait for an
 /// earlier answer.
 constexpr std::size_t kMaxHeldAnswerBytes = 64U << 10U;
+/// A body makes progress if at least this many bytes arrive within the time
+/// limit; fewer count as none.
+constexpr std::size_t kMinProgressBytes = 4096;
+/// Minimum time between two searches for bodies that stand still, each of which
+/// visits all sessions.
+constexpr duration kEndStalledPeriod = std::chrono::milliseconds(100);
+/// One part in this many of the connections is closed at a time when too many
+/// are open, so that the search for them is rare.
+constexpr std::size_t kClosedPart = 32;
+
+/// Bytes to allocate for a body of which `aBytes` have arrived. At most what is
+/// known to follow, so that an announced length alone costs nothing.
+std::size_t
+BodyCapacity(std::size_t aBytes, const std::optional<std::uint64_t>& aLength)
+{
+  std::size_t grown = aBytes + aBytes / 2;
+  if (aLength && *aLength >= aBytes && *aLength < grown) {
+    return static_cast<std::size_t>(*aLength);
+  }
+  return grown;
+}
 
 } // namespace
 
@@ -33,13 +57,28 @@
     aAddress,
     [this, &aTransport, &aServer, aPacer](
       std::shared_ptr<connection> aConnection) {
-      auto session = std::make_shared<server_session>(
-        aConnection, aServer, *this, aTransport.Loop(), aPacer);
-      Add(session);
-      aConnection->SetObserver(session);
+      Accept(std::make_shared<server_session>(
+               aConnection, aServer, *this, aTransport.Loop(), aPacer),
+             aConnection);
     });
 }
 
+void
+session_list::Accept(const std::shared_ptr<server_session>& aSession,
+                     const std::shared_ptr<connection>& aConnection)
+{
+  if (mSessions.size() >= mLimits.max_connections) {
+    CloseLongestIdle();
+  }
+  if (mSessions.size() >= mLimits.max_connections) {
+    ++mCounts.closed_for_others;
+    aConnection->Close();
+    return;
+  }
+  Add(aSession);
+  aConnection->SetObserver(aSession);
+}
+
 void
 session_list::Add(const std::shared_ptr<server_session>& aSession)
 {
@@ -52,13 +91,87 @@
   mSessions.erase(aSession);
 }
 
+std::vector<std::shared_ptr<server_session>>
+session_list::Sessions() const
+{
+  std::vector<std::shared_ptr<server_session>> sessions;
+  sessions.reserve(mSessions.size());
+  for (server_session* session : mSessions) {
+    sessions.push_back(session->shared_from_this());
+  }
+  return sessions;
+}
+
 void
 session_list::Sweep(time_point aNow)
 {
-  std::vector<server_session*> sessions(mSessions.begin(), mSessions.end());
-  for (server_session* session : sessions) {
+  for (const auto& session : Sessions()) {
     session->CheckTimeouts(aNow);
   }
+  LogCounts();
+}
+
+void
+session_list::LogCounts()
+{
+  if (mCounts == mLoggedCounts) {
+    return;
+  }
+  LogEvent(
+    log_level::warning,
+    "clients_limited",
+    { { "refused_memory",
+        std::to_string(mCounts.refused_memory - mLoggedCounts.refused_memory) },
+      { "stalled", std::to_string(mCounts.stalled - mLoggedCounts.stalled) },
+      { "closed_for_others",
+        std::to_string(mCounts.closed_for_others -
+                       mLoggedCounts.closed_for_others) },
+      { "connections", std::to_string(mSessions.size()) },
+      { "body_bytes",
+        std::to_string(mBudget != nullptr ? mBudget->HeldBytes() : 0) } });
+  mLoggedCounts = mCounts;
+}
+
+body_reservation
+session_list::NewReservation() const
+{
+  return mBudget != nullptr ? body_reservation(*mBudget) : body_reservation();
+}
+
+void
+session_list::EndStalledBodies(time_point aNow, const server_session& aFor)
+{
+  if (aNow - mStalledEndedAt < kEndStalledPeriod) {
+    return;
+  }
+  mStalledEndedAt = aNow;
+  for (const auto& session : Sessions()) {
+    if (session.get() != &aFor) {
+      session->EndIfStalled(aNow, mLimits.stall_time_when_full);
+    }
+  }
+}
+
+void
+session_list::CloseLongestIdle()
+{
+  std::vector<std::shared_ptr<server_session>> closable = Sessions();
+  std::erase_if(closable, [](const auto& aSession) {
+    return !aSession->MayCloseForOthers();
+  });
+  std::size_t count =
+    std::min(closable.size(), mLimits.max_connections / kClosedPart + 1);
+  auto end = closable.begin() + static_cast<std::ptrdiff_t>(count);
+  std::partial_sort(closable.begin(),
+                    end,
+                    closable.end(),
+                    [](const auto& aLeft, const auto& aRight) {
+                      return aLeft->IdleSince() < aRight->IdleSince();
+                    });
+  std::for_each(closable.begin(), end, [this](const auto& aSession) {
+    ++mCounts.closed_for_others;
+    aSession->CloseForOthers();
+  });
 }
 
 std::size_t
@@ -81,6 +194,8 @@
   , mList(aList)
   , mLoop(aLoop)
   , mPacer(aPacer)
+  , mHeld(aList.NewReservation())
+  , mInputHeld(aList.NewReservation())
   , mIdleSince(aLoop.Now())
 {
   mParser.SetHeadLimit(aServer.Limits().head_bytes);
@@ -93,6 +208,7 @@
   if (mRejectStatus != 0) {
     return; // nothing after invalid input can be understood
   }
+  RecordProgress(aBytes.size());
   result<void> fed = mParser.Feed(aBytes);
   if (!fed) {
     HandleInvalidInput(fed.error().kind == error_kind::too_large
@@ -117,15 +233,77 @@
       break;
     }
   }
+  AccountInput();
   UpdateReading();
 }
 
+void
+server_session::RecordProgress(std::size_t aBytes)
+{
+  if (!mParser.Started()) {
+    RestartProgress();
+    mRequestSince = mProgressAt;
+    return;
+  }
+  mProgressBytes += aBytes;
+  if (mProgressBytes >= kMinProgressBytes) {
+    RestartProgress();
+  }
+}
+
+void
+server_session::RestartProgress()
+{
+  mProgressAt = mLoop.Now();
+  mProgressBytes = 0;
+}
+
+bool
+server_session::Reserve(body_reservation& aReservation, std::size_t aBytes)
+{
+  if (aReservation.Resize(aBytes)) {
+    return true;
+  }
+  mList.EndStalledBodies(mLoop.Now(), *this);
+  return aReservation.Resize(aBytes);
+}
+
+void
+server_session::AccountInput()
+{
+  if (mReceiving || mRejectStatus != 0 || mConnection->Closed()) {
+    return; // an upload is read no faster than it is sent on
+  }
+  if (!Reserve(mInputHeld, mParser.HeldBytes())) {
+    RefuseForMemory();
+  }
+}
+
+void
+server_session::RefuseForMemory()
+{
+  ++mList.mCounts.refused_memory;
+  HandleInvalidInput(status::kUnavailable);
+}
+
+void
+server_session::DropInput()
+{
+  std::string().swap(mBody);
+  mHeld.Release();
+  mParser = message_parser(message_kind::request);
+  mInputHeld.Release();
+}
+
 bool
 server_session::MayBegin()
 {
   if (mLastBegun || mConnection->Closed()) {
     return false;
   }
+  if (mConnection->Unsent() > kMaxHeldAnswerBytes) {
+    return false; // the client does not read the answers
+  }
   if (mExchanges.empty()) {
     return true;
   }
@@ -144,13 +322,16 @@
 bool
 server_session::BeginRequest()
 {
-  mBody += mParser.TakeBody();
-  mBodyBytes = mBody.size();
+  mBodyBytes = mBody.size() + mParser.BodyBytes();
   std::uint64_t limit = mServer.Limits().body_bytes;
   if (mBodyBytes > limit || mParser.BodyLength().value_or(0) > limit) {
     HandleInvalidInput(status::kContentTooLarge);
     return false;
   }
+  if (!KeepBody()) {
+    RefuseForMemory();
+    return false;
+  }
   if (!mParser.Done() && mBody.size() <= kMaxBufferedBodyBytes) {
     SendContinueIfExpected();
     return false;
@@ -159,6 +340,7 @@
   request.head = mParser.Head();
   request.body = std::move(mBody);
   mBody.clear();
+  request.held = std::move(mHeld);
   request.body_complete = mParser.Done();
   request.body_length = mParser.BodyLength();
   if (request.body_complete && mParser.Chunked()) {
@@ -184,6 +366,32 @@
   return complete;
 }
 
+bool
+server_session::KeepBody()
+{
+  std::string part = mParser.TakeBody();
+  if (part.empty()) {
+    return true;
+  }
+  if (mBody.empty() && mParser.Done()) {
+    mBody = std::move(part);
+    return Reserve(mHeld, mBody.size());
+  }
+  std::size_t needed = mBody.size() + part.size();
+  if (needed > mBody.capacity()) {
+    std::size_t capacity = BodyCapacity(needed, mParser.BodyLength());
+    if (!Reserve(mHeld, capacity)) {
+      return false;
+    }
+    std::string larger;
+    larger.reserve(capacity);
+    larger += mBody;
+    mBody.swap(larger);
+  }
+  mBody += part;
+  return true;
+}
+
 bool
 server_session::ForwardBody()
 {
@@ -209,11 +417,16 @@
 server_session::HandleInvalidInput(int aStatus)
 {
   mRejectStatus = aStatus;
+  DropInput();
   if (mReceiving) {
     // The request in progress can't be completed.
     std::shared_ptr<server_exchange> receiving = std::move(mReceiving);
     mReceiving.reset();
     bool answering = receiving->mBegun;
+    if (receiving->mHandler && receiving->mHandler->MayHaveRun()) {
+      // 413 would promise that it has not run.
+      mRejectStatus = status::kBadRequest;
+    }
     CancelAll();
     if (answering) {
       RemoveFromList();
@@ -222,7 +435,7 @@
     }
   }
   if (mExchanges.empty()) {
-    Reject(aStatus);
+    Reject(mRejectStatus);
   }
 }
 
@@ -244,6 +457,9 @@
   mBodyBytes = 0;
   mContinueSent = false;
   mIdleSince = mLoop.Now();
+  mRequestSince = mIdleSince;
+  mProgressAt = mIdleSince;
+  mProgressBytes = 0;
   mParser.SetHeadLimit(mServer.Limits().head_bytes);
   if (!mParser.Next()) {
     HandleInvalidInput(status::kBadRequest);
@@ -256,8 +472,8 @@
 server_session::UpdateReading()
 {
   std::size_t waiting = mReceiving ? 0 : mParser.BodyBytes();
-  bool pause =
-    IsBusy() && mParser.RemainingBytes() + waiting > kMaxReadAheadBytes;
+  bool pause = mParser.RemainingBytes() + waiting > kMaxReadAheadBytes &&
+               (IsBusy() || mConnection->Unsent() > kMaxHeldAnswerBytes);
   if (pause != mReadAheadPaused && !mConnection->Closed()) {
     mReadAheadPaused = pause;
     mConnection->PauseReading(mReadAheadPaused || mBodyPaused);
@@ -268,6 +484,7 @@
 server_session::PauseBody(bool aPaused)
 {
   mBodyPaused = aPaused;
+  RestartProgress(); // while it is paused, not the client holds the body up
   mConnection->PauseReading(mReadAheadPaused || mBodyPaused);
 }
 
@@ -309,6 +526,7 @@
     ScheduleInput();
   }
   mIdleSince = mLoop.Now();
+  RestartProgress();
   if (mRejectStatus != 0) {
     Reject(mRejectStatus);
   }
@@ -370,8 +588,12 @@
   AppendStatusLine(text, aStatus, ReasonOf(aStatus));
   AppendField(text, "Content-Length", "0");
   AppendField(text, "Connection", "close");
+  for (const header_field& field : mServer.RefusalFields(aStatus)) {
+    AppendField(text, field.name, field.value);
+  }
   text += "\r\n";
   Send(text);
+  DropInput();
   RemoveFromList();
   CloseAfterSending();
 }
@@ -380,6 +602,7 @@
 server_session::OnSent()
 {
   if (mExchanges.empty()) {
+    ScheduleInput(); // what waited because the answers were not read
     return;
   }
   std::shared_ptr<request_handler> handler = mExchanges.front()->mHandler;
@@ -403,6 +626,7 @@
 void
 server_session::Send(std::string_view aBytes)
 {
+  mAnswerMoved = true;
   if (mPacer != nullptr) {
     mPacer->Send(mConnection, aBytes);
   } else {
@@ -452,21 +676,85 @@
   CloseNow();
 }
 
+void
+server_session::CloseForOthers()
+{
+  if (mParser.Started()) {
+    Reject(status::kRequestTimeout);
+  } else {
+    CloseIfIdle();
+  }
+}
+
+void
+server_session::EndIfStalled(time_point aNow, duration aLimit)
+{
+  std::shared_ptr<server_session> self = shared_from_this();
+  if (mBodyPaused || mReadAheadPaused || mAnswerMoved) {
+    // Not the client holds the body up, or the answer moves instead.
+    mAnswerMoved = false;
+    RestartProgress();
+    return;
+  }
+  if (mConnection->Closed() || aNow - mProgressAt <= aLimit) {
+    return;
+  }
+  if (mReceiving) {
+    EndStalledUpload();
+  } else if (!IsBusy() && mParser.HeadReady() && Unsent() == 0) {
+    ++mList.mCounts.stalled;
+    Reject(status::kRequestTimeout);
+  }
+}
+
+void
+server_session::EndStalledUpload()
+{
+  ++mList.mCounts.stalled;
+  std::shared_ptr<server_exchange> exchange = mReceiving;
+  std::shared_ptr<request_handler> handler = exchange->mHandler;
+  if (handler && !exchange->mBegun) {
+    handler->OnBodyStalled();
+  }
+  if (!exchange->mDone) {
+    CancelAll();
+    RemoveFromList();
+    CloseNow();
+  }
+}
+
 void
 server_session::CheckTimeouts(time_point aNow)
 {
   std::shared_ptr<server_session> self = shared_from_this();
+  if (mReceiving) {
+    EndIfStalled(aNow, mList.Limits().stall_time);
+    return;
+  }
   if (IsBusy()) {
     return;
   }
   traffic_limits limits = mServer.Limits();
+  if (std::size_t unsent = Unsent(); unsent > 0) {
+    // An answer that the client still reads keeps the connection.
+    if (unsent != std::exchange(mCheckedUnsent, unsent)) {
+      mIdleSince = aNow;
+    }
+    if (aNow - mIdleSince > limits.idle_timeout) {
+      RemoveFromList();
+      CloseNow();
+    }
+    return;
+  }
   if (!mParser.Started()) {
     if (aNow - mIdleSince > limits.idle_timeout) {
       CloseIfIdle();
     }
     return;
   }
-  if (!mParser.HeadReady() && aNow - mIdleSince > limits.head_timeout) {
+  if (mParser.HeadReady()) {
+    EndIfStalled(aNow, mList.Limits().stall_time);
+  } else if (aNow - mRequestSince > limits.head_timeout) {
     Reject(status::kRequestTimeout);
   }
 }
--- a/src/proxy/server-session.h
+++ b/src/proxy/server-session.h
@@ -3,9 +3,12 @@
 
 #include <deque>
 #include <functional>
+#include <limits>
 #include <unordered_set>
+#include <vector>
 
 #include "net/link-pacer.h"
+#include "proxy/body-budget.h"
 #include "proxy/server-exchange.h"
 #include "traffic/traffic-table.h"
 #include "wire/message-parser.h"
@@ -21,6 +24,8 @@
   /// Length of the whole body, if known.
   std::optional<std::uint64_t> body_length;
   time_point received{};
+  /// The account's bytes for `body`. Whoever keeps the body keeps this.
+  body_reservation held;
 };
 
 /// Handles one request of a session.
@@ -34,6 +39,12 @@
   virtual void OnRequestBody(std::string_view aBytes, bool aLast) = 0;
   /// All queued bytes of the answer were sent.
   virtual void OnAnswerSent() {}
+  /// The client has stopped sending the body. The handler ends the request and
+  /// may answer it; otherwise the connection is closed.
+  virtual void OnBodyStalled() {}
+  /// Whether the request may have reached an instance, so that no answer may
+  /// promise the contrary.
+  virtual bool MayHaveRun() const { return false; }
 };
 
 /// Handles the requests that arrive at one address.
@@ -48,6 +59,34 @@
     const std::shared_ptr<server_exchange>& aExchange) = 0;
   /// Whether connections are closed after their current answers.
   virtual bool IsClosing() const = 0;
+  /// Fields of the answer to a request that is refused with `aStatus` before
+  /// it begins.
+  virtual header_fields RefusalFields(int /*aStatus*/) const { return {}; }
+};
+
+/// Limits on what the clients of one address hold without using it.
+struct session_limits
+{
+  /// A body that does not grow, by 4 KiB at least, for this long ends its
+  /// connection.
+  duration stall_time = std::chrono::seconds(10);
+  /// Same while the memory for bodies is used up.
+  duration stall_time_when_full = std::chrono::seconds(1);
+  /// Number of open connections from which idle ones are closed for new ones.
+  std::size_t max_connections = std::numeric_limits<std::size_t>::max();
+};
+
+/// How often the limits were applied.
+struct session_counts
+{
+  /// Requests refused because the memory for bodies is used up.
+  std::uint64_t refused_memory = 0;
+  /// Requests that ended because their body was not completed in time.
+  std::uint64_t stalled = 0;
+  /// Connections closed because too many were open.
+  std::uint64_t closed_for_others = 0;
+
+  bool operator==(const session_counts&) const = default;
 };
 
 /// The sessions of one address.
@@ -63,13 +102,38 @@
                       link_pacer* aPacer = nullptr);
   void Add(const std::shared_ptr<server_session>& aSession);
   void Remove(server_session* aSession);
+  /// Sets the account of the bytes that the sessions keep; without one nothing
+  /// is limited. `aBudget` outlives the list.
+  void SetBudget(const body_budget& aBudget) { mBudget = &aBudget; }
+  void SetLimits(const session_limits& aLimits) { mLimits = aLimits; }
+  const session_limits& Limits() const { return mLimits; }
+  const session_counts& Counts() const { return mCounts; }
   /// Closes sessions that exceeded the idle timeout, or the timeout for
-  /// receiving a request's head.
+  /// receiving a request's head or body. Logs how often limits were applied.
   void Sweep(time_point aNow);
   /// Number of sessions that have a request in progress.
   std::size_t BusyCount() const;
 
 private:
+  friend class server_session;
+
+  /// Starts a session, unless no connection can be closed for it.
+  void Accept(const std::shared_ptr<server_session>& aSession,
+              const std::shared_ptr<connection>& aConnection);
+  std::vector<std::shared_ptr<server_session>> Sessions() const;
+  body_reservation NewReservation() const;
+  /// Ends bodies that stand still, except that of `aFor`, as memory is used up.
+  void EndStalledBodies(time_point aNow, const server_session& aFor);
+  /// Closes those connections without a request in progress that have waited
+  /// longest for one.
+  void CloseLongestIdle();
+  void LogCounts();
+
+  const body_budget* mBudget = nullptr;
+  session_limits mLimits;
+  session_counts mCounts;
+  session_counts mLoggedCounts;
+  time_point mStalledEndedAt{};
   std::unordered_set<server_session*> mSessions;
 };
 
@@ -94,8 +158,16 @@
   /// Closes the connection if no request is being received or handled.
   void CloseIfIdle();
   /// Closes the connection if it exceeded the idle timeout, and rejects a
-  /// request whose head did not arrive in time.
+  /// request whose head or body did not arrive in time.
   void CheckTimeouts(time_point aNow);
+  /// Ends a request whose body has not grown for `aLimit`.
+  void EndIfStalled(time_point aNow, duration aLimit);
+  /// Whether no request is handled and no answer is being sent.
+  bool MayCloseForOthers() const { return !IsBusy() && Unsent() == 0; }
+  /// Closes the connection, which `MayCloseForOthers`.
+  void CloseForOthers();
+  /// When the connection was opened or the last request ended.
+  time_point IdleSince() const { return mIdleSince; }
 
   void OnReceived(std::string_view aBytes) override;
   void OnSent() override;
@@ -113,6 +185,21 @@
   /// Forwards a part of the body of the last request. Returns false if more of
   /// the body must arrive first.
   bool ForwardBody();
+  /// Adds the received part of the body to `mBody`. Returns false if the memory
+  /// for bodies is used up.
+  bool KeepBody();
+  /// Reserves memory for `aBytes`, if necessary after others have been ended.
+  bool Reserve(body_reservation& aReservation, std::size_t aBytes);
+  /// Accounts for the input that is kept while earlier requests are handled.
+  void AccountInput();
+  /// Rejects the request in the parser, as the memory for bodies is used up.
+  void RefuseForMemory();
+  /// Gives up what was received and not handed on.
+  void DropInput();
+  /// Records when the client last sent a useful part.
+  void RecordProgress(std::size_t aBytes);
+  void RestartProgress();
+  void EndStalledUpload();
   /// Handles input that is not a valid request, or is too large.
   void HandleInvalidInput(int aStatus);
   /// Answers an invalid request with an empty answer and closes the connection.
@@ -160,8 +247,21 @@
   std::string mBody;
   /// Number of body bytes received for the request in the parser.
   std::uint64_t mBodyBytes = 0;
+  /// Account of `mBody`.
+  body_reservation mHeld;
+  /// Account of the bytes in the parser.
+  body_reservation mInputHeld;
   /// When the connection was opened or the last request ended.
   time_point mIdleSince{};
+  /// When the request in the parser began to arrive.
+  time_point mRequestSince{};
+  /// When the body last grew enough, and the bytes received since.
+  time_point mProgressAt{};
+  std::size_t mProgressBytes = 0;
+  /// Unsent bytes of answers at the last check of the timeouts.
+  std::size_t mCheckedUnsent = 0;
+  /// Part of an answer was sent since the last check of the timeouts.
+  bool mAnswerMoved = false;
   /// Status for invalid input that is answered after the requests before it; 0
   /// if there was none.
   int mRejectStatus = 0;
--- a/src/wire/message-parser.cc
+++ b/src/wire/message-parser.cc
@@ -8,6 +8,21 @@
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
 
+namespace {
+
+/// A buffer that is mostly empty is kept for later bytes up to this size.
+constexpr std::size_t kMaxUnusedBytes = 4096;
+
+/// Memory of a buffer. What every idle connection keeps is not counted.
+std::size_t
+MemoryOf(const std::string& aBuffer)
+{
+  return aBuffer.capacity() > kMaxUnusedBytes ? aBuffer.capacity()
+                                              : aBuffer.size();
+}
+
+} // namespace
+
 namespace detail {
 
 /// Common interface of the parsers for requests and responses.
@@ -166,18 +181,34 @@
 result<void>
 message_parser::Feed(std::string_view aBytes)
 {
-  mBuffer.append(aBytes);
-  return Consume();
+  if (!mBuffer.empty()) {
+    mBuffer.append(aBytes);
+    return Consume();
+  }
+  // Parsed in place: only what waits for further bytes is kept.
+  std::string_view left = aBytes;
+  result<void> parsed = Parse(left);
+  mBuffer.assign(left);
+  return parsed.and_then([this] { return CheckLine(); });
 }
 
 result<void>
 message_parser::Consume()
 {
   std::string_view left = mBuffer;
-  while (!left.empty() && !mParser->MessageRead()) {
+  result<void> parsed = Parse(left);
+  mBuffer.erase(0, mBuffer.size() - left.size());
+  ReleaseUnused();
+  return parsed.and_then([this] { return CheckLine(); });
+}
+
+result<void>
+message_parser::Parse(std::string_view& aLeft)
+{
+  while (!aLeft.empty() && !mParser->MessageRead()) {
     beast::error_code problem;
-    std::size_t used = mParser->Put(left, problem);
-    left.remove_prefix(used);
+    std::size_t used = mParser->Put(aLeft, problem);
+    aLeft.remove_prefix(used);
     if (problem == http::error::need_more) {
       if (used == 0) {
         break;
@@ -191,7 +222,12 @@
                   problem.message());
     }
   }
-  mBuffer.erase(0, mBuffer.size() - left.size());
+  return {};
+}
+
+result<void>
+message_parser::CheckLine() const
+{
   if (!mParser->MessageRead() && mBuffer.size() > mHeadLimit) {
     // The parser waits for the end of a line that does not come.
     return Fail(error_kind::too_large, "line without end");
@@ -199,6 +235,15 @@
   return {};
 }
 
+void
+message_parser::ReleaseUnused()
+{
+  if (mBuffer.capacity() > kMaxUnusedBytes &&
+      mBuffer.size() < mBuffer.capacity() / 4) {
+    std::string(mBuffer).swap(mBuffer);
+  }
+}
+
 result<void>
 message_parser::FeedEnd()
 {
@@ -236,6 +281,12 @@
   return taken;
 }
 
+std::size_t
+message_parser::HeldBytes() const
+{
+  return MemoryOf(mBuffer) + MemoryOf(mParser->body);
+}
+
 std::size_t
 message_parser::BodyBytes() const
 {
--- a/src/wire/message-parser.h
+++ b/src/wire/message-parser.h
@@ -65,6 +65,8 @@
   bool KeepAlive() const;
   /// Whether bytes of a message have arrived.
   bool Started() const;
+  /// Memory for buffered input and for the parsed part of the body, in bytes.
+  std::size_t HeldBytes() const;
   /// Number of buffered bytes after the message.
   std::size_t RemainingBytes() const { return mBuffer.size(); }
 
@@ -73,7 +75,14 @@
   result<void> Next(bool aWithoutBody = false);
 
 private:
+  /// Parses the buffered bytes.
   result<void> Consume();
+  /// Parses bytes and leaves those that wait for more, or for `Next`.
+  result<void> Parse(std::string_view& aLeft);
+  /// Fails if the buffered part of a line is longer than a head may be.
+  result<void> CheckLine() const;
+  /// Gives up the memory of a buffer that was large and is mostly empty.
+  void ReleaseUnused();
   void MakeParser();
 
   message_kind mKind;
--- a/test/unit/hop-test.cc
+++ b/test/unit/hop-test.cc
@@ -455,3 +455,70 @@
   CHECK(DecodeFailure("full not_run unreached 10"));
   CHECK_FALSE(DecodeFailure("full not_run unreached " + time));
 }
+
+// Guards against uploads that stand still and keep the slots of the instance:
+// requests through all nodes then waited until the route's timeout.
+TEST_CASE_METHOD(
+  hop_fixture,
+  "instance dispatcher, upload stands still and another request comes, upload "
+  "loses its slot and may have run",
+  "[hop]")
+{
+  dispatcher.SetStallTimes(std::chrono::seconds(10),
+                           std::chrono::milliseconds(40));
+  endpoint busy = FreeAddress();
+  REQUIRE(sockets.Listen(busy, [this](std::shared_ptr<connection> aConnection) {
+    aConnection->SetObserver(std::make_shared<silent_connection>(received));
+  }));
+  unresponsive.id = "i-unresponsive";
+  unresponsive.address = busy;
+  unresponsive.slots = 1;
+  unresponsive.state = instance_state::ready;
+  dispatcher.SetInstance(unresponsive);
+  forwarded_request upload = Request("i-unresponsive");
+  upload.body = "first part";
+  upload.body_complete = false;
+  upload.body_length = 1000000;
+  running = dispatcher.Dispatch(std::move(upload), running_sink);
+  REQUIRE(running);
+  RunFor(std::chrono::milliseconds(100));
+  CHECK_FALSE(running_sink->failure);
+  CHECK(dispatcher.Load().busy == 1);
+  REQUIRE(dispatcher.Dispatch(Request("i-unresponsive"), sink));
+  RunFor(std::chrono::milliseconds(20));
+  REQUIRE(running_sink->failure);
+  CHECK(running_sink->failure->reason == run_failure_reason::upload_stalled);
+  CHECK_FALSE(running_sink->failure->not_run);
+  CHECK(running_sink->failure->reached_instance);
+  CHECK(dispatcher.Load().busy == 1);
+  CHECK(dispatcher.Load().waiting == 0);
+  CHECK(received == 2);
+}
+
+// Guards against uploads that lose their slot while they move, or while nobody
+// else needs it.
+TEST_CASE_METHOD(hop_fixture,
+                 "instance dispatcher, upload moves, keeps its slot",
+                 "[hop]")
+{
+  dispatcher.SetStallTimes(std::chrono::seconds(10),
+                           std::chrono::milliseconds(100));
+  FillUnresponsiveInstance();
+  (*running)->Cancel();
+  RunFor(std::chrono::milliseconds(20));
+  forwarded_request upload = Request("i-unresponsive");
+  upload.body = "first part";
+  upload.body_complete = false;
+  upload.body_length = 1000000;
+  unresponsive.slots = 2;
+  dispatcher.SetInstance(unresponsive);
+  running = dispatcher.Dispatch(std::move(upload), running_sink);
+  REQUIRE(running);
+  REQUIRE(dispatcher.Load().busy == 2);
+  REQUIRE(dispatcher.Dispatch(Request("i-unresponsive"), sink));
+  for (int i = 0; i < 8; ++i) {
+    (*running)->SendBody(std::string(5000, 'x'), false);
+    RunFor(std::chrono::milliseconds(40));
+  }
+  CHECK_FALSE(running_sink->failure);
+}
--- a/test/unit/platform-test.cc
+++ b/test/unit/platform-test.cc
@@ -216,3 +216,36 @@
   CHECK_FALSE(ParseMeshSettings(document.dump()));
   CHECK_FALSE(ParseMeshSettings("node = 1"));
 }
+
+// Guards against a default that does not fit the host, and against values that
+// would refuse every body.
+TEST_CASE("platform settings, limits on clients, follow the host unless stated",
+          "[platform]")
+{
+  nlohmann::json document = nlohmann::json::parse(kSettings);
+  document["limits"]["ram_mb"] = 240;
+  result<mesh_settings> settings = ParseMeshSettings(document.dump());
+  REQUIRE(settings);
+  CHECK(settings->clients.body_bytes == std::size_t{ 80 } << 20U);
+  CHECK(settings->clients.caller_connections == 2925);
+  CHECK(settings->clients.stall_time == std::chrono::seconds(10));
+  document["limits"]["body_budget_mb"] = 8;
+  document["limits"]["body_stall_s"] = 2.5;
+  document["limits"]["body_stall_full_s"] = 0.5;
+  document["limits"]["caller_connections"] = 100;
+  settings = ParseMeshSettings(document.dump());
+  REQUIRE(settings);
+  CHECK(settings->clients.body_bytes == std::size_t{ 8 } << 20U);
+  CHECK(settings->clients.stall_time == std::chrono::milliseconds(2500));
+  CHECK(settings->clients.stall_time_when_full ==
+        std::chrono::milliseconds(500));
+  CHECK(settings->clients.caller_connections == 100);
+  for (const char* field :
+       { "body_budget_mb", "body_stall_s", "caller_connections" }) {
+    nlohmann::json wrong = document;
+    wrong["limits"][field] = 0;
+    settings = ParseMeshSettings(wrong.dump());
+    REQUIRE_FALSE(settings);
+    CHECK(settings.error().message.find(field) != std::string::npos);
+  }
+}
--- a/test/unit/server-session-test.cc
+++ b/test/unit/server-session-test.cc
@@ -25,12 +25,23 @@
     body += aBytes;
     complete = complete || aLast;
   }
+  void OnBodyStalled() override
+  {
+    stalled = true;
+    if (std::shared_ptr<server_exchange> ended = std::move(exchange)) {
+      ended->Answer(504, {});
+    }
+  }
+  bool MayHaveRun() const override { return may_have_run; }
 
   std::string target;
   std::string body;
   bool complete = false;
   bool disconnected = false;
+  bool stalled = false;
+  bool may_have_run = false;
   std::shared_ptr<server_exchange> exchange;
+  body_reservation held;
 };
 
 /// Keeps all requests until the test answers them.
@@ -47,6 +58,7 @@
     request->body = aRequest.body;
     request->complete = aRequest.body_complete;
     request->exchange = aExchange;
+    request->held = std::move(aRequest.held);
     requests.push_back(request);
     return request;
   }
@@ -114,6 +126,18 @@
     events.Run();
   }
 
+  /// Ends what exceeds a time limit, as if `aPassed` had passed since.
+  void SweepAfter(duration aPassed)
+  {
+    sessions.Sweep(events.Now() + aPassed);
+    Wait();
+  }
+
+  static std::string Post(const std::string& aFields)
+  {
+    return "POST /0 HTTP/1.1\r\nHost: h.example\r\n" + aFields + "\r\n";
+  }
+
   static std::string Get(int aNumber)
   {
     return "GET /" + std::to_string(aNumber) +
@@ -124,6 +148,7 @@
   tcp_transport sockets;
   endpoint address = FreeAddress();
   holding_server server;
+  body_budget budget{ std::size_t{ 1 } << 20U };
   session_list sessions;
   std::shared_ptr<recording_client> client;
   std::shared_ptr<connection> caller;
@@ -323,3 +348,217 @@
   CHECK(client->received.find("431") != std::string::npos);
   CHECK(client->ended);
 }
+
+// Guards against 413, which promises that the request has not run, for a body
+// whose first part an instance has received.
+TEST_CASE_METHOD(session_fixture,
+                 "server session, streamed body grows past the limit, does not "
+                 "promise that the request has not run",
+                 "[session]")
+{
+  server.limits.body_bytes = 400000;
+  Send(Post("Transfer-Encoding: chunked\r\n"));
+  const std::string part(100000, 'x');
+  for (int i = 0; i < 6; ++i) {
+    Send("186a0\r\n" + part + "\r\n");
+    if (!server.requests.empty()) {
+      server.requests[0]->may_have_run = true;
+    }
+  }
+  REQUIRE(server.requests.size() == 1);
+  CHECK(client->received.find("413") == std::string::npos);
+  CHECK(client->received.find("400") != std::string::npos);
+  CHECK(client->ended);
+}
+
+// Guards against connections that keep part of a body for ever.
+TEST_CASE_METHOD(session_fixture,
+                 "server session, body stands still before its request began, "
+                 "is rejected with 408",
+                 "[session]")
+{
+  sessions.SetBudget(budget);
+  Send(Post("Content-Length: 1000\r\n") + std::string(999, 'x'));
+  CHECK(budget.HeldBytes() >= 999);
+  SweepAfter(std::chrono::seconds(5));
+  CHECK_FALSE(client->ended);
+  SweepAfter(std::chrono::seconds(11));
+  CHECK(client->received.find("408") != std::string::npos);
+  CHECK(client->ended);
+  CHECK(server.requests.empty());
+  CHECK(budget.HeldBytes() == 0);
+  CHECK(sessions.Counts().stalled == 1);
+}
+
+// Guards against uploads that keep a slot of an instance while nothing of them
+// arrives, and against one that is ended although the instance holds it up.
+TEST_CASE_METHOD(session_fixture,
+                 "server session, streamed body stands still, handler is told "
+                 "unless it has paused the body",
+                 "[session]")
+{
+  Send(Post("Content-Length: 1000000\r\n") + std::string(300000, 'x'));
+  Wait();
+  REQUIRE(server.requests.size() == 1);
+  server.requests[0]->exchange->PauseBody(true);
+  SweepAfter(std::chrono::seconds(11));
+  CHECK_FALSE(server.requests[0]->stalled);
+  server.requests[0]->exchange->PauseBody(false);
+  SweepAfter(std::chrono::seconds(11));
+  CHECK(server.requests[0]->stalled);
+  CHECK(client->received.find("504") != std::string::npos);
+  CHECK(client->ended);
+}
+
+// Guards against collected bodies without a bound on their sum.
+TEST_CASE_METHOD(session_fixture,
+                 "server session, memory for bodies used up, refuses a large "
+                 "body with 503 and serves a small one",
+                 "[session]")
+{
+  sessions.SetBudget(budget);
+  body_reservation others(budget);
+  REQUIRE(others.Resize(700000));
+  Send(Post("Content-Length: 200000\r\n") + std::string(199999, 'x'));
+  Wait();
+  CHECK(client->received.find("503") != std::string::npos);
+  CHECK(client->ended);
+  CHECK(budget.HeldBytes() == 700000);
+  CHECK(sessions.Counts().refused_memory == 1);
+  Reconnect();
+  Send(Post("Content-Length: 1000\r\n") + std::string(1000, 'x'));
+  REQUIRE(server.requests.size() == 1);
+  CHECK(server.requests[0]->body.size() == 1000);
+  CHECK(server.requests[0]->held.Bytes() >= 1000);
+}
+
+// Guards against bodies that stand still and keep the memory from others until
+// the usual time limit.
+TEST_CASE_METHOD(session_fixture,
+                 "server session, memory for bodies used up, ends bodies that "
+                 "stand still for a new one",
+                 "[session]")
+{
+  sessions.SetBudget(budget);
+  session_limits limits;
+  limits.stall_time_when_full = milliseconds(50);
+  sessions.SetLimits(limits);
+  std::vector<std::shared_ptr<connection>> standing;
+  for (int i = 0; i < 3; ++i) {
+    Reconnect();
+    standing.push_back(caller);
+    Send(Post("Content-Length: 250000\r\n") + std::string(249999, 'x'));
+    Wait();
+  }
+  CHECK(budget.HeldBytes() > 700000);
+  Wait();
+  Wait();
+  Reconnect();
+  Send(Post("Content-Length: 250000\r\n") + std::string(250000, 'x'));
+  Wait();
+  REQUIRE(server.requests.size() == 1);
+  CHECK(server.requests[0]->complete);
+  CHECK(sessions.Counts().stalled == 3);
+}
+
+// Guards against chunks of one byte that keep a whole read buffer (64 KiB) for
+// each connection.
+TEST_CASE_METHOD(session_fixture,
+                 "server session, chunks of one byte, keeps about the bytes of "
+                 "the body",
+                 "[session]")
+{
+  sessions.SetBudget(budget);
+  std::string chunks;
+  constexpr std::size_t kChunks = 20000;
+  for (std::size_t i = 0; i < kChunks; ++i) {
+    chunks += "1\r\nx\r\n";
+  }
+  Send(Post("Transfer-Encoding: chunked\r\n") + chunks);
+  Wait();
+  CHECK(budget.HeldBytes() >= kChunks);
+  CHECK(budget.HeldBytes() < 2 * kChunks);
+}
+
+// Guards against connections without a request that use up all descriptors.
+TEST_CASE_METHOD(session_fixture,
+                 "server session, too many connections, closes the longest "
+                 "idle ones and none with a request",
+                 "[session]")
+{
+  session_limits limits;
+  limits.max_connections = 4;
+  sessions.SetLimits(limits);
+  Send(Get(0));
+  std::shared_ptr<recording_client> busy = client;
+  std::vector<std::shared_ptr<recording_client>> idle;
+  std::vector<std::shared_ptr<connection>> open;
+  for (int i = 0; i < 4; ++i) {
+    Reconnect();
+    idle.push_back(client);
+    open.push_back(caller);
+    Wait();
+  }
+  CHECK(idle[0]->ended);
+  CHECK_FALSE(idle[3]->ended);
+  CHECK_FALSE(busy->ended);
+  CHECK(sessions.Counts().closed_for_others == 1);
+  Reconnect();
+  Send(Get(1));
+  CHECK(server.requests.size() == 2);
+}
+
+// Guards against answers that pile up for a client that sends requests ahead
+// and reads nothing.
+TEST_CASE_METHOD(session_fixture,
+                 "server session, client reads no answers, starts no further "
+                 "request and goes on once they are read",
+                 "[session]")
+{
+  caller->PauseReading(true);
+  constexpr std::size_t kRequests = 60;
+  const std::string answer(1U << 20U, 'a');
+  std::string sent;
+  for (std::size_t i = 0; i < kRequests; ++i) {
+    sent += Get(static_cast<int>(i));
+  }
+  Send(sent);
+  std::size_t answered = 0;
+  auto answerAll = [&] {
+    while (answered < server.requests.size()) {
+      Answer(answered++, answer);
+    }
+  };
+  answerAll();
+  std::size_t started = server.requests.size();
+  CHECK(started < kRequests);
+  Wait();
+  CHECK(server.requests.size() == started);
+  caller->PauseReading(false);
+  for (std::size_t i = 0; i < kRequests && answered < kRequests; ++i) {
+    Wait();
+    answerAll();
+  }
+  CHECK(answered == kRequests);
+}
+
+// Guards against an idle time on the connection that counts as time taken for
+// the head.
+TEST_CASE_METHOD(session_fixture,
+                 "server session, head in two parts after an idle time, is "
+                 "not rejected",
+                 "[session]")
+{
+  server.limits.head_timeout = milliseconds(100);
+  for (int i = 0; i < 6; ++i) {
+    Wait();
+  }
+  Send("GET /0 HTTP/1.1\r\n");
+  sessions.Sweep(events.Now());
+  Send("Host: h.example\r\n\r\n");
+  CHECK(server.requests.size() == 1);
+  Reconnect();
+  Send("GET /0 HTTP/1.1\r\n");
+  SweepAfter(milliseconds(200));
+  CHECK(client->received.find("408") != std::string::npos);
+}
