--- a/src/proxy/instance-chooser.h
+++ b/src/proxy/instance-chooser.h
@@ -77,7 +77,7 @@
   void RemoveUnused(time_point aNow);
 
 private:
-  static constexpr std::size_t kPriorityLevels = 4;
+  static constexpr std::size_t kPriorityLevels = 16;
 
   /// Statistics of one instance, as this node sees it.
   struct instance_load
--- a/src/proxy/proxied-request.cc
+++ b/src/proxy/proxied-request.cc
@@ -30,6 +30,10 @@
 constexpr duration kRetryAfterNoInstance = std::chrono::milliseconds(500);
 /// A caller is told to retry after its whole timeout divided by this number.
 constexpr int kRetriesPerCallerTimeout = 5;
+/// Priorities of routes that are told apart within one priority of
+/// organisations.
+constexpr unsigned kRoutePriorities = 4;
+constexpr unsigned kMaxOrganisationPriority = 1000;
 /// Used if all instances are full and none reported when a slot becomes free.
 constexpr duration kRetryAfterFull = std::chrono::milliseconds(150);
 
@@ -204,9 +208,14 @@
 unsigned
 proxied_request::Priority() const
 {
-  return mOrganisation != nullptr
-           ? mOrganisation->priority.value_or(mRoute->priority)
-           : mRoute->priority;
+  unsigned priority = std::min(mRoute->priority, kRoutePriorities - 1);
+  unsigned organisation =
+    mOrganisation != nullptr ? mOrganisation->priority.value_or(0) : 0;
+  return mTable->Organisations() == nullptr
+           ? mRoute->priority
+           : std::min(organisation, kMaxOrganisationPriority) *
+                 kRoutePriorities +
+               priority;
 }
 
 void
--- a/src/proxy/proxied-request.h
+++ b/src/proxy/proxied-request.h
@@ -83,7 +83,8 @@
   void ReturnPermit();
   /// Selects the service and makes the first attempt.
   void BeginAttempts();
-  /// Priority of the caller's organisation or, without one, of the route.
+  /// Priority of the caller's organisation, if callers need a key, and within
+  /// it that of the route.
   unsigned Priority() const;
   /// Reserves memory for the copy of the body that the next hop gets. Returns
   /// false if there is none.
--- a/src/traffic/organisation-table.h
+++ b/src/traffic/organisation-table.h
@@ -17,7 +17,8 @@
 {
   std::string name;
   std::vector<std::string> keys;
-  /// Goes before the priority of a route; 0 is the highest.
+  /// Goes before the priority of a route, which decides between requests of
+  /// equal organisations; 0 is the highest.
   std::optional<unsigned> priority;
   /// Requests per second that all nodes together admit; 0: no limit.
   double requests_per_second = 0;
