--- a/src/diagnosis/request-explanation.cc
+++ b/src/diagnosis/request-explanation.cc
@@ -23,7 +23,7 @@
 };
 
 /// Events that end a request, and their meaning.
-constexpr std::array<terminal_event, 10> kTerminalEvents{ {
+constexpr std::array<terminal_event, 11> kTerminalEvents{ {
   { "refused_full",
     "refused, not run: no instance had capacity in time; the answer stated "
     "when to retry" },
@@ -33,6 +33,10 @@
   { "refused_quarantined",
     "refused, not run: the same request (path, caller and body) was running at "
     "three crashes of instances in a row" },
+  { "refused_quota",
+    "refused, not run: the caller's organisation was at its limit, or its "
+    "quota "
+    "owner was out of reach" },
   { "node_stopping", "refused, not run: the node was shutting down" },
   { "no_configuration", "refused, not run: the node had no configuration yet" },
   { "no_route",
--- a/src/quota/permit-bucket.cc
+++ b/src/quota/permit-bucket.cc
@@ -58,7 +58,8 @@
 {
   Refill(aNow);
   permit_grant grant;
-  grant.count = std::min(aCount, static_cast<unsigned>(std::floor(mPermits)));
+  double available = std::min<double>(aCount, std::floor(mPermits));
+  grant.count = static_cast<unsigned>(available);
   mPermits -= grant.count;
   if (grant.count == aCount) {
     return grant;
--- a/test/unit/permit-bucket-test.cc
+++ b/test/unit/permit-bucket-test.cc
@@ -114,6 +114,16 @@
   CHECK(granted <= 102);
 }
 
+// Guards against a count that overflows with a limit that is as good as none.
+TEST_CASE_METHOD(permit_bucket_fixture,
+                 "permit bucket, very high limit, grants what is asked for",
+                 "[quota]")
+{
+  bucket.SetTerms({ 1e15, 1e15, seconds(1) }, now);
+  now += seconds(10);
+  CHECK(bucket.Take("a", 4'000'000'000U, now).count == 4'000'000'000U);
+}
+
 // Guards against QUOTA: a lowered limit holds only after the saved permits.
 TEST_CASE_METHOD(permit_bucket_fixture,
                  "permit bucket, limit lowered, drops permits beyond its depth",
--- a/test/unit/platform-test.cc
+++ b/test/unit/platform-test.cc
@@ -193,6 +193,21 @@
   CHECK(settings->bounds.drain_time == std::chrono::milliseconds(2500));
 }
 
+// Guards against QUOTA: the bounds of quotas are misnamed and the defaults
+// hold.
+TEST_CASE("platform settings, bounds of quotas, are parsed", "[platform]")
+{
+  nlohmann::json document = nlohmann::json::parse(kSettings);
+  document["bounds"] = { "quota_window_s=4",
+                         "quota_over=0.2",
+                         "quota_slack=30" };
+  result<mesh_settings> settings = ParseMeshSettings(document.dump());
+  REQUIRE(settings);
+  CHECK(settings->bounds.quota.window == std::chrono::seconds(4));
+  CHECK(settings->bounds.quota.over == 0.2);
+  CHECK(settings->bounds.quota.slack == 30);
+}
+
 TEST_CASE("platform settings, malformed bound, are rejected", "[platform]")
 {
   // A malformed number was read as 0, which turned a bound off.
--- a/test/unit/request-explanation-test.cc
+++ b/test/unit/request-explanation-test.cc
@@ -74,6 +74,8 @@
   Add(
     R"({"event":"refused_quarantined","node":"b","request":"q4","time_ms":1})");
   CHECK(Explain("q4").cause.find("crashes of instances") != std::string::npos);
+  Add(R"({"event":"refused_quota","node":"b","request":"q5","time_ms":1})");
+  CHECK(Explain("q5").cause.find("organisation") != std::string::npos);
 }
 
 TEST_CASE_METHOD(
