Mend what a review of the change found

- Uploads that stall lose their slots only if all slots are taken, not while requests wait for a rate limit.
- A link of unknown rate refuses nothing.
- Evacuations are taken over only if the settings have the bound, also after a change of the settings.
- The share of a quota owner follows removed hosts that no longer count; its periodic work starts with the first configuration that has organisations.
- A JSON error names the place and quotes nothing, as the text may hold a key.
- One timer for a cold instance; its log line names the right instance.
- By default a body must stall for 20 s to be ended, longer than any route waits.

--- a/src/base/json-decode.cc
+++ b/src/base/json-decode.cc
@@ -19,8 +19,18 @@
     tooDeep = tooDeep || aDepth > kMaxLevels;
     return aDepth <= kMaxLevels;
   };
-  result<json> parsed = DecodeJson<json>(
-    "not valid JSON", [&] { return json::parse(aText, isKept); });
+  // The message of the exception would quote the text, which may hold a key.
+  result<json> parsed = [&]() -> result<json> {
+    try {
+      return json::parse(aText, isKept);
+    } catch (const json::parse_error& problem) {
+      return Fail(error_kind::invalid_argument,
+                  "not valid JSON at byte " + std::to_string(problem.byte));
+    } catch (const json::exception& problem) {
+      return Fail(error_kind::invalid_argument,
+                  "not valid JSON, error " + std::to_string(problem.id));
+    }
+  }();
   if (tooDeep) {
     return Fail(error_kind::invalid_argument,
                 "JSON nested more than " + std::to_string(kMaxLevels) +
--- a/src/mesh/control-store.h
+++ b/src/mesh/control-store.h
@@ -70,9 +70,9 @@
   /// Sets the observer of the configuration and the orders.
   virtual void SetObserver(control_store_observer& aObserver) = 0;
 
-  /// Reads and watches the evacuated failure domains as well, from the next
-  /// call of `SetWatching` on. Without this call they cost no calls.
-  virtual void FollowEvacuations() = 0;
+  /// Sets whether to read and watch the evacuated failure domains as well, from
+  /// the next call of `SetWatching` on. If not, they cost no calls.
+  virtual void SetFollowsEvacuations(bool aFollows) = 0;
 
   /// Sets whether to read the configuration and the orders and to watch them
   /// for changes. Nodes that do not watch receive both from nodes that do.
--- a/src/mesh/evacuation-table.cc
+++ b/src/mesh/evacuation-table.cc
@@ -28,10 +28,19 @@
 
 } // namespace
 
+void
+evacuation_table::SetEnabled(bool aEnabled)
+{
+  mEnabled = aEnabled;
+  if (!mEnabled) {
+    mSnapshot = {};
+  }
+}
+
 bool
 evacuation_table::Merge(const evacuation_snapshot& aSnapshot)
 {
-  if (!(aSnapshot.revision > mSnapshot.revision)) {
+  if (!mEnabled || !(aSnapshot.revision > mSnapshot.revision)) {
     return false;
   }
   bool changed = aSnapshot.domains != mSnapshot.domains;
--- a/src/mesh/evacuation-table.h
+++ b/src/mesh/evacuation-table.h
@@ -23,6 +23,9 @@
 class evacuation_table
 {
 public:
+  /// While disabled, which is the default, no snapshot is taken over or kept.
+  void SetEnabled(bool aEnabled);
+
   /// Takes over a later snapshot. Returns whether the set of failure domains
   /// changed.
   bool Merge(const evacuation_snapshot& aSnapshot);
@@ -36,6 +39,7 @@
   const evacuation_snapshot& Snapshot() const { return mSnapshot; }
 
 private:
+  bool mEnabled = false;
   evacuation_snapshot mSnapshot;
 };
 
--- a/src/mesh/mesh-node.cc
+++ b/src/mesh/mesh-node.cc
@@ -159,6 +159,10 @@
   mRetries.SetOptions(retryOptions);
   mCanaryDriver.SetBounds(mSettings.bounds);
   mQuota.SetBounds(mSettings.bounds.quota);
+  bool evacuates = mSettings.bounds.evacuation_time.has_value();
+  mEvacuations.SetEnabled(evacuates);
+  mStore.SetFollowsEvacuations(evacuates);
+  mDispatcher.SetEvacuated(mEvacuations.Contains(mOwnRecord.domain));
   mDispatcher.SetDrainTime(mSettings.bounds.drain_time);
   if (mDraining) {
     LimitServingTime();
@@ -242,9 +246,6 @@
   mCanaryDriver.Start();
   mQuota.Start([this](const std::string& aName) { mGossip.Probe(aName); });
   mStore.SetObserver(*this);
-  if (mSettings.bounds.evacuation_time) {
-    mStore.FollowEvacuations();
-  }
   Join();
   mLoop.RunEvery(kMaintenancePeriod, [this] { RunMaintenance(); });
   mLoop.RunEvery(kRoleCheckPeriod, [this] { UpdateWatcherRole(); });
@@ -402,6 +403,7 @@
   mDispatcher.SetInstance(mOwnRecord.instance);
   // It may be cold; its next heartbeat tells.
   RecordWarmUp(mSettings.heartbeat_interval * kMaxMissedHeartbeats);
+  UpdateColdLimit();
   SpreadOwnRecord();
   LogEvent(log_level::info,
            "instance_resumed",
@@ -447,12 +449,13 @@
   }
   mAnnouncedSequence = aAnnouncement.sequence;
   mAnnouncedAt = mLoop.Now();
-  bool cooled = RecordWarmUp(announced.warmup_left);
+  bool cooled = RecordWarmUp(announced.warmup_left) && LimitsColdInstance();
   bool changed = !sameIncarnation || cooled || announced.state != known.state ||
                  announced.slots != known.slots ||
                  !(announced.address == known.address) ||
                  announced.version != known.version;
   if (!changed) {
+    UpdateColdLimit();
     return true;
   }
   LogEvent(log_level::info,
@@ -466,6 +469,7 @@
     RecordDeparture(IncarnationOf(announced));
   }
   mDispatcher.SetInstance(announced);
+  UpdateColdLimit();
   SpreadOwnRecord();
   return true;
 }
@@ -558,10 +562,16 @@
   time_point now = mLoop.Now();
   bool cooled = now >= mColdUntil && aWarmUpLeft > duration(0);
   mColdUntil = now + aWarmUpLeft;
-  UpdateColdLimit();
   return cooled;
 }
 
+bool
+mesh_node::LimitsColdInstance() const
+{
+  const traffic_table_ptr& table = mIngress.Table();
+  return table && table->Service(mSettings.service).cold_requests_per_second;
+}
+
 void
 mesh_node::UpdateColdLimit()
 {
@@ -577,7 +587,7 @@
 bool
 mesh_node::IsHeld()
 {
-  // Without a configuration, the rate that a cold instance bears is unknown.
+  // Without a configuration, the rate for a cold instance is unknown.
   bool rateUnknown =
     mSettings.bounds.limits_cold_instances && !mIngress.Table();
   return rateUnknown || mCanaryDriver.IsHeld(mDispatcher.Instance());
--- a/src/mesh/mesh-node.h
+++ b/src/mesh/mesh-node.h
@@ -144,7 +144,9 @@
   /// Records how long the instance stays cold. Returns whether it has become
   /// cold since it was last known to be.
   bool RecordWarmUp(duration aWarmUpLeft);
-  /// Applies the rate that the instance bears while it is cold.
+  /// Whether the service declares a rate for cold instances.
+  bool LimitsColdInstance() const;
+  /// Applies the rate that the instance can handle while it is cold.
   void UpdateColdLimit();
   /// Whether the instance gets no requests for now.
   bool IsHeld();
--- a/src/proxy/hop-server.cc
+++ b/src/proxy/hop-server.cc
@@ -61,6 +61,8 @@
     mRun = std::move(*started);
   }
 
+  bool MayHaveRun() const override { return mRun != nullptr; }
+
   void OnClientDisconnected() override
   {
     mExchange.reset();
--- a/src/proxy/instance-dispatcher.cc
+++ b/src/proxy/instance-dispatcher.cc
@@ -299,7 +299,6 @@
 instance_dispatcher::SetColdLimit(std::optional<double> aLimit,
                                   duration aColdLeft)
 {
-  time_point now = mTransport.Loop().Now();
   bool cold = aLimit && aColdLeft > duration(0);
   if (cold != mColdLimit.has_value()) {
     LogEvent(log_level::info,
@@ -309,16 +308,17 @@
                { "left_ms", std::to_string(Milliseconds(aColdLeft)) } });
   }
   mColdLimit = cold ? aLimit : std::nullopt;
-  mColdUntil = cold ? now + aColdLeft : time_point{};
   ApplyLimits();
-  if (!cold) {
-    return;
+  if (mColdTimer != 0) {
+    mTransport.Loop().Cancel(mColdTimer);
+    mColdTimer = 0;
   }
-  mTransport.Loop().RunAfter(aColdLeft, [this, until = mColdUntil] {
-    if (mColdLimit && mColdUntil == until) {
+  if (cold) {
+    mColdTimer = mTransport.Loop().RunAfter(aColdLeft, [this] {
+      mColdTimer = 0;
       SetColdLimit(std::nullopt, duration(0));
-    }
-  });
+    });
+  }
 }
 
 void
@@ -375,7 +375,7 @@
 instance_dispatcher::LinkDemandOf(const forwarded_request& aRequest) const
 {
   std::size_t bytes = mAnswerSizes.Expected(aRequest.route);
-  if (bytes <= kSmallMessageBytes) {
+  if (bytes <= kSmallMessageBytes || mLink.SendTime(bytes) == duration(0)) {
     return std::nullopt;
   }
   link_demand demand;
@@ -420,7 +420,7 @@
       RefusalWith(run_failure_reason::full, TimeUntilLinkFits(*demand, now)));
   }
   duration sendTime = demand ? demand->send_time : duration(0);
-  EndStalledUploadIfFull();
+  EndStalledUploadsIfFull(1);
   run_entry entry;
   entry.id = mNextId++;
   entry.key = aRequest.route;
@@ -473,7 +473,7 @@
   mSweepScheduled = true;
   mTransport.Loop().RunAfter(kSweepPeriod, [this] {
     mSweepScheduled = false;
-    EndStalledUploads(mStallTimeWhenFull, mQueue.Load().waiting);
+    EndStalledUploadsIfFull(mQueue.Load().waiting);
     StartWaiting();
     if (mQueue.Load().waiting > 0) {
       ScheduleSweep();
@@ -557,13 +557,13 @@
 }
 
 void
-instance_dispatcher::EndStalledUploadIfFull()
+instance_dispatcher::EndStalledUploadsIfFull(std::size_t aCount)
 {
   if (mUploads == 0) {
     return;
   }
   if (run_load load = mQueue.Load(); load.busy >= load.slots) {
-    EndStalledUploads(mStallTimeWhenFull, 1);
+    EndStalledUploads(mStallTimeWhenFull, aCount);
   }
 }
 
--- a/src/proxy/instance-dispatcher.h
+++ b/src/proxy/instance-dispatcher.h
@@ -65,8 +65,8 @@
   /// refused, and those that still wait shortly after.
   void SetEvacuated(bool aEvacuated);
 
-  /// Sets the requests per second that the instance bears while it is cold, and
-  /// how long it is expected to stay cold.
+  /// Sets the requests per second that the instance can handle while it is
+  /// cold, and how long it is expected to stay cold.
   void SetColdLimit(std::optional<double> aLimit, duration aColdLeft);
 
   /// Sets the function that tells whether the instance gets no requests for
@@ -121,7 +121,7 @@
   void RefuseWaitingIfLeaving();
   bool IsRolledBack() const;
   /// What a new request with a large answer needs of the link; nothing for one
-  /// with a small answer.
+  /// with a small answer, and while the rate of the link is unknown.
   std::optional<link_demand> LinkDemandOf(
     const forwarded_request& aRequest) const;
   /// Why a new request must be refused, if it must.
@@ -138,7 +138,7 @@
   /// `aLimit`, first those that have for longest.
   void EndStalledUploads(duration aLimit, std::size_t aCount);
   /// Frees a slot for a new request if an upload that stands still has one.
-  void EndStalledUploadIfFull();
+  void EndStalledUploadsIfFull(std::size_t aCount);
   /// Removes a started request, frees its slot and starts waiting requests.
   void FinishRun(run_id aId, const std::string& aRoute, duration aDuration);
   /// Starts waiting requests on all free slots and refuses those that are too
@@ -189,9 +189,10 @@
   bool mSweepScheduled = false;
   duration mDrainTime{ 0 };
   std::optional<double> mRequestLimit;
-  /// Limit while the instance is cold, until `mColdUntil`.
+  /// Limit while the instance is cold.
   std::optional<double> mColdLimit;
-  time_point mColdUntil{};
+  /// Lifts that limit; 0 if there is none.
+  timer_id mColdTimer = 0;
   bool mEvacuated = false;
   /// The instance has answered this process.
   bool mHasAnswered = false;
@@ -201,7 +202,7 @@
   std::unordered_map<run_id, std::shared_ptr<class instance_run>> mRuns;
   /// Number of `mRuns` whose body has not arrived completely.
   std::size_t mUploads = 0;
-  duration mStallTime = std::chrono::seconds(10);
+  duration mStallTime = std::chrono::seconds(20);
   duration mStallTimeWhenFull = std::chrono::seconds(1);
   channel_pool mIdleChannels{ kMaxIdle };
   /// Requests whose connections ended, until the cause is known.
--- a/src/proxy/proxied-request.cc
+++ b/src/proxy/proxied-request.cc
@@ -149,6 +149,10 @@
 {
   mPermit = aPermit;
   bool waited = std::exchange(mAwaitsPermit, false);
+  if (!mExchange) {
+    ReturnPermit();
+    return;
+  }
   std::shared_ptr<server_exchange> exchange = mExchange;
   BeginAttempts();
   if (waited) {
--- a/src/proxy/server-session.cc
+++ b/src/proxy/server-session.cc
@@ -26,8 +26,8 @@
 /// A body makes progress if at least this many bytes arrive within the time
 /// limit; fewer count as none.
 constexpr std::size_t kMinProgressBytes = 4096;
-/// Minimum time between two searches for bodies that stand still, each of which
-/// visits all sessions.
+/// Minimum time between two searches for bodies that stall or, after one that
+/// found none, for idle connections. Each of them visits all sessions.
 constexpr duration kEndStalledPeriod = std::chrono::milliseconds(100);
 /// One part in this many of the connections is closed at a time when too many
 /// are open, so that the search for them is rare.
@@ -68,7 +68,7 @@
                      const std::shared_ptr<connection>& aConnection)
 {
   if (mSessions.size() >= mLimits.max_connections) {
-    CloseLongestIdle();
+    CloseLongestIdle(aSession->IdleSince());
   }
   if (mSessions.size() >= mLimits.max_connections) {
     ++mCounts.closed_for_others;
@@ -153,12 +153,19 @@
 }
 
 void
-session_list::CloseLongestIdle()
+session_list::CloseLongestIdle(time_point aNow)
 {
+  if (aNow - mNoneClosableAt < kEndStalledPeriod) {
+    return;
+  }
   std::vector<std::shared_ptr<server_session>> closable = Sessions();
   std::erase_if(closable, [](const auto& aSession) {
     return !aSession->MayCloseForOthers();
   });
+  if (closable.empty()) {
+    mNoneClosableAt = aNow;
+    return;
+  }
   std::size_t count =
     std::min(closable.size(), mLimits.max_connections / kClosedPart + 1);
   auto end = closable.begin() + static_cast<std::ptrdiff_t>(count);
@@ -484,7 +491,7 @@
 server_session::PauseBody(bool aPaused)
 {
   mBodyPaused = aPaused;
-  RestartProgress(); // while it is paused, not the client holds the body up
+  RestartProgress(); // while it is paused, the client is not the cause
   mConnection->PauseReading(mReadAheadPaused || mBodyPaused);
 }
 
@@ -691,7 +698,7 @@
 {
   std::shared_ptr<server_session> self = shared_from_this();
   if (mBodyPaused || mReadAheadPaused || mAnswerMoved) {
-    // Not the client holds the body up, or the answer moves instead.
+    // The client is not the cause of the delay, or the answer moves.
     mAnswerMoved = false;
     RestartProgress();
     return;
--- a/src/proxy/server-session.h
+++ b/src/proxy/server-session.h
@@ -24,7 +24,7 @@
   /// Length of the whole body, if known.
   std::optional<std::uint64_t> body_length;
   time_point received{};
-  /// The account's bytes for `body`. Whoever keeps the body keeps this.
+  /// The reservation for `body`; it must live as long as `body`.
   body_reservation held;
 };
 
@@ -69,7 +69,7 @@
 {
   /// A body that does not grow, by 4 KiB at least, for this long ends its
   /// connection.
-  duration stall_time = std::chrono::seconds(10);
+  duration stall_time = std::chrono::seconds(20);
   /// Same while the memory for bodies is used up.
   duration stall_time_when_full = std::chrono::seconds(1);
   /// Number of open connections from which idle ones are closed for new ones.
@@ -126,13 +126,15 @@
   void EndStalledBodies(time_point aNow, const server_session& aFor);
   /// Closes those connections without a request in progress that have waited
   /// longest for one.
-  void CloseLongestIdle();
+  void CloseLongestIdle(time_point aNow);
   void LogCounts();
 
   const body_budget* mBudget = nullptr;
   session_limits mLimits;
   session_counts mCounts;
   session_counts mLoggedCounts;
+  /// When all open connections were found to be in use.
+  time_point mNoneClosableAt{};
   time_point mStalledEndedAt{};
   std::unordered_set<server_session*> mSessions;
 };
@@ -194,7 +196,7 @@
   void AccountInput();
   /// Rejects the request in the parser, as the memory for bodies is used up.
   void RefuseForMemory();
-  /// Gives up what was received and not handed on.
+  /// Discards received input that was not passed to a handler.
   void DropInput();
   /// Records when the client last sent a useful part.
   void RecordProgress(std::size_t aBytes);
--- a/src/quota/permit-bucket.cc
+++ b/src/quota/permit-bucket.cc
@@ -11,7 +11,7 @@
 /// A node rejects locally for no longer than this after a refusal.
 constexpr double kMaxBacklogSeconds = 0.5;
 constexpr duration kRefusedMemory = std::chrono::seconds(1);
-/// Longest wait that is told: a share near 0 would make it endless.
+/// Longest reported wait: a share near 0 would make it endless.
 constexpr double kMaxWaitSeconds = 60;
 
 double
--- a/src/quota/permit-lease.cc
+++ b/src/quota/permit-lease.cc
@@ -60,7 +60,6 @@
 permit_lease::RecordDemand(time_point aNow)
 {
   mDemand.Record(1, aNow);
-  mUsedAt = aNow;
 }
 
 void
--- a/src/quota/permit-lease.h
+++ b/src/quota/permit-lease.h
@@ -58,9 +58,6 @@
   /// Each refusal gets a later time, by the rate at which permits were granted.
   duration RetryAfter(time_point aNow);
 
-  /// When the lease was last used.
-  time_point UsedAt() const { return mUsedAt; }
-
 private:
   /// Permits of one grant.
   struct permit_batch
@@ -87,7 +84,6 @@
   std::optional<time_point> mAllowanceUsed;
   /// When the next refused request is told to come again.
   time_point mNextRetry{};
-  time_point mUsedAt{};
 };
 
 } // namespace eelgrasstrack
--- a/src/quota/quota-client.h
+++ b/src/quota/quota-client.h
@@ -8,7 +8,7 @@
 
 namespace eelgrasstrack {
 
-/// What the conversation with quota owners amounts to.
+/// Counts of messages to quota owners and of permits.
 struct quota_counts
 {
   std::uint64_t messages = 0;
--- a/src/quota/quota-keeper.cc
+++ b/src/quota/quota-keeper.cc
@@ -64,14 +64,16 @@
 void
 quota_keeper::Update()
 {
-  if (mRevision == mDirectory.Revision()) {
+  // The share also changes when a removed host no longer counts.
+  double share = mOwners.ReachableShare(mClock.Now());
+  if (mRevision == mDirectory.Revision() && share == mShare) {
     return;
   }
   mRevision = mDirectory.Revision();
+  mShare = share;
   if (!mTable || mTable->Organisations() == nullptr) {
     return;
   }
-  double share = mOwners.ReachableShare(mClock.Now());
   for (const organisation& entry : mTable->Organisations()->All()) {
     if (entry.HasLimit()) {
       UpdateOwnership(entry, share);
--- a/src/quota/quota-keeper.h
+++ b/src/quota/quota-keeper.h
@@ -74,6 +74,8 @@
   std::map<std::string, owned_organisation> mOwned;
   /// Revision of the directory that `mOwned` reflects.
   std::optional<std::uint64_t> mRevision;
+  /// Share of the limits that this node hands out, when last applied.
+  double mShare = 0;
   std::mt19937_64 mRandom{ std::random_device{}() };
 };
 
--- a/src/quota/quota-owners.cc
+++ b/src/quota/quota-owners.cc
@@ -88,6 +88,7 @@
 void
 quota_owners::RecordRemoved(const std::string& aName, time_point aNow)
 {
+  ForgetRemoved(aNow);
   mRemoved[aName] = aNow;
 }
 
--- a/src/quota/quota-service.cc
+++ b/src/quota/quota-service.cc
@@ -1,5 +1,7 @@
 #include "quota/quota-service.h"
 
+#include <utility>
+
 #include "base/log.h"
 #include "wire/status.h"
 
@@ -49,8 +51,6 @@
 {
   mKeeper.SetProbe(aProbe);
   mRequests.SetProbe(aProbe);
-  mLoop.RunEvery(kUpdatePeriod, [this] { mKeeper.Update(); });
-  mLoop.RunEvery(kProbePeriod, [this] { mKeeper.ProbeNext(); });
 }
 
 void
@@ -65,6 +65,10 @@
 {
   mKeeper.SetTable(aTable);
   mRequests.SetOrganisations(aTable->Organisations());
+  if (aTable->Organisations() != nullptr && !std::exchange(mUpdating, true)) {
+    mLoop.RunEvery(kUpdatePeriod, [this] { mKeeper.Update(); });
+    mLoop.RunEvery(kProbePeriod, [this] { mKeeper.ProbeNext(); });
+  }
 }
 
 void
--- a/src/quota/quota-service.h
+++ b/src/quota/quota-service.h
@@ -36,6 +36,8 @@
   quota_owners mOwners;
   quota_keeper mKeeper;
   quota_client mRequests;
+  /// The periodic updates have started, as there are organisations.
+  bool mUpdating = false;
 };
 
 } // namespace eelgrasstrack
--- a/src/traffic/organisation-table.cc
+++ b/src/traffic/organisation-table.cc
@@ -1,7 +1,6 @@
 #include "traffic/organisation-table.h"
 
 #include <algorithm>
-#include <cmath>
 #include <random>
 
 #include "base/hash.h"
@@ -24,7 +23,8 @@
 bool
 IsLimit(double aValue)
 {
-  return std::isfinite(aValue) && aValue >= 0;
+  constexpr double kMaxLimit = 1e9;
+  return aValue >= 0 && aValue <= kMaxLimit;
 }
 
 result<void>
@@ -39,7 +39,7 @@
   }
   if (!IsLimit(aOrganisation.requests_per_second) ||
       !IsLimit(aOrganisation.burst)) {
-    return refuse("rate or burst is not a number of 0 or more");
+    return refuse("rate or burst is not between 0 and 1e9");
   }
   return {};
 }
--- a/src/traffic/traffic-table.h
+++ b/src/traffic/traffic-table.h
@@ -60,7 +60,7 @@
 /// What the operator declares about a service.
 struct traffic_service
 {
-  /// Requests per second that one instance bears while it is cold; nothing if
+  /// Requests per second that a cold instance can handle; nothing if
   /// there is no such limit.
   std::optional<double> cold_requests_per_second;
 };
--- a/test/harness/mesh-world.cc
+++ b/test/harness/mesh-world.cc
@@ -163,6 +163,7 @@
   host->settings.name = "node-" + std::to_string(index);
   host->settings.domain = index % 2 == 0 ? "a" : "b";
   host->settings.service = aService;
+  host->settings.bounds.evacuation_time = std::chrono::seconds(5);
   host->settings.first_start = mFirstStart;
   host->instance.id = "i-" + std::to_string(index);
   host->instance.service = aService;
--- a/test/unit/evacuation-test.cc
+++ b/test/unit/evacuation-test.cc
@@ -16,6 +16,8 @@
 public:
   static constexpr int kRequests = 40;
   evacuation_table table;
+
+  evacuation_fixture() { table.SetEnabled(true); }
 };
 
 } // namespace
