Session: read the clock and copy the account only for unfinished bodies

Cause: each request read the clock twice more and copied a shared pointer several times for an account that only bodies use.

Change: the progress clock starts when a request is still incomplete after its first bytes; reservations move without a copy, and a request without a body has none.

--- a/src/proxy/body-budget.cc
+++ b/src/proxy/body-budget.cc
@@ -13,7 +13,7 @@
 }
 
 body_reservation::body_reservation(body_reservation&& aOther) noexcept
-  : mAccount(aOther.mAccount)
+  : mAccount(std::move(aOther.mAccount))
   , mBytes(std::exchange(aOther.mBytes, 0))
 {
 }
@@ -23,7 +23,7 @@
 {
   if (this != &aOther) {
     Release();
-    mAccount = aOther.mAccount;
+    mAccount = std::move(aOther.mAccount);
     mBytes = std::exchange(aOther.mBytes, 0);
   }
   return *this;
@@ -43,6 +43,15 @@
   return true;
 }
 
+body_reservation
+body_reservation::Take()
+{
+  body_reservation taken;
+  taken.mAccount = mAccount;
+  taken.mBytes = std::exchange(mBytes, 0);
+  return taken;
+}
+
 void
 body_reservation::Release()
 {
--- a/src/proxy/body-budget.h
+++ b/src/proxy/body-budget.h
@@ -56,13 +56,16 @@
   {
   }
   ~body_reservation() { Release(); }
-  /// The source keeps its budget and holds nothing.
+  /// The source holds nothing and grants everything.
   body_reservation(body_reservation&& aOther) noexcept;
   body_reservation& operator=(body_reservation&& aOther) noexcept;
 
   /// Changes the reserved bytes to `aBytes`. Returns false, and changes
   /// nothing, if they do not fit.
   bool Resize(std::size_t aBytes);
+  /// Hands the bytes over to a new reservation. This one holds nothing and
+  /// keeps its budget.
+  body_reservation Take();
   /// Gives all bytes back.
   void Release();
   std::size_t Bytes() const { return mBytes; }
--- a/src/proxy/server-session.cc
+++ b/src/proxy/server-session.cc
@@ -242,14 +242,18 @@
   }
   AccountInput();
   UpdateReading();
+  if (std::exchange(mRequestIsNew, false) && mParser.Started()) {
+    // Only a request that is not complete needs the time.
+    RestartProgress();
+    mRequestSince = mProgressAt;
+  }
 }
 
 void
 server_session::RecordProgress(std::size_t aBytes)
 {
   if (!mParser.Started()) {
-    RestartProgress();
-    mRequestSince = mProgressAt;
+    mRequestIsNew = true;
     return;
   }
   mProgressBytes += aBytes;
@@ -347,7 +351,9 @@
   request.head = mParser.Head();
   request.body = std::move(mBody);
   mBody.clear();
-  request.held = std::move(mHeld);
+  if (mHeld.Bytes() > 0) {
+    request.held = mHeld.Take();
+  }
   request.body_complete = mParser.Done();
   request.body_length = mParser.BodyLength();
   if (request.body_complete && mParser.Chunked()) {
@@ -532,8 +538,8 @@
     }
     ScheduleInput();
   }
-  mIdleSince = mLoop.Now();
   RestartProgress();
+  mIdleSince = mProgressAt;
   if (mRejectStatus != 0) {
     Reject(mRejectStatus);
   }
--- a/src/proxy/server-session.h
+++ b/src/proxy/server-session.h
@@ -262,6 +262,8 @@
   std::size_t mProgressBytes = 0;
   /// Unsent bytes of answers at the last check of the timeouts.
   std::size_t mCheckedUnsent = 0;
+  /// The first bytes of a request have just arrived.
+  bool mRequestIsNew = false;
   /// Part of an answer was sent since the last check of the timeouts.
   bool mAnswerMoved = false;
   /// Status for invalid input that is answered after the requests before it; 0
--- a/test/unit/body-budget-test.cc
+++ b/test/unit/body-budget-test.cc
@@ -73,6 +73,11 @@
     CHECK(budget.HeldBytes() == kLarge);
     REQUIRE(third.Resize(kSmall));
     CHECK(budget.HeldBytes() == kSmall);
+    body_reservation fourth = third.Take();
+    CHECK(fourth.Bytes() == kSmall);
+    CHECK(third.Bytes() == 0);
+    CHECK_FALSE(third.Resize(kLimit));
+    CHECK(budget.HeldBytes() == kSmall);
   }
   CHECK(budget.HeldBytes() == 0);
 }
