Let two missed probes show that a host without signs of failure is lost

Cause: quota owners probe hosts at random, several a second. A host under full load misses one, is taken for lost, its runs are cancelled, and if no other instance has room the caller gets 502. That a probe of a quota owner was the cause is likely, not shown.

--- a/src/mesh/gossip.cc
+++ b/src/mesh/gossip.cc
@@ -415,6 +415,18 @@
 
 void
 gossip::Probe(const std::string& aName)
+{
+  Probe(aName, 0);
+}
+
+void
+gossip::ProbeTwice(const std::string& aName)
+{
+  Probe(aName, 1);
+}
+
+void
+gossip::Probe(const std::string& aName, unsigned aMissesAllowed)
 {
   const known_host* host = mDirectory.Find(aName);
   if (host == nullptr || !mProbing.insert(aName).second) {
@@ -426,8 +438,12 @@
     host->record.control,
     std::move(request),
     kProbeTimeout,
-    [this, aName](result<buffered_response> aResponse) {
+    [this, aName, aMissesAllowed](result<buffered_response> aResponse) {
       mProbing.erase(aName);
+      if (!aResponse && aMissesAllowed > 0) {
+        Probe(aName, aMissesAllowed - 1);
+        return;
+      }
       if (aResponse) {
         if (mDirectory.MarkReachable(aName)) {
           LogEvent(log_level::info, "host_regained", { { "host", aName } });
--- a/src/mesh/gossip.h
+++ b/src/mesh/gossip.h
@@ -117,6 +117,9 @@
   /// Probes a host that may be unreachable. The `OnUnreachable` handler is
   /// called if it does not answer.
   void Probe(const std::string& aName);
+  /// Same for a host without a sign of failure: only two missed probes in a row
+  /// count, since a host under full load answers late.
+  void ProbeTwice(const std::string& aName);
   /// Sets the handler that is called with the name of a host that has become
   /// unreachable.
   void OnUnreachable(std::function<void(const std::string&)> aHandler);
@@ -126,6 +129,7 @@
   result<std::string> HandleMessage(const std::string& aBody);
 
 private:
+  void Probe(const std::string& aName, unsigned aMissesAllowed);
   void Send(const std::string& aName,
             const std::string& aBody,
             const acknowledged_handler& aHandled = nullptr);
--- a/src/mesh/mesh-node.cc
+++ b/src/mesh/mesh-node.cc
@@ -244,7 +244,7 @@
   mEntryRepair.OnOwnEntryLost([this] { OnRemovedByOthers(); });
   mGossip.Start();
   mCanaryDriver.Start();
-  mQuota.Start([this](const std::string& aName) { mGossip.Probe(aName); });
+  mQuota.Start([this](const std::string& aName) { mGossip.ProbeTwice(aName); });
   mStore.SetObserver(*this);
   Join();
   mLoop.RunEvery(kMaintenancePeriod, [this] { RunMaintenance(); });
