Run queue: look up once whether a request is short; plainer comments

The order of two waiting requests looked the average of each route up to four times. Comments say "stall", as the names do. No behaviour changes.

--- a/src/mesh/mesh-node.cc
+++ b/src/mesh/mesh-node.cc
@@ -179,7 +179,7 @@
   sessions.stall_time_when_full = limits.stall_time_when_full;
   sessions.max_connections = limits.caller_connections;
   mIngress.SetClientLimits(mBodies, sessions);
-  // The first hop ends an upload that stands still; if it does not, the
+  // The first hop ends an upload that stalls; if it does not, the
   // connection between the nodes is closed later.
   session_limits hops;
   hops.stall_time = limits.stall_time * 2;
--- a/src/mesh/mesh-settings.h
+++ b/src/mesh/mesh-settings.h
@@ -42,7 +42,7 @@
 {
   /// Bytes of request bodies that the process keeps at a time.
   std::size_t body_bytes = std::size_t{ 64 } << 20U;
-  /// A body that stands still for this long ends its request.
+  /// A body that stalls for this long ends its request.
   duration stall_time = std::chrono::seconds(20);
   /// Same while the bytes for bodies or the slots of the instance are used up.
   duration stall_time_when_full = std::chrono::seconds(1);
--- a/src/proxy/hop-server.cc
+++ b/src/proxy/hop-server.cc
@@ -16,7 +16,7 @@
 /// Longer than the client's idle timeout of 15 s, so that the client closes
 /// idle connections first.
 constexpr duration kIdleTimeout = std::chrono::seconds(60);
-/// Bodies that stand still are ended within about this time.
+/// Bodies that stall are ended within about this time.
 constexpr duration kMemoryRetryAfter = std::chrono::seconds(1);
 
 /// Failure of a request for whose body there is no memory.
--- a/src/proxy/ingress.cc
+++ b/src/proxy/ingress.cc
@@ -9,7 +9,7 @@
 namespace {
 
 /// Seconds after which a client refused for memory should come again: bodies
-/// that stand still are ended within this time.
+/// that stall are ended within this time.
 constexpr std::string_view kRetryAfterMemory = "1";
 
 } // namespace
--- a/src/proxy/instance-dispatcher.h
+++ b/src/proxy/instance-dispatcher.h
@@ -50,7 +50,7 @@
   /// Time for which waiting requests may still be sent to a draining instance.
   void SetDrainTime(duration aTime) { mDrainTime = aTime; }
 
-  /// Sets how long the body of a running request may stand still: usually, and
+  /// Sets how long the body of a running request may stall: usually, and
   /// while others wait for a slot.
   void SetStallTimes(duration aTime, duration aTimeWhenFull)
   {
@@ -107,7 +107,7 @@
   std::size_t RequestCount() const { return mRuns.size(); }
 
   /// Closes connections that have been idle for more than 6 s, and ends uploads
-  /// that stand still.
+  /// that stall.
   void Sweep(time_point aNow);
 
 private:
@@ -134,10 +134,10 @@
   std::shared_ptr<client_channel> AcquireChannel(bool aNewOnly);
   void RemoveRun(run_id aId);
   void RecordUploadEnd() { --mUploads; }
-  /// Ends at most `aCount` running requests whose body has stood still for
+  /// Ends at most `aCount` running requests whose body has stalled for
   /// `aLimit`, first those that have for longest.
   void EndStalledUploads(duration aLimit, std::size_t aCount);
-  /// Frees a slot for a new request if an upload that stands still has one.
+  /// Frees a slot for a new request if an upload that stalls has one.
   void EndStalledUploadsIfFull(std::size_t aCount);
   /// Removes a started request, frees its slot and starts waiting requests.
   void FinishRun(run_id aId, const std::string& aRoute, duration aDuration);
--- a/src/proxy/proxied-request.cc
+++ b/src/proxy/proxied-request.cc
@@ -30,7 +30,7 @@
 constexpr duration kRetryAfterNoInstance = std::chrono::milliseconds(500);
 /// A caller is told to retry after its whole timeout divided by this number.
 constexpr int kRetriesPerCallerTimeout = 5;
-/// Priorities of routes that are told apart within one priority of
+/// Priorities of routes that are distinguished within one priority of
 /// organisations.
 constexpr unsigned kRoutePriorities = 4;
 constexpr unsigned kMaxOrganisationPriority = 1000;
@@ -584,7 +584,7 @@
     return;
   }
   if (aFailure.reason == run_failure_reason::upload_stalled) {
-    GiveUp(aFailure); // it would stand still at another instance, too
+    GiveUp(aFailure); // it would stall at another instance, too
     return;
   }
   bool repeatable = aFailure.not_run || mRoute->idempotent;
--- a/src/proxy/run-queue.cc
+++ b/src/proxy/run-queue.cc
@@ -105,16 +105,18 @@
                       const run_entry& aRight,
                       time_point aNow) const
 {
-  bool leftLate = IsLate(aLeft, aNow) && !IsShort(aLeft.key);
-  bool rightLate = IsLate(aRight, aNow) && !IsShort(aRight.key);
+  bool leftShort = IsShort(aLeft.key);
+  bool rightShort = IsShort(aRight.key);
+  bool leftLate = !leftShort && IsLate(aLeft, aNow);
+  bool rightLate = !rightShort && IsLate(aRight, aNow);
   if (leftLate != rightLate) {
     return rightLate;
   }
   if (aLeft.priority != aRight.priority) {
     return aLeft.priority < aRight.priority;
   }
-  if (IsShort(aLeft.key) != IsShort(aRight.key)) {
-    return IsShort(aLeft.key);
+  if (leftShort != rightShort) {
+    return leftShort;
   }
   return aLeft.soft_deadline < aRight.soft_deadline;
 }
--- a/src/proxy/server-session.h
+++ b/src/proxy/server-session.h
@@ -122,7 +122,7 @@
               const std::shared_ptr<connection>& aConnection);
   std::vector<std::shared_ptr<server_session>> Sessions() const;
   body_reservation NewReservation() const;
-  /// Ends bodies that stand still, except that of `aFor`, as memory is used up.
+  /// Ends bodies that stall, except that of `aFor`, as memory is used up.
   void EndStalledBodies(time_point aNow, const server_session& aFor);
   /// Closes those connections without a request in progress that have waited
   /// longest for one.
