review: case 10, a confirmed departure is forgotten after a restart

Cause: while the store is down a departure is confirmed when two other nodes hold it in memory. Done: a script that takes the store down, lets an instance leave, and kills and restarts all nodes.

--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,10 @@
+#!/bin/sh
+# Runs the case that claim.txt describes. TROUBLE=0 leaves the disruption out.
+cd "$(dirname "$0")/../.." || exit 2
+program=target/review-2/departure
+if [ ! -x "$program" ] || [ ! -x target/eelgrasstrack-mesh ]; then
+  echo "build first: the build line of deploy/system.toml, review/build-2.sh"
+  exit 2
+fi
+export TROUBLE="${TROUBLE:-1}"
+exec "$program" "review/10/record.txt"
