--- a/review/stand-in-2/stand-ins.h
+++ b/review/stand-in-2/stand-ins.h
@@ -606,6 +606,62 @@
   acceptor mAcceptor;
 };
 
+/// Passes bytes on between its clients and a port. Open connections can be
+/// made silent: they stay open, and nothing passes on them any more.
+class proxy
+{
+public:
+  explicit proxy(int aTarget)
+    : mTarget(aTarget)
+    , mAcceptor([this](const socket_ptr& aClient) { Serve(aClient); })
+  {
+  }
+
+  int Port() const { return mAcceptor.Port(); }
+
+  /// Makes all connections silent that are open now. New ones work.
+  void SilenceOpen() { ++mEpoch; }
+
+private:
+  void Serve(const socket_ptr& aClient)
+  {
+    socket_ptr server = ConnectTo(mTarget);
+    if (!server) {
+      return;
+    }
+    int epoch = mEpoch;
+    std::thread back([this, aClient, server, epoch] {
+      Pass(*server, *aClient, epoch);
+      shutdown(aClient->Descriptor(), SHUT_RDWR);
+    });
+    Pass(*aClient, *server, epoch);
+    shutdown(server->Descriptor(), SHUT_RDWR);
+    back.join();
+  }
+
+  void Pass(socket_link& aFrom, const socket_link& aTo, int aEpoch) const
+  {
+    while (true) {
+      ssize_t got = aFrom.Receive(20);
+      if (mEpoch != aEpoch) {
+        SleepFor(60'000);
+        return;
+      }
+      if (got == -2) {
+        continue;
+      }
+      if (got <= 0 || !aTo.Send(aFrom.buffer)) {
+        return;
+      }
+      aFrom.buffer.clear();
+    }
+  }
+
+  int mTarget;
+  std::atomic<int> mEpoch = 0;
+  acceptor mAcceptor;
+};
+
 /// An instance of a service. It answers each request by `answer`, and sends
 /// pings to the node beside it.
 class instance
@@ -618,14 +674,20 @@
     : id(std::move(aId))
     , answer(std::move(aAnswer))
     , mAcceptor([this](const socket_ptr& aLink) { Serve(*aLink); })
+  {
+    StartAgain();
+  }
+
+  int Port() const { return mAcceptor.Port(); }
+
+  /// Starts again under the same id.
+  void StartAgain()
   {
     born = std::chrono::duration_cast<milliseconds>(
              std::chrono::system_clock::now().time_since_epoch())
              .count();
   }
 
-  int Port() const { return mAcceptor.Port(); }
-
   /// Starts to send pings each half second.
   void SendPings(int aControlPort, const std::string& aService, int aSlots)
   {
@@ -643,12 +705,12 @@
   /// Sends its exit notice. Returns the status of the answer, 0 without one.
   int SendExitNotice() const
   {
-    return Call("DELETE", json({ { "born", born } }).dump());
+    return Call("DELETE", json({ { "born", born.load() } }).dump());
   }
 
   std::string id;
   answerer answer;
-  std::int64_t born = 0;
+  std::atomic<std::int64_t> born = 0;
 
 private:
   int Call(const std::string& aMethod, const std::string& aBody) const
@@ -677,7 +739,7 @@
                   { "slots", aSlots },
                   { "state", "ready" },
                   { "cold_left_s", 0 },
-                  { "born", born },
+                  { "born", born.load() },
                   { "seq", ++mSequence } };
     Call("PUT", body.dump());
   }
@@ -998,7 +1060,7 @@
         { "app_addr", address(instances[aNode]->Port()) },
         { "svc", ServiceOf(aNode) },
         { "platform",
-          { { "addr", address(platform.Port()) },
+          { { "addr", address(store_proxy.Port()) },
             { "form", "objects" },
             { "writes_per_s", 400 },
             { "reads_per_s", 2000 },
@@ -1007,7 +1069,22 @@
             { "min_ttl_s", 1 } } } });
   }
 
+  /// Writes the next version of the configuration, which adds the route
+  /// `/new/`.
+  void AddRoute()
+  {
+    json added = Configuration();
+    json rule = added["listeners"][0]["rules"][0];
+    rule["name"] = "r-new";
+    rule["match"]["prefix"] = "/new/";
+    added["listeners"][0]["rules"].push_back(rule);
+    added["version"] = "r9";
+    platform.Put("config", "main", added);
+  }
+
   store platform;
+  /// Between the nodes and the store.
+  proxy store_proxy{ platform.Port() };
   std::vector<std::unique_ptr<node>> nodes;
   std::vector<std::unique_ptr<instance>> instances;
 
