Take a reset that a write reports for a broken end

Callers saw a 200 with 2000 of 6000 bytes as a complete answer: the instance answered a long upload at once, without a length, and reset the connection while the upload was being written.

Cause: Linux reports a reset once. If send() got it, connection::Flush dropped it, and the next recv() returns 0, which counted as an end in order (closed_by_peer). An answer without a length ends with such an end.

Change: a connection whose write has failed ends as broken, whatever recv() says. This is the one place where all users of the connections (last hop, first hop, store, nodes, heartbeats) learn of their end. An end that the peer announces in order (FIN) while it reads on stays complete.

--- a/src/net/socket.cc
+++ b/src/net/socket.cc
@@ -199,7 +199,7 @@
 void
 connection::Send(std::string_view aBytes)
 {
-  if (Closed() || aBytes.empty()) {
+  if (Closed() || mSendFailed || aBytes.empty()) {
     return;
   }
   mOutgoing.append(aBytes);
@@ -225,6 +225,8 @@
     }
     if (sent < 0) {
       // The read path reports the end, after the bytes that arrived before it.
+      // The kernel reports the error once, so recv() may see an end in order.
+      mSendFailed = true;
       mOutgoing.clear();
       mSentOffset = 0;
       return false;
@@ -363,7 +365,7 @@
     return;
   }
   if (received == 0) {
-    End(close_reason::closed_by_peer);
+    End(mSendFailed ? close_reason::broken : close_reason::closed_by_peer);
     return;
   }
   if (errno != EAGAIN && errno != EWOULDBLOCK) {
--- a/src/net/socket.h
+++ b/src/net/socket.h
@@ -22,7 +22,8 @@
 {
   /// The peer closed it normally.
   closed_by_peer,
-  /// It was reset or timed out; bytes in transit may have been lost.
+  /// It was reset or timed out, as the kernel reported to a read or a write;
+  /// bytes in transit may have been lost.
   broken,
   /// It was never established, so nothing was sent.
   connect_failed,
@@ -102,6 +103,8 @@
   /// Whether the peer opened the connection.
   bool mAccepted;
   bool mHasSentBytes = false;
+  /// A write has failed, so the end of the connection is not in order.
+  bool mSendFailed = false;
   bool mCloseWhenSent = false;
   bool mInCallback = false;
   bool mWritableRequested = false;
