Refuse answers with a line that begins with a blank

Callers got an answer in whose head a line began with a blank, so that the name of a field held one: the line was passed on as a part of the field before it (a line of one blank: 200), or changed the id that an answer echoes, so that the caller got 504 at the deadline rather than 502 at once.

Cause: Boost.Beast takes such a line for a folded value (RFC 9112, section 5.2) and joins it to the value before. Names with any other byte that is not allowed, also a blank or a control byte, were refused already.

Change: the parser of src/wire, which reads the answers of instances, of other nodes and of the store, refuses folded fields of answers.

Status 000 and the other invalid statuses, and all ends of answers, held already.

--- a/src/wire/message-parser.cc
+++ b/src/wire/message-parser.cc
@@ -1,6 +1,7 @@
 #include "wire/message-parser.h"
 
 #include <boost/beast/http/basic_parser.hpp>
+#include <functional>
 #include <limits>
 
 namespace eelgrasstrack {
@@ -65,6 +66,7 @@
 
   std::size_t Put(std::string_view aBytes, beast::error_code& aError) override
   {
+    mInput = aBytes;
     return parser::put(boost::asio::const_buffer(aBytes.data(), aBytes.size()),
                        aError);
   }
@@ -99,13 +101,42 @@
   void on_field_impl(http::field,
                      beast::string_view aName,
                      beast::string_view aValue,
-                     beast::error_code&) override
+                     beast::error_code& aError) override
   {
-    if (!mHeadRead) { // trailer fields are dropped
+    if constexpr (!kIsRequest) {
+      aError = CheckAnswerField(aName, aValue);
+    }
+    if (!mHeadRead && !aError) { // trailer fields are dropped
       head.fields.push_back({ std::string(aName), std::string(aValue) });
     }
   }
 
+  /// Beast accepts some fields that would reach a client in another form than
+  /// the server sent them.
+  beast::error_code CheckAnswerField(beast::string_view aName,
+                                     beast::string_view aValue) const
+  {
+    if (IsFolded(aName, aValue)) {
+      return http::error::bad_value;
+    }
+    return {};
+  }
+
+  /// Whether the value goes on in a line that begins with a blank (RFC 9112,
+  /// section 5.2). Such a line may as well be a field with an invalid name.
+  bool IsFolded(beast::string_view aName, beast::string_view aValue) const
+  {
+    const char* nameEnd = aName.data() + aName.size();
+    std::less<> isBefore;
+    if (isBefore(aValue.data(), nameEnd) ||
+        isBefore(mInput.data() + mInput.size(), aValue.data())) {
+      return true; // Beast joins the lines in a buffer of its own
+    }
+    std::string_view between(nameEnd,
+                             static_cast<std::size_t>(aValue.data() - nameEnd));
+    return between.find('\r') != std::string_view::npos;
+  }
+
   void on_header_impl(beast::error_code&) override { mHeadRead = true; }
 
   void on_body_init_impl(const boost::optional<std::uint64_t>& aLength,
@@ -138,6 +169,9 @@
   }
 
   void on_finish_impl(beast::error_code&) override {}
+
+  /// The bytes being parsed.
+  std::string_view mInput;
 };
 
 } // namespace detail
