Refuse answers in a transfer coding other than chunked

Callers got 200 with a body that was not the instance's: an answer in an unknown transfer coding was read up to the end of its connection, and its bytes were passed on without the field that names the coding, chunk sizes included.

Cause: Boost.Beast leaves the meaning of codings to its user, and the parser did not look at them.

Change: the parser of src/wire refuses answers with a coding other than chunked (RFC 9112, section 6.3: the end of such a body can't be told from a broken connection, and no request accepts a coding).

--- a/src/wire/message-parser.cc
+++ b/src/wire/message-parser.cc
@@ -13,6 +13,8 @@
 
 /// A buffer that is mostly empty is kept for later bytes up to this size.
 constexpr std::size_t kMaxUnusedBytes = 4096;
+/// The only transfer coding that answers may have.
+constexpr std::string_view kChunkedCoding = "chunked";
 
 /// Memory of a buffer. What every idle connection keeps is not counted.
 std::size_t
@@ -119,6 +121,12 @@
     if (IsFolded(aName, aValue)) {
       return http::error::bad_value;
     }
+    std::string_view name(aName.data(), aName.size());
+    std::string_view value(aValue.data(), aValue.size());
+    if (EqualsIgnoreCase(name, "Transfer-Encoding") &&
+        !EqualsIgnoreCase(value, kChunkedCoding)) {
+      return http::error::bad_transfer_encoding;
+    }
     return {};
   }
 
--- a/test/harness/answer-cases.cc
+++ b/test/harness/answer-cases.cc
@@ -184,7 +184,9 @@
                             "Content-Length: 18446744073709551621",
                             "Content-Length:",
                             "Transfer-Encoding: chunked",
-                            "Transfer-Encoding : chunked" }) {
+                            "Transfer-Encoding : chunked",
+                            "Transfer-Encoding: gzip",
+                            "Transfer-Encoding: identity" }) {
     cases.push_back(Broken("line '" + std::string(line) + "'", WithLine(line)));
   }
   cases.push_back(
@@ -192,6 +194,13 @@
   cases.push_back(
     Broken("blank before the first field",
            kLine + " X-Odd: 1\r\n" + kFields + kLength + "\r\n" + kBody));
+  for (const char* coding :
+       { "gzip", "identity", "gzip, chunked", "chunked, gzip", "chunkedx" }) {
+    cases.push_back(Broken("coding '" + std::string(coding) + "'",
+                           kLine + kFields + "Transfer-Encoding: " + coding +
+                             "\r\n\r\n" + kChunks,
+                           server_end::close));
+  }
   cases.push_back(
     Broken("coding with a blank before the colon",
            kLine + kFields + "Transfer-Encoding : chunked\r\n\r\n" + kChunks,
