Announce that a rejected request ends its connection

The next request of a client failed after one that eelgrasstrackd rejected for its size: the server closed the connection without saying so, and the client had used it again. libwebsockets' client hid that, as it had not written the whole body yet.

Change: the response to a rejected request has Connection: close.

--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -204,6 +204,7 @@
   http_response response;
   response.status = aStatus;
   response.headers.push_back({ "content-type", "text/plain" });
+  response.headers.push_back({ "connection", "close" });
   response.body = std::string(aReason) + "\n";
   aExchange.Respond(std::move(response));
   return 0;
