Bound the memory of control messages

Cause: each connection of a service port and each answer to an own call had a limit of its own (8 MiB, in a buffer that doubles), and there was none for all of them. A peer that reads no answers could send requests ahead, whose answers were all kept.

What does not fit gets 503, or fails as too large. New metrics control_bytes and control_bytes_limit.

--- a/src/proxy/body-budget.cc
+++ b/src/base/body-budget.cc
@@ -1,4 +1,4 @@
-#include "proxy/body-budget.h"
+#include "base/body-budget.h"
 
 #include <utility>
 
@@ -61,4 +61,25 @@
   mBytes = 0;
 }
 
+bool
+AppendReserved(std::string& aText,
+               std::string_view aBytes,
+               body_reservation& aHeld)
+{
+  std::size_t needed = aText.size() + aBytes.size();
+  if (needed > aText.capacity()) {
+    std::size_t capacity = needed + needed / 2;
+    if (!aHeld.Resize(capacity)) {
+      return false;
+    }
+    // A string that grows by itself takes at least twice its memory.
+    std::string larger;
+    larger.reserve(capacity);
+    larger += aText;
+    aText.swap(larger);
+  }
+  aText += aBytes;
+  return true;
+}
+
 } // namespace eelgrasstrack
--- a/src/proxy/body-budget.h
+++ b/src/base/body-budget.h
@@ -1,15 +1,18 @@
-#ifndef EELGRASSTRACK_PROXY_BODY_BUDGET_H_
-#define EELGRASSTRACK_PROXY_BODY_BUDGET_H_
+#ifndef EELGRASSTRACK_BASE_BODY_BUDGET_H_
+#define EELGRASSTRACK_BASE_BODY_BUDGET_H_
 
 #include <cstddef>
 #include <limits>
 #include <memory>
+#include <string>
+#include <string_view>
 
 namespace eelgrasstrack {
 
-/// The account of a process for the bytes of request bodies that it keeps.
-/// Holders reserve bytes before they keep them. A part is kept for holders of
-/// few bytes, so that large bodies can't keep out ordinary requests.
+/// The account of a process for the bytes of bodies of one kind that it keeps:
+/// of requests, of answers, or of control messages. Holders reserve bytes
+/// before they keep them. A part is kept for holders of few bytes, so that
+/// large bodies can't keep out ordinary requests.
 class body_budget
 {
 public:
@@ -75,6 +78,13 @@
   std::size_t mBytes = 0;
 };
 
+/// Appends bytes to a text whose memory the reservation accounts for. Returns
+/// false, and changes nothing, if the memory does not fit.
+bool
+AppendReserved(std::string& aText,
+               std::string_view aBytes,
+               body_reservation& aHeld);
+
 } // namespace eelgrasstrack
 
-#endif // EELGRASSTRACK_PROXY_BODY_BUDGET_H_
+#endif // EELGRASSTRACK_BASE_BODY_BUDGET_H_
--- a/src/mesh/mesh-node.cc
+++ b/src/mesh/mesh-node.cc
@@ -174,6 +174,8 @@
 {
   const client_limits& limits = mSettings.clients;
   mBodies.SetLimit(limits.body_bytes);
+  mControlBytes.SetLimit(limits.control_bytes);
+  mClient.SetAnswerLimit(limits.control_bytes);
   session_limits sessions;
   sessions.stall_time = limits.stall_time;
   sessions.stall_time_when_full = limits.stall_time_when_full;
@@ -198,12 +200,13 @@
     opened = mHopServer.Listen(mSettings.hop_listen);
   }
   if (opened) {
-    opened =
-      ServeAt(mTransport,
-              mSettings.control_listen,
-              [this](buffered_request aRequest, respond_callback aRespond) {
-                ServeControl(std::move(aRequest), std::move(aRespond));
-              });
+    opened = ServeAt(
+      mTransport,
+      mSettings.control_listen,
+      [this](buffered_request aRequest, respond_callback aRespond) {
+        ServeControl(std::move(aRequest), std::move(aRespond));
+      },
+      &mControlBytes);
   }
   if (opened) {
     opened = ServeAt(
@@ -211,7 +214,8 @@
       mSettings.ready_listen,
       [this](const buffered_request&, const respond_callback& aRespond) {
         aRespond(Response(Ready() ? status::kOk : status::kUnavailable));
-      });
+      },
+      &mControlBytes);
   }
   if (!opened) {
     return opened;
@@ -989,6 +993,8 @@
   };
   add("body_bytes", mBodies.HeldBytes());
   add("body_bytes_limit", mBodies.Limit());
+  add("control_bytes", mControlBytes.HeldBytes());
+  add("control_bytes_limit", mControlBytes.Limit());
   add("bodies_refused_memory_total",
       callers.refused_memory + nodes.refused_memory);
   add("bodies_stalled_total", callers.stalled + nodes.stalled);
--- a/src/mesh/mesh-node.h
+++ b/src/mesh/mesh-node.h
@@ -57,6 +57,9 @@
   /// late announcement of an earlier state or incarnation.
   bool HandleAnnouncement(const instance_announcement& aAnnouncement);
 
+  /// Account of the bytes of received control messages.
+  const body_budget& ControlBytes() const { return mControlBytes; }
+
   /// Handles the exit notice of an instance on this host. Returns the
   /// incarnation that leaves.
   instance_incarnation HandleInstanceExit(const exit_notice& aNotice);
@@ -177,6 +180,8 @@
   crash_table mCrashes;
   evacuation_table mEvacuations;
   body_budget mBodies;
+  /// Account of received heartbeats and calls of other nodes.
+  body_budget mControlBytes;
   instance_dispatcher mDispatcher;
   hop_client mHopClient;
   quota_service mQuota;
--- a/src/mesh/mesh-settings.h
+++ b/src/mesh/mesh-settings.h
@@ -42,6 +42,10 @@
 {
   /// Bytes of request bodies that the process keeps at a time.
   std::size_t body_bytes = std::size_t{ 64 } << 20U;
+  /// Bytes of control messages (heartbeats, calls between nodes and to the
+  /// store) that the process keeps at a time: once for those it receives, and
+  /// once for the answers to its own.
+  std::size_t control_bytes = std::size_t{ 32 } << 20U;
   /// A body that stalls for this long ends its request.
   duration stall_time = std::chrono::seconds(20);
   /// Same while the bytes for bodies or the slots of the instance are used up.
--- a/src/proxy/server-session.h
+++ b/src/proxy/server-session.h
@@ -7,8 +7,8 @@
 #include <unordered_set>
 #include <vector>
 
+#include "base/body-budget.h"
 #include "net/link-pacer.h"
-#include "proxy/body-budget.h"
 #include "proxy/server-exchange.h"
 #include "traffic/traffic-table.h"
 #include "wire/message-parser.h"
--- a/src/wire/control-client.cc
+++ b/src/wire/control-client.cc
@@ -45,6 +45,7 @@
     : mClient(aClient)
     , mEndpoint(std::move(aEndpoint))
     , mDone(std::move(aDone))
+    , mHeld(aClient.mAnswerBytes)
   {
   }
 
@@ -72,11 +73,16 @@
 
   void OnAnswerBody(std::string_view aBytes) override
   {
-    mResponse.body.append(aBytes);
-    if (mResponse.body.size() > kMaxAnswerBytes) {
+    if (mResponse.body.size() + aBytes.size() > kMaxAnswerBytes) {
       Finish(Fail(error_kind::too_large,
                   "answer exceeds 8 MiB, from " + ToString(mEndpoint)),
              false);
+      return;
+    }
+    if (!AppendReserved(mResponse.body, aBytes, mHeld)) {
+      Finish(Fail(error_kind::too_large,
+                  "no memory left for the answer from " + ToString(mEndpoint)),
+             false);
     }
   }
 
@@ -118,6 +124,8 @@
   endpoint mEndpoint;
   response_callback mDone;
   buffered_response mResponse;
+  /// Account of the answer's body.
+  body_reservation mHeld;
   std::shared_ptr<client_channel> mChannel;
   timer_id mTimer = 0;
 };
--- a/src/wire/control-client.h
+++ b/src/wire/control-client.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 
+#include "base/body-budget.h"
 #include "base/error.h"
 #include "wire/channel-pool.h"
 
@@ -43,6 +44,10 @@
             duration aTimeout,
             response_callback aDone);
 
+  /// Sets the limit for the bytes that answers in progress keep. An answer that
+  /// does not fit fails with `too_large`.
+  void SetAnswerLimit(std::size_t aBytes) { mAnswerBytes.SetLimit(aBytes); }
+
   /// Closes connections that have been idle for longer than `aUnusedFor`.
   void CloseIdle(duration aUnusedFor);
 
@@ -54,6 +59,7 @@
                std::shared_ptr<client_channel> aChannel);
 
   tcp_transport& mTransport;
+  body_budget mAnswerBytes;
   std::map<std::string, channel_pool> mIdle;
 };
 
--- a/src/wire/service-port.h
+++ b/src/wire/service-port.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 
+#include "base/body-budget.h"
 #include "base/error.h"
 #include "net/socket.h"
 #include "wire/control-client.h"
@@ -15,11 +16,14 @@
 
 /// Serves small requests (body up to 8 MiB) that are read completely before
 /// they are handled: readiness, heartbeats, metrics, and calls of other nodes.
-/// The handler may respond asynchronously.
+/// The handler may respond asynchronously. `aBudget` accounts for the bytes
+/// that all connections keep and outlives the listener; a request that does not
+/// fit gets 503. Without it nothing is limited.
 result<void>
 ServeAt(tcp_transport& aTransport,
         const endpoint& aEndpoint,
-        service_handler aHandler);
+        service_handler aHandler,
+        const body_budget* aBudget = nullptr);
 
 } // namespace eelgrasstrack
 
--- a/test/crowd/crowd-fixture.cc
+++ b/test/crowd/crowd-fixture.cc
@@ -1,13 +1,19 @@
 #include "crowd/crowd-fixture.h"
 
+#include <arpa/inet.h>
 #include <catch2/catch.hpp>
 #include <cstdio>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <nlohmann/json.hpp>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "harness/free-address.h"
+#include "mesh/host-record.h"
 
 namespace eelgrasstrack::test {
 
@@ -27,16 +33,75 @@
 constexpr std::size_t kMaxUnsentBytes = 256U << 10U;
 constexpr int kOk = 200;
 
-/// The instance's side of a connection: reads each request whole and responds
-/// with the number of bytes of its body.
-class instance_session final : public connection::observer
+/// Sends a filling without end, no faster than the peer takes it.
+class endless_sender : public connection::observer
 {
 public:
-  explicit instance_session(std::shared_ptr<connection> aConnection)
+  explicit endless_sender(std::shared_ptr<connection> aConnection)
     : mConnection(std::move(aConnection))
   {
   }
 
+  void SendFaulty(const faulty_bytes& aBytes, const std::string& aStart)
+  {
+    mFilling = aBytes.filling;
+    mConnection->Send(aStart);
+    if (mConnection->Unsent() == 0) {
+      OnSent();
+    }
+  }
+
+  void OnSent() override
+  {
+    // More than the kernel takes; bounded, as a failed write queues nothing.
+    constexpr int kParts = 256;
+    for (int i = 0; i < kParts && !mFilling.empty() && !mConnection->Closed() &&
+                    mConnection->Unsent() == 0;
+         ++i) {
+      mConnection->Send(mFilling);
+    }
+  }
+  void OnEnded(close_reason) override {}
+
+protected:
+  std::shared_ptr<connection> mConnection;
+  std::string mFilling;
+};
+
+/// Sends faulty bytes in answer to the first bytes received.
+class faulty_server final : public endless_sender
+{
+public:
+  faulty_server(std::shared_ptr<connection> aConnection, faulty_bytes aBytes)
+    : endless_sender(std::move(aConnection))
+    , mBytes(std::move(aBytes))
+  {
+  }
+
+  void OnReceived(std::string_view) override
+  {
+    if (!std::exchange(mAnswered, true)) {
+      SendFaulty(mBytes, mBytes.start);
+    }
+  }
+
+private:
+  faulty_bytes mBytes;
+  bool mAnswered = false;
+};
+
+/// The instance's side of a connection: reads each request whole and responds
+/// with the number of bytes of its body, or with faulty bytes.
+class instance_session final : public endless_sender
+{
+public:
+  instance_session(std::shared_ptr<connection> aConnection,
+                   const std::optional<faulty_bytes>& aUploadAnswer)
+    : endless_sender(std::move(aConnection))
+    , mUploadAnswer(aUploadAnswer)
+  {
+  }
+
   void OnReceived(std::string_view aBytes) override
   {
     if (!mParser.Feed(aBytes)) {
@@ -54,21 +119,24 @@
     }
   }
 
-  void OnEnded(close_reason) override {}
-
 private:
   void Respond()
   {
     const std::string* id =
       FindField(mParser.Head().fields, "X-Eelgrasstrack-Request-Id");
+    std::string start = "HTTP/1.1 200 OK\r\nX-Eelgrasstrack-Server-Stamp: "
+                        "stamp\r\nX-Eelgrasstrack-Request-Id: " +
+                        (id != nullptr ? *id : "") + "\r\n";
+    if (mUploadAnswer && mParser.Head().target.rfind("/upload/", 0) == 0) {
+      SendFaulty(*mUploadAnswer, start + mUploadAnswer->start);
+      return;
+    }
     std::string body = "bytes=" + std::to_string(mBodyBytes) + ";";
-    mConnection->Send("HTTP/1.1 200 OK\r\nX-Eelgrasstrack-Server-Stamp: "
-                      "stamp\r\nX-Eelgrasstrack-Request-Id: " +
-                      (id != nullptr ? *id : "") + "\r\nContent-Length: " +
-                      std::to_string(body.size()) + "\r\n\r\n" + body);
+    mConnection->Send(start + "Content-Length: " + std::to_string(body.size()) +
+                      "\r\n\r\n" + body);
   }
 
-  std::shared_ptr<connection> mConnection;
+  std::optional<faulty_bytes> mUploadAnswer;
   message_parser mParser{ message_kind::request };
   std::uint64_t mBodyBytes = 0;
 };
@@ -81,8 +149,43 @@
                                       : 0;
 }
 
+/// Window of a slow reader. With small segments it keeps the kernel from taking
+/// megabytes off the sender.
+constexpr int kSlowWindowBytes = 4096;
+constexpr int kSlowSegmentBytes = 536;
+
 } // namespace
 
+slow_reader::slow_reader(const endpoint& aAddress, const std::string& aText)
+  : mDescriptor(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+{
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(aAddress.port);
+  inet_pton(AF_INET, aAddress.address.c_str(), &address.sin_addr);
+  setsockopt(mDescriptor,
+             SOL_SOCKET,
+             SO_RCVBUF,
+             &kSlowWindowBytes,
+             sizeof kSlowWindowBytes);
+  setsockopt(mDescriptor,
+             IPPROTO_TCP,
+             TCP_MAXSEG,
+             &kSlowSegmentBytes,
+             sizeof kSlowSegmentBytes);
+  // The kernel of a loopback address accepts the connection at once.
+  REQUIRE(connect(mDescriptor,
+                  reinterpret_cast<const sockaddr*>(&address),
+                  sizeof address) == 0);
+  REQUIRE(send(mDescriptor, aText.data(), aText.size(), MSG_NOSIGNAL) ==
+          static_cast<ssize_t>(aText.size()));
+}
+
+slow_reader::~slow_reader()
+{
+  close(mDescriptor);
+}
+
 crowd_fixture::crowd_fixture()
   : mStoreAddress(FreeAddress())
 {
@@ -107,6 +210,7 @@
   mOptions = aOptions;
   mStore = std::make_unique<platform_store>(mEvents, mSockets, mStoreAddress);
   mStore->Put("config", "main", Configuration());
+  AddFaultyHosts();
   for (std::size_t i = 0; i < kNodes; ++i) {
     StartNode(i);
   }
@@ -133,8 +237,9 @@
     *each = FreeAddress();
   }
   REQUIRE(mSockets.Listen(
-    added.instance, [](std::shared_ptr<connection> aConnection) {
-      aConnection->SetObserver(std::make_shared<instance_session>(aConnection));
+    added.instance, [this](std::shared_ptr<connection> aConnection) {
+      aConnection->SetObserver(std::make_shared<instance_session>(
+        aConnection, mOptions.upload_answer));
     }));
   std::string path = mFolder + "/" + added.name + ".json";
   std::ofstream(path) << Settings(added).dump();
@@ -220,7 +325,7 @@
     { "addr", ToString(each.instance) },
     { "zone", "domain-" + each.name },
     { "version", "v1" },
-    { "slots", kSlots },
+    { "slots", mOptions.slots },
     { "state", "ready" },
     { "cold_left_s", 0 },
     { "seq", ++mSequence },
@@ -242,11 +347,81 @@
          std::to_string(++sLastId) + "\r\n" + aFields + "\r\n";
 }
 
+void
+crowd_fixture::OpenSlowCrowd(std::size_t aNode,
+                             std::size_t aCount,
+                             const std::string& aText)
+{
+  for (std::size_t i = 0; i < aCount; ++i) {
+    mSlowReaders.push_back(
+      std::make_unique<slow_reader>(mNodes[aNode].callers, aText));
+    RunFor(milliseconds(2));
+  }
+}
+
+void
+crowd_fixture::OpenCrowdAt(const endpoint& aAddress,
+                           std::size_t aCount,
+                           const std::string& aText)
+{
+  for (std::size_t i = 0; i < aCount; ++i) {
+    mCrowd.push_back(Connect(aAddress));
+    mCrowd.back()->link->Send(aText);
+    RunFor(milliseconds(5));
+  }
+}
+
+endpoint
+crowd_fixture::ServeFaultyBytes(const faulty_bytes& aBytes)
+{
+  endpoint address = FreeAddress();
+  REQUIRE(mSockets.Listen(
+    address, [this, aBytes](std::shared_ptr<connection> aConnection) {
+      ++mFaultyConnections;
+      aConnection->SetObserver(
+        std::make_shared<faulty_server>(aConnection, aBytes));
+    }));
+  return address;
+}
+
+void
+crowd_fixture::MoveStore(const endpoint& aAddress)
+{
+  for (const node& each : mNodes) {
+    json settings = Settings(each);
+    settings["platform"]["addr"] = ToString(aAddress);
+    std::string path = mFolder + "/" + each.name + ".json";
+    std::ofstream(path + ".new") << settings.dump();
+    std::filesystem::rename(path + ".new", path);
+  }
+}
+
+void
+crowd_fixture::AddFaultyHosts()
+{
+  for (std::size_t i = 0; i < mOptions.faulty_hosts; ++i) {
+    host_record host;
+    host.name = "faulty-" + std::to_string(i);
+    host.domain = "domain-faulty";
+    host.hop = ServeFaultyBytes(mOptions.host_answer);
+    host.control = host.hop;
+    host.incarnation = 1;
+    host.sequence = 1;
+    mStore->Put("eelgrasstrack-hosts", host.name, EncodeHostRecord(host));
+  }
+}
+
 crowd_client_ptr
 crowd_fixture::Connect(std::size_t aNode)
+{
+  return Connect(mNodes[aNode].callers);
+}
+
+crowd_client_ptr
+crowd_fixture::Connect(const endpoint& aAddress)
 {
   auto client = std::make_shared<crowd_client>();
-  client->link = mSockets.Connect(mNodes[aNode].callers, {});
+  client->link = mSockets.Connect(aAddress, {});
   REQUIRE(client->link);
   client->link->SetObserver(client);
   return client;
--- a/test/crowd/crowd-fixture.h
+++ b/test/crowd/crowd-fixture.h
@@ -17,16 +17,44 @@
 class crowd_client final : public connection::observer
 {
 public:
-  void OnReceived(std::string_view aBytes) override { received += aBytes; }
+  void OnReceived(std::string_view aBytes) override
+  {
+    if (!drops) {
+      received += aBytes;
+    }
+  }
   void OnEnded(close_reason) override { ended = true; }
 
   std::string received;
+  /// What is received is not recorded.
+  bool drops = false;
   bool ended = false;
   std::shared_ptr<connection> link;
 };
 
 using crowd_client_ptr = std::shared_ptr<crowd_client>;
 
+/// A client that sends a text and reads nothing, with a small window.
+class slow_reader
+{
+public:
+  slow_reader(const endpoint& aAddress, const std::string& aText);
+  ~slow_reader();
+  slow_reader(const slow_reader&) = delete;
+  slow_reader& operator=(const slow_reader&) = delete;
+
+private:
+  int mDescriptor;
+};
+
+/// What a faulty peer sends: a text once, then a filling without end.
+struct faulty_bytes
+{
+  std::string start;
+  /// Empty: nothing follows the start.
+  std::string filling;
+};
+
 /// What a deployment of the tests sets in the settings and the configuration.
 struct crowd_options
 {
@@ -35,6 +63,14 @@
   std::uint64_t max_body_bytes = 64U << 20U;
   /// The only node with an instance; without one, all nodes have one.
   std::optional<std::size_t> only_instance;
+  /// Requests that an instance runs at a time.
+  unsigned slots = 4;
+  /// What instances send in answer to a request for `/upload/`, in place of an
+  /// ordinary answer.
+  std::optional<faulty_bytes> upload_answer;
+  /// Number of listed hosts whose nodes answer control messages with the bytes.
+  std::size_t faulty_hosts = 0;
+  faulty_bytes host_answer;
 };
 
 /// Memory and descriptors of a process, as the kernel reports them.
@@ -50,8 +86,6 @@
 {
 public:
   static constexpr std::size_t kNodes = 2;
-  /// Requests that an instance runs at a time.
-  static constexpr unsigned kSlots = 4;
 
   crowd_fixture();
   ~crowd_fixture();
@@ -61,6 +95,21 @@
 
   /// Opens a connection to the address for callers of a node.
   crowd_client_ptr Connect(std::size_t aNode);
+  crowd_client_ptr Connect(const endpoint& aAddress);
+  /// Opens `aCount` slow readers that send `aText`.
+  void OpenSlowCrowd(std::size_t aNode,
+                     std::size_t aCount,
+                     const std::string& aText);
+  /// Opens `aCount` connections to an address, which send `aText` each.
+  void OpenCrowdAt(const endpoint& aAddress,
+                   std::size_t aCount,
+                   const std::string& aText);
+  /// Serves an address with faulty bytes in answer to anything received.
+  endpoint ServeFaultyBytes(const faulty_bytes& aBytes);
+  /// Names another address of the store in the settings of all nodes.
+  void MoveStore(const endpoint& aAddress);
+  /// Number of connections to addresses with faulty bytes.
+  std::size_t FaultyConnections() const { return mFaultyConnections; }
   /// Opens `aCount` connections and sends `aText` on each.
   void OpenCrowd(std::size_t aNode,
                  std::size_t aCount,
@@ -102,6 +151,8 @@
     std::unique_ptr<harness::process> program;
   };
 
+  /// Lists the hosts with faulty nodes in the store.
+  void AddFaultyHosts();
   process_usage Usage(std::size_t aNode) const;
   void StartNode(std::size_t aNode);
   void SendHeartbeat(std::size_t aNode);
@@ -117,7 +168,9 @@
   crowd_options mOptions;
   std::vector<node> mNodes;
   std::vector<crowd_client_ptr> mCrowd;
+  std::vector<std::unique_ptr<slow_reader>> mSlowReaders;
   std::string mFolder;
+  std::size_t mFaultyConnections = 0;
   std::int64_t mSequence = 0;
 };
 
--- a/test/unit/body-budget-test.cc
+++ b/test/unit/body-budget-test.cc
@@ -2,7 +2,7 @@
 #include <utility>
 #include <vector>
 
-#include "proxy/body-budget.h"
+#include "base/body-budget.h"
 
 using namespace eelgrasstrack;
 
