Limit the number of fields in the head of an answer

A node ran out of memory when an instance sent heads of many short lines: 101 to 110 MB of 64 with 200 heads of 60 KB at two nodes.

Cause: a head is limited by its bytes (64 KiB), but a line of four bytes takes 64 as a field, in a list that doubles, at each hop.

Change: an answer with more than 500 fields is invalid.

--- a/src/wire/message-parser.cc
+++ b/src/wire/message-parser.cc
@@ -13,6 +13,9 @@
 
 /// A buffer that is mostly empty is kept for later bytes up to this size.
 constexpr std::size_t kMaxUnusedBytes = 4096;
+/// Fields that an answer's head may have. Each takes up to sixteen times its
+/// bytes, as the shortest line has four.
+constexpr std::size_t kMaxAnswerFields = 500;
 /// The only transfer coding that answers may have.
 constexpr std::string_view kChunkedCoding = "chunked";
 
@@ -118,6 +121,9 @@
   beast::error_code CheckAnswerField(beast::string_view aName,
                                      beast::string_view aValue) const
   {
+    if (head.fields.size() >= kMaxAnswerFields) {
+      return http::error::header_limit;
+    }
     if (IsFolded(aName, aValue)) {
       return http::error::bad_value;
     }
--- a/src/wire/message-parser.h
+++ b/src/wire/message-parser.h
@@ -20,8 +20,8 @@
 
 /// Incremental parser that splits a stream of bytes into HTTP/1.1 messages,
 /// based on Boost.Beast. It parses one message at a time; the bytes that follow
-/// it are buffered until `Next`. A response with a folded field or a transfer
-/// coding other than `chunked` is invalid.
+/// it are buffered until `Next`. A response with a folded field, with more than
+/// 500 fields, or with a transfer coding other than `chunked` is invalid.
 class message_parser
 {
 public:
--- a/test/crowd/answer-crowd-test.cc
+++ b/test/crowd/answer-crowd-test.cc
@@ -9,6 +9,11 @@
 
 namespace {
 
+/// As many as an instance of the deployments accepts connections.
+constexpr unsigned kSlots = 110;
+/// Requests at each instance that keep their slots; the others are left for
+/// ordinary requests.
+constexpr unsigned kKeptSlots = 100;
 constexpr std::size_t kPartBytes = 65536;
 /// Bodies of the largest accepted size, less one byte, at the ports for
 /// heartbeats and other nodes: more than the memory of the test's settings.
@@ -25,6 +30,34 @@
 const std::string kEndlessBody =
   "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 
+/// Lines of a head that are short, so that they take much more memory as
+/// fields. Below the limit for the bytes of a head.
+std::string
+ManyFields()
+{
+  constexpr std::size_t kHeadBytes = 60'000;
+  std::string lines;
+  while (lines.size() < kHeadBytes) {
+    lines += "a:\r\n";
+  }
+  return lines;
+}
+
+crowd_options
+WithAnswer(const std::string& aStart, const std::string& aFilling)
+{
+  crowd_options options;
+  options.slots = kSlots;
+  options.upload_answer = faulty_bytes{ aStart, aFilling };
+  return options;
+}
+
+std::string
+Request()
+{
+  return crowd_fixture::Head("/upload/", "");
+}
+
 std::string
 ServiceCall(const std::string& aLine)
 {
@@ -34,6 +67,32 @@
 
 } // namespace
 
+// Guards against heads that are kept without a bound, or as fields that take
+// far more memory than their bytes.
+TEST_CASE_METHOD(crowd_fixture,
+                 "instances, heads without end or of many fields, node stays "
+                 "within its memory and serves",
+                 "[crowd][heads]")
+{
+  SECTION("without end")
+  {
+    Start(WithAnswer("X: ", kPart));
+  }
+  SECTION("one byte short")
+  {
+    Start(WithAnswer("X: " + std::string(60'000, 'x') + "\r\n", ""));
+  }
+  SECTION("many fields")
+  {
+    Start(WithAnswer(ManyFields() + "Content-Length: 10\r\n\r\n", ""));
+  }
+  for (std::size_t i = 0; i < kNodes; ++i) {
+    OpenCrowd(i, kKeptSlots, Request());
+  }
+  RunFor(kSendTime);
+  CheckNodes("heads");
+}
+
 // Guards against bytes of other processes that are kept without a bound at the
 // ports for heartbeats, readiness and messages of nodes.
 TEST_CASE_METHOD(crowd_fixture,
--- a/test/harness/answer-cases.cc
+++ b/test/harness/answer-cases.cc
@@ -208,6 +208,17 @@
   cases.push_back(Broken("length with a blank before the colon",
                          kLine + kFields + "Content-Length : 3\r\n\r\n" + kBody,
                          server_end::close));
+  constexpr std::size_t kMaxFields = 500;
+  for (std::size_t count : { kMaxFields / 2, kMaxFields + 1 }) {
+    std::string lines;
+    for (std::size_t i = 0; i < count; ++i) {
+      lines += "a:\r\n";
+    }
+    std::string name = std::to_string(count) + " fields";
+    std::string text = kLine + kFields + lines + kLength + "\r\n" + kBody;
+    cases.push_back(count > kMaxFields ? Broken(name, text)
+                                       : Whole(name, text));
+  }
   cases.push_back(Whole("text beyond ASCII", WithLine("X-Odd: \xC3\xA9")));
   cases.push_back(Whole("blanks around a value", WithLine("X-Odd:  \t1 ")));
   return cases;
