Bound the memory of answers that callers do not take

A node ran out of memory when callers did not read: 106 MB of 64 with 400 callers and whole answers of 250 KB, 62 to 68 MB with 200 callers at two nodes whose instances sent bodies without end.

Cause: an answer waits with up to 256 KiB for its caller, in a buffer that doubles, and nothing limited the sum. The slot of the instance is free again as soon as the node has the answer, so slots do not limit it.

Change: sessions of callers account for their send buffers, also those of connections that are closing, against a quarter of ram_mb (answer_budget_mb). Streamed answers pause earlier the less is left; when nothing is left, callers that take less than 4 KiB in 1 s lose their connection, and new requests get 503 before they begin. An answer that was paused before its turn goes on when all its bytes were taken at once.

--- a/src/base/body-budget.cc
+++ b/src/base/body-budget.cc
@@ -38,11 +38,19 @@
   if (aBytes > mBytes && !mAccount->Admits(mBytes, aBytes)) {
     return false;
   }
-  mAccount->held = mAccount->held - mBytes + aBytes;
-  mBytes = aBytes;
+  Force(aBytes);
   return true;
 }
 
+void
+body_reservation::Force(std::size_t aBytes)
+{
+  if (mAccount) {
+    mAccount->held = mAccount->held - mBytes + aBytes;
+    mBytes = aBytes;
+  }
+}
+
 body_reservation
 body_reservation::Take()
 {
--- a/src/base/body-budget.h
+++ b/src/base/body-budget.h
@@ -31,6 +31,7 @@
   void SetLimit(std::size_t aBytes) { mAccount->limit = aBytes; }
   std::size_t Limit() const { return mAccount->limit; }
   std::size_t HeldBytes() const { return mAccount->held; }
+  bool IsFull() const { return HeldBytes() >= Limit(); }
 
 private:
   friend class body_reservation;
@@ -66,6 +67,9 @@
   /// Changes the reserved bytes to `aBytes`. Returns false, and changes
   /// nothing, if they do not fit.
   bool Resize(std::size_t aBytes);
+  /// Changes the reserved bytes to `aBytes`, which are kept already, also
+  /// beyond the limit.
+  void Force(std::size_t aBytes);
   /// Hands the bytes over to a new reservation. This one holds nothing and
   /// keeps its budget.
   body_reservation Take();
--- a/src/mesh/mesh-node.cc
+++ b/src/mesh/mesh-node.cc
@@ -174,13 +174,14 @@
 {
   const client_limits& limits = mSettings.clients;
   mBodies.SetLimit(limits.body_bytes);
+  mAnswers.SetLimit(limits.answer_bytes);
   mControlBytes.SetLimit(limits.control_bytes);
   mClient.SetAnswerLimit(limits.control_bytes);
   session_limits sessions;
   sessions.stall_time = limits.stall_time;
   sessions.stall_time_when_full = limits.stall_time_when_full;
   sessions.max_connections = limits.caller_connections;
-  mIngress.SetClientLimits(mBodies, sessions);
+  mIngress.SetClientLimits(mBodies, mAnswers, sessions);
   // The first hop ends an upload that stalls; if it does not, the
   // connection between the nodes is closed later.
   session_limits hops;
@@ -993,6 +994,8 @@
   };
   add("body_bytes", mBodies.HeldBytes());
   add("body_bytes_limit", mBodies.Limit());
+  add("answer_bytes", mAnswers.HeldBytes());
+  add("answer_bytes_limit", mAnswers.Limit());
   add("control_bytes", mControlBytes.HeldBytes());
   add("control_bytes_limit", mControlBytes.Limit());
   add("bodies_refused_memory_total",
--- a/src/mesh/mesh-node.h
+++ b/src/mesh/mesh-node.h
@@ -180,6 +180,8 @@
   crash_table mCrashes;
   evacuation_table mEvacuations;
   body_budget mBodies;
+  /// Account of answers that callers have not taken yet.
+  body_budget mAnswers;
   /// Account of received heartbeats and calls of other nodes.
   body_budget mControlBytes;
   instance_dispatcher mDispatcher;
--- a/src/mesh/mesh-settings.h
+++ b/src/mesh/mesh-settings.h
@@ -42,6 +42,8 @@
 {
   /// Bytes of request bodies that the process keeps at a time.
   std::size_t body_bytes = std::size_t{ 64 } << 20U;
+  /// Bytes of answers that the process keeps at a time until callers take them.
+  std::size_t answer_bytes = std::size_t{ 48 } << 20U;
   /// Bytes of control messages (heartbeats, calls between nodes and to the
   /// store) that the process keeps at a time: once for those it receives, and
   /// once for the answers to its own.
@@ -49,6 +51,8 @@
   /// A body that stalls for this long ends its request.
   duration stall_time = std::chrono::seconds(20);
   /// Same while the bytes for bodies or the slots of the instance are used up.
+  /// An answer of which the caller takes less than 4 KiB in this time ends
+  /// while the bytes for answers are used up.
   duration stall_time_when_full = std::chrono::seconds(1);
   /// Open connections of callers. Above that, idle ones are closed.
   std::size_t caller_connections = 3072;
--- a/src/net/socket.cc
+++ b/src/net/socket.cc
@@ -253,7 +253,7 @@
       mSentOffset = 0;
       return false;
     }
-    mHasSentBytes = true;
+    mSentBytes += static_cast<std::uint64_t>(sent);
     mSentOffset += static_cast<std::size_t>(sent);
     if (mSentOffset > kCompactThresholdBytes) {
       mOutgoing.erase(0, mSentOffset);
@@ -268,6 +268,13 @@
   return true;
 }
 
+std::size_t
+connection::QueueMemory() const
+{
+  return mOutgoing.capacity() > kMaxUnusedBytes ? mOutgoing.capacity()
+                                                : Unsent();
+}
+
 void
 connection::CloseAfterSending()
 {
--- a/src/net/socket.h
+++ b/src/net/socket.h
@@ -75,8 +75,12 @@
   bool Closed() const { return mDescriptor < 0; }
   /// Number of queued bytes that were not yet handed to the kernel.
   std::size_t Unsent() const { return mOutgoing.size() - mSentOffset; }
+  /// Memory for queued bytes. What an idle connection keeps is not counted.
+  std::size_t QueueMemory() const;
   /// Whether any byte was handed to the kernel.
-  bool HasSentBytes() const { return mHasSentBytes; }
+  bool HasSentBytes() const { return mSentBytes > 0; }
+  /// Number of bytes that were handed to the kernel.
+  std::uint64_t SentBytes() const { return mSentBytes; }
 
 private:
   friend class tcp_transport;
@@ -102,7 +106,7 @@
   bool mConnected;
   /// Whether the peer opened the connection.
   bool mAccepted;
-  bool mHasSentBytes = false;
+  std::uint64_t mSentBytes = 0;
   /// A write has failed, so the end of the connection is not in order.
   bool mSendFailed = false;
   bool mCloseWhenSent = false;
--- a/src/proxy/ingress.cc
+++ b/src/proxy/ingress.cc
@@ -48,10 +48,12 @@
 }
 
 void
-ingress::SetClientLimits(const body_budget& aBudget,
+ingress::SetClientLimits(const body_budget& aBodies,
+                         const body_budget& aAnswers,
                          const session_limits& aLimits)
 {
-  mSessions.SetBudget(aBudget);
+  mSessions.SetBudget(aBodies);
+  mSessions.SetAnswerBudget(aAnswers);
   mSessions.SetLimits(aLimits);
 }
 
--- a/src/proxy/ingress.h
+++ b/src/proxy/ingress.h
@@ -63,9 +63,10 @@
   /// exits.
   void SetServingUntil(time_point aTime) { mServingUntil = aTime; }
 
-  /// Sets the account of request bodies and the limits on connections.
-  /// `aBudget` outlives the ingress.
-  void SetClientLimits(const body_budget& aBudget,
+  /// Sets the accounts of request bodies and of answers that callers have not
+  /// taken, and the limits on connections. The accounts outlive the ingress.
+  void SetClientLimits(const body_budget& aBodies,
+                       const body_budget& aAnswers,
                        const session_limits& aLimits);
   const session_counts& SessionCounts() const { return mSessions.Counts(); }
 
--- a/src/proxy/server-exchange.cc
+++ b/src/proxy/server-exchange.cc
@@ -75,6 +75,7 @@
   if (mOutgoing.size() > kWriteBufferBytes) {
     Flush();
   }
+  mSession->AccountAnswers();
 }
 
 void
@@ -104,6 +105,12 @@
   return mOutgoing.size() + (sending ? mSession->Unsent() : 0);
 }
 
+std::size_t
+server_exchange::MaxUnsent() const
+{
+  return mSession->MaxUnsent();
+}
+
 void
 server_exchange::PauseBody(bool aPaused)
 {
--- a/src/proxy/server-exchange.h
+++ b/src/proxy/server-exchange.h
@@ -46,15 +46,18 @@
   /// Number of bytes of the answer that have not been sent yet. Before it is
   /// this exchange's turn, these are all its bytes.
   std::size_t Unsent() const;
+  /// Above this number of unsent bytes, the source of the answer is paused; it
+  /// falls while the memory for answers is being used up.
+  std::size_t MaxUnsent() const;
+  /// Gives the collected bytes of the answer to the connection, if it is this
+  /// exchange's turn.
+  void Flush();
   /// Stops or resumes reading the request's body.
   void PauseBody(bool aPaused);
 
 private:
   friend class server_session;
 
-  /// Gives the collected bytes to the connection if it is this exchange's turn.
-  void Flush();
-
   std::shared_ptr<server_session> mSession;
   request_properties mProperties;
   /// Null before the handler was created and after the answer ended.
--- a/src/proxy/server-session.cc
+++ b/src/proxy/server-session.cc
@@ -26,6 +26,12 @@
 /// A body makes progress if at least this many bytes arrive within the time
 /// limit; fewer count as none.
 constexpr std::size_t kMinProgressBytes = 4096;
+/// The part of the memory for answers that is left to those that are sent
+/// whole: answers that are streamed pause below it.
+constexpr std::size_t kWholeAnswerPart = 4;
+/// An answer may wait with this part of what is left of the memory for streamed
+/// ones, so that the sum stays below the limit for any number of them.
+constexpr std::size_t kStreamPart = 8;
 /// Minimum time between two searches for bodies that stall or, after one that
 /// found none, for idle connections. Each of them visits all sessions.
 constexpr duration kEndStalledPeriod = std::chrono::milliseconds(100);
@@ -108,6 +114,12 @@
   for (const auto& session : Sessions()) {
     session->CheckTimeouts(aNow);
   }
+  if (!AnswersFull(aNow)) {
+    std::erase_if(mClosing, [](closing_connection& aClosing) {
+      aClosing.held.Force(aClosing.target->QueueMemory());
+      return aClosing.target->Closed();
+    });
+  }
   LogCounts();
 }
 
@@ -152,6 +164,80 @@
   }
 }
 
+body_reservation
+session_list::NewAnswerReservation() const
+{
+  return mAnswers != nullptr ? body_reservation(*mAnswers) : body_reservation();
+}
+
+std::size_t
+session_list::MaxUnsent() const
+{
+  if (mAnswers == nullptr) {
+    return std::numeric_limits<std::size_t>::max();
+  }
+  std::size_t limit = mAnswers->Limit() - mAnswers->Limit() / kWholeAnswerPart;
+  std::size_t held = mAnswers->HeldBytes();
+  return held < limit ? (limit - held) / kStreamPart : 0;
+}
+
+bool
+session_list::AnswersFull(time_point aNow)
+{
+  if (mAnswers == nullptr || !mAnswers->IsFull()) {
+    return false;
+  }
+  if (aNow - mStalledAnswersEndedAt >= kEndStalledPeriod) {
+    EndStalledAnswers(aNow);
+  }
+  return mAnswers->IsFull();
+}
+
+void
+session_list::EndStalledAnswers(time_point aNow)
+{
+  mStalledAnswersEndedAt = aNow;
+  for (const auto& session : Sessions()) {
+    session->EndIfAnswerStalled(aNow, mLimits.stall_time_when_full);
+  }
+  EndStalledClosing(aNow);
+}
+
+void
+session_list::EndStalledClosing(time_point aNow)
+{
+  for (closing_connection& closing : mClosing) {
+    std::uint64_t sent = closing.target->SentBytes();
+    if (sent - closing.sent_bytes >= kMinProgressBytes) {
+      closing.sent_bytes = sent;
+      closing.moved_at = aNow;
+    } else if (aNow - closing.moved_at > mLimits.stall_time_when_full) {
+      ++mCounts.stalled;
+      closing.target->Close();
+    }
+    closing.held.Force(closing.target->QueueMemory());
+  }
+  std::erase_if(mClosing, [](const closing_connection& aClosing) {
+    return aClosing.target->Closed();
+  });
+}
+
+void
+session_list::AddClosing(const std::shared_ptr<connection>& aConnection,
+                         time_point aNow)
+{
+  if (mAnswers == nullptr || aConnection->Closed()) {
+    return;
+  }
+  closing_connection closing;
+  closing.target = aConnection;
+  closing.held = NewAnswerReservation();
+  closing.held.Force(aConnection->QueueMemory());
+  closing.sent_bytes = aConnection->SentBytes();
+  closing.moved_at = aNow;
+  mClosing.push_back(std::move(closing));
+}
+
 void
 session_list::CloseLongestIdle(time_point aNow)
 {
@@ -203,6 +289,7 @@
   , mPacer(aPacer)
   , mHeld(aList.NewReservation())
   , mInputHeld(aList.NewReservation())
+  , mAnswersHeld(aList.NewAnswerReservation())
   , mIdleSince(aLoop.Now())
 {
   mParser.SetHeadLimit(aServer.Limits().head_bytes);
@@ -312,7 +399,8 @@
   if (mLastBegun || mConnection->Closed()) {
     return false;
   }
-  if (mConnection->Unsent() > kMaxHeldAnswerBytes) {
+  if (std::size_t unsent = mConnection->Unsent();
+      unsent > std::min(kMaxHeldAnswerBytes, MaxUnsent())) {
     return false; // the client does not read the answers
   }
   if (mExchanges.empty()) {
@@ -347,6 +435,10 @@
     SendContinueIfExpected();
     return false;
   }
+  if (mList.AnswersFull(mLoop.Now())) {
+    RefuseForMemory();
+    return false;
+  }
   received_request request;
   request.head = mParser.Head();
   request.body = std::move(mBody);
@@ -527,6 +619,12 @@
     std::shared_ptr<server_exchange> first = mExchanges.front();
     first->Flush();
     if (!first->mDone) {
+      if (first->mHandler && Unsent() == 0) {
+        // All bytes were taken at once, so that no event follows.
+        std::shared_ptr<request_handler> handler = first->mHandler;
+        handler->OnAnswerSent();
+      }
+      AccountAnswers();
       return;
     }
     mExchanges.pop_front();
@@ -538,6 +636,7 @@
     }
     ScheduleInput();
   }
+  AccountAnswers();
   RestartProgress();
   mIdleSince = mProgressAt;
   if (mRejectStatus != 0) {
@@ -611,9 +710,45 @@
   CloseAfterSending();
 }
 
+void
+server_session::AccountAnswers()
+{
+  std::size_t bytes = mConnection->QueueMemory();
+  for (const auto& exchange : mExchanges) {
+    bytes += exchange->mOutgoing.size();
+  }
+  mAnswersHeld.Force(bytes);
+}
+
+void
+server_session::EndIfAnswerStalled(time_point aNow, duration aLimit)
+{
+  if (mConnection->Closed() || mConnection->Unsent() == 0) {
+    mAnswerTakenAt.reset();
+    return;
+  }
+  std::uint64_t taken = mConnection->SentBytes();
+  if (!mAnswerTakenAt || taken - mTakenBytes >= kMinProgressBytes) {
+    mAnswerTakenAt = aNow;
+    mTakenBytes = taken;
+    return;
+  }
+  if (aNow - *mAnswerTakenAt <= aLimit) {
+    return;
+  }
+  std::shared_ptr<server_session> self = shared_from_this();
+  ++mList.mCounts.stalled;
+  CancelAll();
+  RemoveFromList();
+  CloseNow();
+  mAnswersHeld.Release();
+}
+
 void
 server_session::OnSent()
 {
+  mAnswerTakenAt.reset();
+  AccountAnswers();
   if (mExchanges.empty()) {
     ScheduleInput(); // what waited because the answers were not read
     return;
@@ -661,6 +796,8 @@
     mPacer->SendAll(*mConnection);
   }
   mConnection->CloseAfterSending();
+  mAnswersHeld.Release();
+  mList.AddClosing(mConnection, mLoop.Now());
 }
 
 void
--- a/src/proxy/server-session.h
+++ b/src/proxy/server-session.h
@@ -81,7 +81,8 @@
 {
   /// Requests refused because the memory for bodies is used up.
   std::uint64_t refused_memory = 0;
-  /// Requests that ended because their body was not completed in time.
+  /// Requests that ended because their body was not completed in time, or their
+  /// answer not taken.
   std::uint64_t stalled = 0;
   /// Connections closed because too many were open.
   std::uint64_t closed_for_others = 0;
@@ -105,6 +106,9 @@
   /// Sets the account of the bytes that the sessions keep; without one nothing
   /// is limited. `aBudget` outlives the list.
   void SetBudget(const body_budget& aBudget) { mBudget = &aBudget; }
+  /// Sets the account of the bytes of answers that clients have not taken yet;
+  /// without one nothing is limited. `aBudget` outlives the list.
+  void SetAnswerBudget(const body_budget& aBudget) { mAnswers = &aBudget; }
   void SetLimits(const session_limits& aLimits) { mLimits = aLimits; }
   const session_limits& Limits() const { return mLimits; }
   const session_counts& Counts() const { return mCounts; }
@@ -117,6 +121,15 @@
 private:
   friend class server_session;
 
+  /// A connection that is closed when its client has taken the last answers.
+  struct closing_connection
+  {
+    std::shared_ptr<connection> target;
+    body_reservation held;
+    std::uint64_t sent_bytes = 0;
+    time_point moved_at{};
+  };
+
   /// Starts a session, unless no connection can be closed for it.
   void Accept(const std::shared_ptr<server_session>& aSession,
               const std::shared_ptr<connection>& aConnection);
@@ -124,18 +137,33 @@
   body_reservation NewReservation() const;
   /// Ends bodies that stall, except that of `aFor`, as memory is used up.
   void EndStalledBodies(time_point aNow, const server_session& aFor);
+  /// Whether the memory for answers is used up, even after those that clients
+  /// do not take were ended.
+  bool AnswersFull(time_point aNow);
+  /// Ends answers of which clients have taken nothing for a while.
+  void EndStalledAnswers(time_point aNow);
+  void EndStalledClosing(time_point aNow);
+  /// See `server_exchange::MaxUnsent`.
+  std::size_t MaxUnsent() const;
+  /// Goes on to account for the answers of a connection that is closing.
+  void AddClosing(const std::shared_ptr<connection>& aConnection,
+                  time_point aNow);
+  body_reservation NewAnswerReservation() const;
   /// Closes those connections without a request in progress that have waited
   /// longest for one.
   void CloseLongestIdle(time_point aNow);
   void LogCounts();
 
   const body_budget* mBudget = nullptr;
+  const body_budget* mAnswers = nullptr;
   session_limits mLimits;
   session_counts mCounts;
   session_counts mLoggedCounts;
   /// When all open connections were found to be in use.
   time_point mNoneClosableAt{};
   time_point mStalledEndedAt{};
+  time_point mStalledAnswersEndedAt{};
+  std::vector<closing_connection> mClosing;
   std::unordered_set<server_session*> mSessions;
 };
 
@@ -164,6 +192,9 @@
   void CheckTimeouts(time_point aNow);
   /// Ends a request whose body has not grown for `aLimit`.
   void EndIfStalled(time_point aNow, duration aLimit);
+  /// Closes the connection if the client has taken too little of an answer in
+  /// `aLimit`. Counts from the first call at which an answer waits.
+  void EndIfAnswerStalled(time_point aNow, duration aLimit);
   /// Whether no request is handled and no answer is being sent.
   bool MayCloseForOthers() const { return !IsBusy() && Unsent() == 0; }
   /// Closes the connection, which `MayCloseForOthers`.
@@ -226,6 +257,9 @@
   bool IsFirst(const server_exchange& aExchange) const;
   void Send(std::string_view aBytes);
   std::size_t Unsent() const;
+  std::size_t MaxUnsent() const { return mList.MaxUnsent(); }
+  /// Accounts for the bytes of answers that the client has not taken.
+  void AccountAnswers();
   void PauseBody(bool aPaused);
   /// Decides whether the connection is closed after the answer of an exchange.
   /// No request starts after such an answer.
@@ -253,6 +287,12 @@
   body_reservation mHeld;
   /// Account of the bytes in the parser.
   body_reservation mInputHeld;
+  /// Account of the answers that the client has not taken yet.
+  body_reservation mAnswersHeld;
+  /// When the client was last seen to take a part of an answer that waits, and
+  /// the bytes that it had taken; nothing if no answer was seen to wait.
+  std::optional<time_point> mAnswerTakenAt;
+  std::uint64_t mTakenBytes = 0;
   /// When the connection was opened or the last request ended.
   time_point mIdleSince{};
   /// When the request in the parser began to arrive.
--- a/src/proxy/streamed-exchange.cc
+++ b/src/proxy/streamed-exchange.cc
@@ -1,5 +1,7 @@
 #include "proxy/streamed-exchange.h"
 
+#include <algorithm>
+
 namespace eelgrasstrack {
 
 namespace {
@@ -46,7 +48,13 @@
 streamed_exchange::ForwardAnswerBody(std::string_view aBytes)
 {
   mExchange->SendAnswerBody(aBytes);
-  if (mRun && mExchange->Unsent() > kMaxUnsentBytes) {
+  std::size_t limit = std::min(kMaxUnsentBytes, mExchange->MaxUnsent());
+  if (!mRun || mExchange->Unsent() <= limit) {
+    return;
+  }
+  // Only bytes that the connection has are followed by `OnAnswerSent`.
+  mExchange->Flush();
+  if (mExchange->Unsent() > limit) {
     mRun->PauseAnswer(true);
   }
 }
--- a/test/crowd/answer-crowd-test.cc
+++ b/test/crowd/answer-crowd-test.cc
@@ -14,6 +14,10 @@
 /// Requests at each instance that keep their slots; the others are left for
 /// ordinary requests.
 constexpr unsigned kKeptSlots = 100;
+/// Callers whose whole answers are more than the memory of the test's settings
+/// (64 MB).
+constexpr std::size_t kSlowCallers = 400;
+constexpr std::size_t kAnswerBytes = 250'000;
 constexpr std::size_t kPartBytes = 65536;
 /// Bodies of the largest accepted size, less one byte, at the ports for
 /// heartbeats and other nodes: more than the memory of the test's settings.
@@ -25,6 +29,7 @@
 constexpr seconds kSendTime{ 3 };
 
 const std::string kPart(kPartBytes, 'x');
+const std::string kChunkedField = "Transfer-Encoding: chunked\r\n";
 /// One chunk of `kPartBytes`.
 const std::string kChunk = "10000\r\n" + kPart + "\r\n";
 const std::string kEndlessBody =
@@ -67,6 +72,70 @@
 
 } // namespace
 
+// Guards against a node that keeps what instances send without end while the
+// callers do not read.
+TEST_CASE_METHOD(crowd_fixture,
+                 "instances, bodies without end, callers read nothing, node "
+                 "stays within its memory and serves",
+                 "[crowd][endless-body]")
+{
+  SECTION("in chunks")
+  {
+    Start(WithAnswer(kChunkedField + "\r\n", kChunk));
+  }
+  SECTION("without a length")
+  {
+    Start(WithAnswer("\r\n", kPart));
+  }
+  for (std::size_t i = 0; i < kNodes; ++i) {
+    OpenSlowCrowd(i, kKeptSlots, Request());
+  }
+  RunFor(kSendTime);
+  CheckNodes("bodies without end, not read");
+}
+
+// Guards against a node that keeps what it has passed on.
+TEST_CASE_METHOD(crowd_fixture,
+                 "instances, bodies without end, callers read them, node "
+                 "stays within its memory and serves",
+                 "[crowd][endless-read]")
+{
+  constexpr std::size_t kReaders = 20;
+  Start(WithAnswer(kChunkedField + "\r\n", kChunk));
+  for (std::size_t i = 0; i < kReaders; ++i) {
+    crowd_client_ptr reader = Connect(i % kNodes);
+    reader->drops = true;
+    reader->link->Send(Request());
+    mCrowd.push_back(reader);
+  }
+  RunFor(kSendTime);
+  CheckNodes("bodies without end, read");
+}
+
+// Guards against a sum of answers without a bound that callers do not read.
+TEST_CASE_METHOD(crowd_fixture,
+                 "callers, read nothing of whole answers, node stays within "
+                 "its memory and serves",
+                 "[crowd][slow-readers]")
+{
+  const std::string body(kAnswerBytes, 'b');
+  Start(WithAnswer(
+    "Content-Length: " + std::to_string(kAnswerBytes) + "\r\n\r\n" + body, ""));
+  SECTION("connections are kept")
+  {
+    OpenSlowCrowd(0, kSlowCallers, Request());
+  }
+  SECTION("connections close after the answer")
+  {
+    for (std::size_t i = 0; i < kSlowCallers; ++i) {
+      OpenSlowCrowd(
+        0, 1, crowd_fixture::Head("/upload/", "Connection: close\r\n"));
+    }
+  }
+  RunFor(kSendTime);
+  CheckNodes("whole answers, not read");
+}
+
 // Guards against heads that are kept without a bound, or as fields that take
 // far more memory than their bytes.
 TEST_CASE_METHOD(crowd_fixture,
--- a/test/unit/body-budget-test.cc
+++ b/test/unit/body-budget-test.cc
@@ -96,3 +96,38 @@
   CHECK(holder.Resize(kLarge / 4));
   CHECK(next.Resize(1));
 }
+
+// Guards against an account that forgets bytes that are kept beyond the limit.
+TEST_CASE("body budget, bytes kept beyond the limit, counts them and is full",
+          "[body-budget]")
+{
+  body_budget budget(kLimit);
+  {
+    body_reservation answers(budget);
+    answers.Force(kLimit + kLarge);
+    CHECK(budget.HeldBytes() == kLimit + kLarge);
+    CHECK(budget.IsFull());
+    body_reservation other(budget);
+    CHECK_FALSE(other.Resize(kSmall));
+    answers.Force(kSmall);
+    CHECK_FALSE(budget.IsFull());
+    CHECK(other.Resize(kSmall));
+  }
+  CHECK(budget.HeldBytes() == 0);
+}
+
+// Guards against a text that takes more memory than it has reserved.
+TEST_CASE("body budget, text grows within its reservation or not at all",
+          "[body-budget]")
+{
+  body_budget budget(kLimit);
+  body_reservation held(budget);
+  std::string text;
+  const std::string part(kSmall, 'x');
+  while (AppendReserved(text, part, held)) {
+    REQUIRE(text.capacity() <= held.Bytes());
+  }
+  CHECK(text.size() >= kLarge);
+  CHECK(text.size() % kSmall == 0);
+  CHECK(budget.HeldBytes() <= kLimit);
+}
--- a/test/unit/platform-test.cc
+++ b/test/unit/platform-test.cc
@@ -242,10 +242,12 @@
   result<mesh_settings> settings = ParseMeshSettings(document.dump());
   REQUIRE(settings);
   CHECK(settings->clients.body_bytes == std::size_t{ 80 } << 20U);
+  CHECK(settings->clients.answer_bytes == std::size_t{ 60 } << 20U);
   CHECK(settings->clients.control_bytes == std::size_t{ 30 } << 20U);
   CHECK(settings->clients.caller_connections == 2925);
   CHECK(settings->clients.stall_time == std::chrono::seconds(20));
   document["limits"]["body_budget_mb"] = 8;
+  document["limits"]["answer_budget_mb"] = 6;
   document["limits"]["control_budget_mb"] = 5;
   document["limits"]["body_stall_s"] = 2.5;
   document["limits"]["body_stall_full_s"] = 0.5;
@@ -253,12 +255,14 @@
   settings = ParseMeshSettings(document.dump());
   REQUIRE(settings);
   CHECK(settings->clients.body_bytes == std::size_t{ 8 } << 20U);
+  CHECK(settings->clients.answer_bytes == std::size_t{ 6 } << 20U);
   CHECK(settings->clients.control_bytes == std::size_t{ 5 } << 20U);
   CHECK(settings->clients.stall_time == std::chrono::milliseconds(2500));
   CHECK(settings->clients.stall_time_when_full ==
         std::chrono::milliseconds(500));
   CHECK(settings->clients.caller_connections == 100);
   for (const char* field : { "body_budget_mb",
+                             "answer_budget_mb",
                              "control_budget_mb",
                              "body_stall_s",
                              "caller_connections" }) {
