--- a/test/integration/calls-test.cc
+++ b/test/integration/calls-test.cc
@@ -410,3 +410,71 @@
     CHECK(answer->status == 502);
   }
 }
+
+namespace {
+
+/// Peak of the memory of a process in megabytes, as the kernel reports it.
+double
+PeakMegabytes(pid_t aProcess)
+{
+  constexpr double kKilobytes = 1024;
+  std::ifstream status("/proc/" + std::to_string(aProcess) + "/status");
+  for (std::string line; std::getline(status, line);) {
+    if (line.rfind("VmHWM:", 0) == 0) {
+      return std::stod(line.substr(6)) / kKilobytes;
+    }
+  }
+  return 0;
+}
+
+} // namespace
+
+// Guards against bodies without end that a node keeps for all its calls
+// together: each is limited, their sum is not.
+TEST_CASE("Calls_BodiesWithoutEndOfAnUpstream_NodeStaysWithinItsMemory",
+          "[calls][known-red]")
+{
+  /// What a node may take (docs/CAPACITY.md).
+  constexpr double kMaxMegabytes = 256;
+  constexpr unsigned kCalls = 100;
+  // Within the range of the setting; twice its default.
+  fleet_shape shape;
+  shape.node_flags = { "--max-body-kb=16384" };
+  deployment_fixture fixture(shape);
+  fixture.Start();
+  fixture.ApplyExample("seri-kenanga");
+  const std::string chunk = "10000\r\n" + std::string(65536, 'x') + "\r\n";
+  endpoint address = fixture.fleet.AllocateEndpoint();
+  test::raw_server upstream(address, [&](test::raw_exchange& aExchange) {
+    aExchange.Send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    while (aExchange.Send(chunk)) {
+    }
+    return test::server_end::close;
+  });
+  json announcement = { { "service", "shift-desk" },
+                        { "version", "v1" },
+                        { "address", ToString(address) },
+                        { "slots", kCalls } };
+  REQUIRE(fixture.fleet.Rpc(1, "POST", "/v1/upstream", &announcement));
+  REQUIRE(fixture.WaitForUpstreams(1, "v1", 1));
+  tcp_transport sockets(fixture.fleet.Loop());
+  http_client_options limits;
+  limits.max_connections = kCalls;
+  http_client callers(sockets, fixture.fleet.NodeEndpoints(1).callers, limits);
+  unsigned ended = 0;
+  for (unsigned i = 0; i < kCalls; ++i) {
+    http_request request;
+    request.method = "POST";
+    request.path = "/shifts";
+    request.headers = { { "x-request-id", "endless-" + std::to_string(i) } };
+    callers.Start(std::move(request),
+                  seconds(10),
+                  [&ended](const http_result&) { ++ended; });
+  }
+  fixture.fleet.WaitUntil(seconds(15), [&] { return ended == kCalls; });
+  double peak = PeakMegabytes(fixture.fleet.Node(1).Id());
+  INFO("connections " << upstream.Connections() << ", calls ended " << ended);
+  CHECK(fixture.fleet.Node(1).Running());
+  REQUIRE(upstream.Connections() > 0); // others are shed by the queue
+  CHECK(peak < kMaxMegabytes);
+}
