Write the entry of a host under the condition of its revision

What callers could see: a write of the entry that found no answer may be done seconds later (PROTOCOL.md: "if its condition still holds"; platform_lost, late).

Change: the client keeps the revision of each entry that it has read or written and replaces only that one; without a revision it creates the entry. On a conflict the node reads its entry, takes over what it says (RestoreOwnEntry) and writes again. This also keeps a restarted node from writing over an entry that it has not read.

--- a/src/mesh/control-store.h
+++ b/src/mesh/control-store.h
@@ -58,6 +58,8 @@
 
 /// Called with the result of a write.
 using done_callback = std::function<void(result<void>)>;
+/// Called with the host record of a node.
+using host_callback = std::function<void(result<host_record>)>;
 /// Called with the host records of all nodes.
 using hosts_callback = std::function<void(result<std::vector<host_record>>)>;
 
@@ -90,9 +92,15 @@
   /// `invalid_argument`.
   virtual result<accepted_table> ParseTable(std::string aText) = 0;
 
-  /// Creates or replaces the entry of this node.
+  /// Creates the entry of this node, or replaces the one that was last read or
+  /// written here. Fails with `conflict` if the store holds another one, which
+  /// must be read first. A write without an answer may be done later, but not
+  /// after a further one has succeeded.
   virtual void PublishHost(const host_record& aRecord, done_callback aDone) = 0;
 
+  /// Reads the entry of a node. Fails with `not_found` if there is none.
+  virtual void ReadHost(const std::string& aName, host_callback aDone) = 0;
+
   /// Lists the entries of all nodes. Malformed entries are logged and skipped.
   virtual void ListHosts(hosts_callback aDone) = 0;
 
--- a/src/mesh/mesh-node.cc
+++ b/src/mesh/mesh-node.cc
@@ -314,20 +314,17 @@
   mPublishing = true;
   host_record written = mOwnRecord;
   written.leaving = false; // the entry also holds for the next process
-  mStore.PublishHost(written, [this, written](result<void> aDone) {
+  mStore.PublishHost(written, [this, written](const result<void>& aDone) {
     mPublishing = false;
     if (!aDone) {
-      LogEvent(log_level::debug,
-               "publish_failed",
-               { { "reason", aDone.error().message } });
-      RetryPublish();
+      HandlePublishFailed(aDone.error());
       return;
     }
     mDepartures.HandleEntryStored(written);
     // Nodes that publish after this write see this node's entry when they list
     // the hosts. Nodes that published earlier may miss it: list again to find
     // them.
-    bool first = !mPublished;
+    bool first = !mPublished || !mHostsListed;
     mPublished = written;
     if (first) {
       ListOtherHosts();
@@ -337,10 +334,43 @@
 }
 
 void
-mesh_node::RetryPublish()
+mesh_node::HandlePublishFailed(const error& aError)
+{
+  LogEvent(
+    log_level::debug, "publish_failed", { { "reason", aError.message } });
+  if (aError.kind == error_kind::conflict) {
+    ReadOwnEntry();
+    return;
+  }
+  // A call that has timed out has taken long enough.
+  bool timedOut = aError.kind == error_kind::deadline_exceeded;
+  PublishSoon(timedOut ? duration(0) : kDepartureRetryDelay);
+}
+
+void
+mesh_node::ReadOwnEntry()
+{
+  mPublishing = true;
+  mStore.ReadHost(mOwnRecord.name, [this](const result<host_record>& aEntry) {
+    mPublishing = false;
+    if (!aEntry) {
+      LogEvent(log_level::debug,
+               "own_entry_not_read",
+               { { "reason", aEntry.error().message } });
+    } else {
+      mPublished = *aEntry;
+      RestoreOwnEntry(*aEntry);
+      mDepartures.HandleEntryStored(*aEntry);
+    }
+    PublishSoon(kDepartureRetryDelay);
+  });
+}
+
+void
+mesh_node::PublishSoon(duration aDelay)
 {
   if (mDepartures.IsWaiting()) {
-    mLoop.RunAfter(kDepartureRetryDelay, [this] { PublishOwnRecord(); });
+    mLoop.RunAfter(aDelay, [this] { PublishOwnRecord(); });
   } else {
     SchedulePublish();
   }
@@ -384,11 +414,7 @@
     mGossip.SpreadHost(mOwnRecord);
     // Other nodes supply the changes made since the entries were written.
     mGossip.CompareAtStart();
-    if (mDepartures.IsWaiting()) {
-      PublishOwnRecord();
-    } else {
-      SchedulePublish();
-    }
+    PublishSoon(duration(0));
   });
 }
 
--- a/src/mesh/mesh-node.h
+++ b/src/mesh/mesh-node.h
@@ -129,9 +129,12 @@
   void PublishOwnRecord();
   /// Publishes after a delay, to combine changes into one write.
   void SchedulePublish();
-  /// Publishes again after a failed write, sooner if an instance that leaves
-  /// waits for it.
-  void RetryPublish();
+  void HandlePublishFailed(const error& aError);
+  /// Reads the entry that another write has left, and publishes again.
+  void ReadOwnEntry();
+  /// Publishes after a delay: this one if an instance that leaves waits for it,
+  /// else the usual one.
+  void PublishSoon(duration aDelay);
   /// Sends this node's changed record to other nodes with a new sequence
   /// number.
   void SpreadOwnRecord();
--- a/test/harness/mesh-world.cc
+++ b/test/harness/mesh-world.cc
@@ -90,6 +90,7 @@
 store_access::SetObserver(control_store_observer& aObserver)
 {
   mObserver = &aObserver;
+  mKnownHosts.clear(); // a node that starts knows nothing
   mLoop.RunAfter(duration(1), [this] { NotifyTable(); });
 }
 
@@ -106,15 +107,29 @@
 void
 store_access::PublishHost(const host_record& aRecord, done_callback aDone)
 {
-  bool reachable = IsReachable();
-  if (reachable) {
+  result<void> done;
+  if (!IsReachable()) {
+    done = Fail(error_kind::store_unavailable, "store is unavailable");
+  } else if (mStore.hosts.count(aRecord.name) > 0 &&
+             mKnownHosts.count(aRecord.name) == 0) {
+    done = Fail(error_kind::conflict, "the entry has not been read");
+  } else {
+    mKnownHosts.insert(aRecord.name);
     mStore.hosts[aRecord.name] = aRecord;
   }
-  mLoop.RunAfter(duration(1), [reachable, aDone] {
-    aDone(reachable ? result<void>()
-                    : result<void>(Fail(error_kind::store_unavailable,
-                                        "store is unavailable")));
-  });
+  mLoop.RunAfter(duration(1), [done, aDone] { aDone(done); });
+}
+
+void
+store_access::ReadHost(const std::string& aName, host_callback aDone)
+{
+  auto found = mStore.hosts.find(aName);
+  result<host_record> entry =
+    found == mStore.hosts.end()
+      ? Fail(error_kind::not_found, "no entry of " + aName)
+      : result<host_record>(found->second);
+  mKnownHosts.insert(aName);
+  mLoop.RunAfter(duration(1), [entry, aDone] { aDone(entry); });
 }
 
 void
@@ -127,6 +142,7 @@
     }
     std::vector<host_record> hosts;
     for (const auto& [name, host] : mStore.hosts) {
+      mKnownHosts.insert(name);
       hosts.push_back(host);
     }
     aDone(std::move(hosts));
--- a/test/harness/mesh-world.h
+++ b/test/harness/mesh-world.h
@@ -46,6 +46,7 @@
   bool AnsweredSince(time_point) const override { return IsReachable(); }
   result<accepted_table> ParseTable(std::string aText) override;
   void PublishHost(const host_record& aRecord, done_callback aDone) override;
+  void ReadHost(const std::string& aName, host_callback aDone) override;
   void ListHosts(hosts_callback aDone) override;
   void RemoveHost(const std::string& aName, std::int64_t aIncarnation) override;
   void RecordProgress(const canary_order& aOrder, done_callback aDone) override;
@@ -55,6 +56,8 @@
 
   loop& mLoop;
   memory_store& mStore;
+  /// Names of the entries that the node has read or written.
+  std::set<std::string> mKnownHosts;
   control_store_observer* mObserver = nullptr;
   bool mRejected = false;
 };
--- a/test/harness/platform-store.cc
+++ b/test/harness/platform-store.cc
@@ -76,6 +76,10 @@
                                                    : status::kTooManyRequests));
     return;
   }
+  if (mFault == fault::delays_writes && aRequest.method != "GET") {
+    mLateWrites.push_back(std::move(aRequest));
+    return;
+  }
   if (mFault == fault::drops_answers) {
     aRespond = [](const buffered_response&) {};
   }
@@ -86,6 +90,15 @@
   }
 }
 
+void
+platform_store::ExecuteLateWrites()
+{
+  for (const buffered_request& write :
+       std::exchange(mLateWrites, std::vector<buffered_request>())) {
+    Write(write);
+  }
+}
+
 buffered_response
 platform_store::Read(const buffered_request& aRequest,
                      respond_callback& aRespond)
--- a/test/harness/platform-store.h
+++ b/test/harness/platform-store.h
@@ -22,6 +22,9 @@
     rate_limited,
     /// Executes the call and sends no response.
     drops_answers,
+    /// Sends no response to a write and executes it when `ExecuteLateWrites` is
+    /// called, if its condition still holds.
+    delays_writes,
   };
 
   platform_store(loop& aLoop,
@@ -54,6 +57,8 @@
   void Compact() { mOldestWatchRevision = mRevision; }
 
   void SetFault(fault aFault) { mFault = aFault; }
+  /// Executes the delayed writes.
+  void ExecuteLateWrites();
   /// Sets the maximum number of objects on one page of a listing.
   void SetPageSize(std::size_t aSize) { mPageSize = aSize; }
 
@@ -96,6 +101,7 @@
   unsigned mCalls = 0;
   std::map<std::string, std::string> mRawTexts;
   fault mFault = fault::none;
+  std::vector<buffered_request> mLateWrites;
 };
 
 } // namespace eelgrasstrack::test
--- a/test/unit/store-client-test.cc
+++ b/test/unit/store-client-test.cc
@@ -102,6 +102,28 @@
     }
   }
 
+  /// Publishes an entry and returns the error, if the call failed.
+  std::optional<error_kind> TryPublish(const host_record& aRecord)
+  {
+    std::optional<result<void>> done;
+    client.PublishHost(aRecord, [&](result<void> aDone) {
+      done = std::move(aDone);
+      event_loop.Stop();
+    });
+    while (!done) {
+      event_loop.Run();
+    }
+    return *done ? std::nullopt : std::optional(done->error().kind);
+  }
+
+  std::int64_t StoredIncarnation(const std::string& aName) const
+  {
+    return store.Find("eelgrasstrack-hosts", aName)
+      .at("spec")
+      .at("incarnation")
+      .get<std::int64_t>();
+  }
+
   /// Records the progress of an order of the service `s` and checks that this
   /// conflicts and changes nothing.
   void CheckProgressConflicts(const canary_order& aOrder)
@@ -264,6 +286,87 @@
   CHECK_FALSE(store.Find("eelgrasstrack-hosts", "a").is_null());
 }
 
+// Guards against DRAIN: a write of the entry without an answer is done seconds
+// later, and the store forgets a departure that a later write has recorded.
+TEST_CASE_METHOD(store_client_fixture,
+                 "store client, write without an answer is done late, later "
+                 "entry stays",
+                 "[store-client]")
+{
+  bool created = GENERATE(false, true);
+  host_record record = MakeHost("a");
+  if (!created) {
+    Publish(record);
+  }
+  store.SetFault(platform_store::fault::delays_writes);
+  record.incarnation = 1;
+  REQUIRE(TryPublish(record) == error_kind::deadline_exceeded);
+  store.SetFault(platform_store::fault::none);
+  record.incarnation = 2;
+  Publish(record);
+  store.ExecuteLateWrites();
+  CHECK(StoredIncarnation("a") == 2);
+}
+
+// Guards against a write that overwrites what an earlier process of the host
+// has recorded.
+TEST_CASE_METHOD(store_client_fixture,
+                 "store client, entry not read, conflicts until it is read",
+                 "[store-client]")
+{
+  host_record record = MakeHost("a");
+  record.incarnation = 1;
+  Publish(record);
+  store_client restarted(control, event_loop, counters);
+  restarted.SetAddress(address);
+  host_record next = record;
+  next.incarnation = 2;
+  std::optional<result<void>> written;
+  std::optional<result<host_record>> read;
+  restarted.PublishHost(
+    next, [&](result<void> aDone) { written = std::move(aDone); });
+  RunFor(milliseconds(100));
+  REQUIRE(written);
+  REQUIRE_FALSE(*written);
+  CHECK(written->error().kind == error_kind::conflict);
+  CHECK(StoredIncarnation("a") == 1);
+  restarted.ReadHost(
+    "a", [&](result<host_record> aEntry) { read = std::move(aEntry); });
+  RunFor(milliseconds(100));
+  REQUIRE(read);
+  REQUIRE(*read);
+  CHECK((*read)->incarnation == 1);
+  restarted.PublishHost(
+    next, [&](result<void> aDone) { written = std::move(aDone); });
+  RunFor(milliseconds(100));
+  CHECK(*written);
+  CHECK(StoredIncarnation("a") == 2);
+}
+
+// Guards against an entry that can't be written any more: a write was done and
+// its answer lost.
+TEST_CASE_METHOD(store_client_fixture,
+                 "store client, answer to a write is lost, entry read again is "
+                 "written",
+                 "[store-client]")
+{
+  host_record record = MakeHost("a");
+  Publish(record);
+  store.SetFault(platform_store::fault::drops_answers);
+  record.incarnation = 1;
+  REQUIRE(TryPublish(record) == error_kind::deadline_exceeded);
+  store.SetFault(platform_store::fault::none);
+  record.incarnation = 2;
+  REQUIRE(TryPublish(record) == error_kind::conflict);
+  client.ReadHost("a", [this](const result<host_record>& aEntry) {
+    CHECK(aEntry);
+    event_loop.Stop();
+  });
+  event_loop.Run();
+  Publish(record);
+  CHECK(StoredIncarnation("a") == 2);
+}
+
 TEST_CASE_METHOD(store_client_fixture,
                  "store client, order has changed, progress write conflicts",
                  "[store-client]")
