Keep the last departure in the entry of a host and in its record

What callers could see: requests at an instance that had left, by a late heartbeat after a restart, in four orders of events: - the heartbeat comes before the restarted node can read its entry, which names the departure; the node wrote "ready" over it (RestoreOwnEntry looked at the entry only while no instance was known); - the instance was not known to the node that acknowledged the departure, so the entry named none ("not ready" was enough for the acknowledgement); - two instances left in turn, and the heartbeat is one of the first; - an exit notice without a start reaches a restarted node whose clock was set back, before the entry: the departure was taken to be of an earlier incarnation, and the instance was resumed.

Cause: the entry showed a departure only through the state of the present instance. What the acknowledgement promised was in the directory of the process.

Evidence: on the tests of these four in departure-record-test.cc fail: the node takes the instance for ready, and in the first the entry says "ready" afterwards.

An acknowledgement waits until the entry has this departure or a later one. It only ever moves on, so that an acknowledgement needs no look at writes in progress. A restarted node takes over the departure and also an instance that has left, which orders heartbeats of earlier ones; an instance that counts as present by then is marked as gone. Other nodes learn it with the record. The entry is written for an acknowledgement also before the hosts are listed, which its condition makes safe.

--- a/src/mesh/departure-acknowledger.cc
+++ b/src/mesh/departure-acknowledger.cc
@@ -53,7 +53,7 @@
 departure_acknowledger::HandleEntryStored(const host_record& aEntry)
 {
   for (const pending_ptr& pending : std::vector<pending_ptr>(mPending)) {
-    if (!NamesAsReady(aEntry, pending->departure)) {
+    if (Covers(aEntry.last_departure, pending->departure)) {
       Finish(pending, {});
     }
   }
@@ -78,11 +78,4 @@
   }
 }
 
-bool
-NamesAsReady(const host_record& aEntry, const instance_incarnation& aInstance)
-{
-  return aEntry.instance.state == instance_state::ready &&
-         HasLeft(aInstance, aEntry.instance);
-}
-
 } // namespace eelgrasstrack
--- a/src/mesh/departure-acknowledger.h
+++ b/src/mesh/departure-acknowledger.h
@@ -46,11 +46,6 @@
   std::vector<pending_ptr> mPending;
 };
 
-/// Whether a restarted node that reads this entry would take the instance for
-/// ready.
-bool
-NamesAsReady(const host_record& aEntry, const instance_incarnation& aInstance);
-
 } // namespace eelgrasstrack
 
 #endif // EELGRASSTRACK_MESH_DEPARTURE_ACKNOWLEDGER_H_
--- a/src/mesh/host-directory.cc
+++ b/src/mesh/host-directory.cc
@@ -14,6 +14,7 @@
 bool
 host_directory::Merge(const host_record& aRecord, time_point aNow)
 {
+  RecordLastDeparture(aRecord, aNow);
   auto known = mHosts.find(aRecord.name);
   if (known == mHosts.end()) {
     mHosts.emplace(aRecord.name, known_host{ aRecord, aNow, false, {} });
@@ -48,6 +49,24 @@
   return true;
 }
 
+void
+host_directory::RecordLastDeparture(const host_record& aRecord,
+                                    time_point aNow)
+{
+  if (aRecord.last_departure) {
+    RecordLeaving(aRecord.name, *aRecord.last_departure, aNow);
+  }
+}
+
+std::optional<instance_incarnation>
+host_directory::LastDeparture(const std::string& aHost) const
+{
+  auto leaving = mLeaving.find(aHost);
+  return leaving == mLeaving.end()
+           ? std::nullopt
+           : std::optional(leaving->second.incarnation);
+}
+
 bool
 host_directory::IsRecordedAsLeaving(const std::string& aHost,
                                     const instance_record& aInstance) const
@@ -66,6 +85,9 @@
     return std::nullopt;
   }
   const instance_incarnation& departure = leaving->second.incarnation;
+  if (Covers(host->record.last_departure, departure)) {
+    return std::nullopt;
+  }
   const instance_record& shown = host->record.instance;
   bool unreported =
     shown.state == instance_state::absent ||
--- a/src/mesh/host-directory.h
+++ b/src/mesh/host-directory.h
@@ -42,6 +42,9 @@
                      const instance_incarnation& aInstance,
                      time_point aNow);
 
+  /// The last departure recorded for a host, if any.
+  std::optional<instance_incarnation> LastDeparture(
+    const std::string& aHost) const;
   /// Whether this instance of a host is recorded as leaving.
   bool IsRecordedAsLeaving(const std::string& aHost,
                            const instance_record& aInstance) const;
@@ -89,6 +92,8 @@
   /// Remembers the instance of a record that is about to be dropped, if it is
   /// leaving or gone: a node that starts again may take it for ready.
   void RememberIfLeaving(const host_record& aDropped, time_point aNow);
+  /// Records the last departure that the record names.
+  void RecordLastDeparture(const host_record& aRecord, time_point aNow);
   /// Forgets the leaving instances of hosts that were removed long ago.
   void ForgetLeaving(time_point aNow);
   bool ReachesMajority() const;
--- a/src/mesh/host-entry-repair.cc
+++ b/src/mesh/host-entry-repair.cc
@@ -22,6 +22,7 @@
   return aLeft.hop == aRight.hop && aLeft.control == aRight.control &&
          IncarnationOf(aLeft.instance) == IncarnationOf(aRight.instance) &&
          aLeft.instance.state == aRight.instance.state &&
+         aLeft.last_departure == aRight.last_departure &&
          aLeft.quarantined == aRight.quarantined;
 }
 
--- a/src/mesh/host-record.cc
+++ b/src/mesh/host-record.cc
@@ -64,6 +64,18 @@
   return instance;
 }
 
+nlohmann::json
+EncodeIncarnation(const instance_incarnation& aInstance)
+{
+  return { { "id", aInstance.id }, { "born", aInstance.started_unix_ms } };
+}
+
+instance_incarnation
+DecodeIncarnation(const nlohmann::json& aJson)
+{
+  return { aJson.at("id").get<std::string>(), TimeIn(aJson.at("born")) };
+}
+
 quarantined_request
 DecodeQuarantined(const nlohmann::json& aJson)
 {
@@ -99,6 +111,18 @@
          aInstance.started_unix_ms <= aLeft.started_unix_ms;
 }
 
+bool
+Covers(const std::optional<instance_incarnation>& aLast,
+       const instance_incarnation& aDeparture)
+{
+  if (!aLast) {
+    return false;
+  }
+  return aLast->id == aDeparture.id
+           ? aLast->started_unix_ms >= aDeparture.started_unix_ms
+           : aLast->started_unix_ms > aDeparture.started_unix_ms;
+}
+
 bool
 IsNewer(const host_record& aLeft, const host_record& aRight)
 {
@@ -119,6 +143,9 @@
   if (aRecord.instance.state != instance_state::absent) {
     json["instance"] = EncodeInstance(aRecord.instance);
   }
+  if (aRecord.last_departure) {
+    json["departed"] = EncodeIncarnation(*aRecord.last_departure);
+  }
   for (const quarantined_request& request : aRecord.quarantined) {
     json["quarantined"].push_back({ request.fingerprint,
                                     request.count.epoch,
@@ -173,6 +200,9 @@
     if (aJson.contains("instance")) {
       record.instance = DecodeInstance(aJson.at("instance"));
     }
+    if (aJson.contains("departed")) {
+      record.last_departure = DecodeIncarnation(aJson.at("departed"));
+    }
     for (const nlohmann::json& entry :
          aJson.value("quarantined", nlohmann::json::array())) {
       record.quarantined.push_back(DecodeQuarantined(entry));
--- a/src/mesh/host-record.h
+++ b/src/mesh/host-record.h
@@ -71,6 +71,12 @@
 bool
 HasLeft(const instance_incarnation& aLeft, const instance_record& aInstance);
 
+/// Whether a host whose last departure is `aLast` has recorded `aDeparture`: it
+/// is that one, or an earlier one, as instances of a host follow each other.
+bool
+Covers(const std::optional<instance_incarnation>& aLast,
+       const instance_incarnation& aDeparture);
+
 /// The instance of a host leaves, or has left.
 struct host_departure
 {
@@ -114,6 +120,8 @@
   /// Whether the node is stopping and accepts no new requests.
   bool leaving = false;
   instance_record instance;
+  /// The last instance of the host that has announced its departure, if any.
+  std::optional<instance_incarnation> last_departure;
   /// Requests that this node has seen crash the last of several instances.
   std::vector<quarantined_request> quarantined;
 
--- a/src/mesh/mesh-node.cc
+++ b/src/mesh/mesh-node.cc
@@ -360,7 +360,6 @@
     } else {
       mPublished = *aEntry;
       RestoreOwnEntry(*aEntry);
-      mDepartures.HandleEntryStored(*aEntry);
     }
     PublishSoon(kDepartureRetryDelay);
   });
@@ -425,16 +424,46 @@
     mPublished = aEntry;
     mOwnRecord.quarantined = aEntry.quarantined;
   }
-  if (IsLeaving(aEntry.instance.state)) {
+  mDepartures.HandleEntryStored(aEntry);
+  RestoreDepartures(aEntry);
+  if (mOwnRecord.instance.id.empty()) {
+    RestoreInstance(aEntry.instance);
+  } else {
+    // A late heartbeat may have come before the entry.
+    EndDepartedInstance("entry");
+  }
+}
+
+void
+mesh_node::RestoreDepartures(const host_record& aEntry)
+{
+  if (aEntry.last_departure) {
+    RecordDeparture(*aEntry.last_departure);
+  }
+  bool exited = !mExitedBeforeRestore.empty() &&
+                mExitedBeforeRestore == aEntry.instance.id;
+  if (IsLeaving(aEntry.instance.state) || exited) {
     RecordDeparture(IncarnationOf(aEntry.instance));
   }
-  // The instance kept running while this process was down. If it has been
-  // replaced since, the new instance refuses requests addressed to the old one.
-  if (mOwnRecord.instance.state == instance_state::absent &&
-      aEntry.instance.state == instance_state::ready &&
-      !mDirectory.IsRecordedAsLeaving(mOwnRecord.name, aEntry.instance)) {
-    ResumeInstance(aEntry.instance);
+  mExitedBeforeRestore.clear();
+}
+
+void
+mesh_node::RestoreInstance(const instance_record& aInstance)
+{
+  if (aInstance.state == instance_state::absent) {
+    return;
+  }
+  if (!mDirectory.IsRecordedAsLeaving(mOwnRecord.name, aInstance)) {
+    // The instance kept running while this process was down. If it has been
+    // replaced since, the new instance refuses requests addressed to the old
+    // one.
+    ResumeInstance(aInstance);
+    return;
   }
+  mOwnRecord.instance = aInstance;
+  SetInstanceState(IsLeaving(aInstance.state) ? aInstance.state
+                                              : instance_state::gone);
 }
 
 void
@@ -477,8 +506,9 @@
                 : announced.started_unix_ms < known.started_unix_ms;
   // A node that has started again knows the departure from its entry or from
   // other nodes.
+  bool knownToLeave = sameIncarnation && IsLeaving(known.state);
   late = late ||
-         (announced.state == instance_state::ready && !IsLeaving(known.state) &&
+         (announced.state == instance_state::ready && !knownToLeave &&
           mDirectory.IsRecordedAsLeaving(mOwnRecord.name, announced));
   if (late) {
     LogEvent(log_level::info,
@@ -487,7 +517,7 @@
                { "sequence", std::to_string(aAnnouncement.sequence) } });
     return false;
   }
-  if (sameIncarnation && IsLeaving(known.state)) {
+  if (knownToLeave) {
     return true; // it does not become ready again
   }
   mAnnouncedSequence = aAnnouncement.sequence;
@@ -520,14 +550,19 @@
 instance_incarnation
 mesh_node::HandleInstanceExit(const exit_notice& aNotice)
 {
-  const instance_record& known = mOwnRecord.instance;
   instance_incarnation departure{
     aNotice.id, aNotice.started_unix_ms.value_or(StartBeforeExit(aNotice.id))
   };
-  RecordDeparture(departure);
+  if (!aNotice.started_unix_ms && mOwnRecord.instance.id.empty()) {
+    mExitedBeforeRestore = aNotice.id;
+  }
+  bool isNew = RecordDeparture(departure);
+  const instance_record& known = mOwnRecord.instance;
   if (known.state != instance_state::gone && HasLeft(departure, known)) {
     LogEvent(log_level::info, "instance_left", { { "instance", aNotice.id } });
     SetInstanceState(instance_state::gone);
+  } else if (isNew) {
+    SpreadOwnRecord();
   }
   return departure;
 }
@@ -550,21 +585,35 @@
 mesh_node::AcknowledgeDeparture(const instance_incarnation& aDeparture,
                                 done_callback aDone)
 {
-  // A write in progress may still name the instance as ready.
-  if (!mPublishing && mPublished && !NamesAsReady(*mPublished, aDeparture)) {
+  if (mPublished && Covers(mPublished->last_departure, aDeparture)) {
     aDone({});
     return;
   }
   mDepartures.Await(aDeparture, std::move(aDone));
-  if (mHostsListed) {
-    PublishOwnRecord();
-  }
+  PublishOwnRecord();
 }
 
-void
+bool
 mesh_node::RecordDeparture(const instance_incarnation& aDeparture)
 {
-  mDirectory.RecordLeaving(mOwnRecord.name, aDeparture, mLoop.Now());
+  bool isNew =
+    mDirectory.RecordLeaving(mOwnRecord.name, aDeparture, mLoop.Now());
+  mOwnRecord.last_departure = mDirectory.LastDeparture(mOwnRecord.name);
+  return isNew;
+}
+
+void
+mesh_node::EndDepartedInstance(const std::string& aSource)
+{
+  const instance_record& known = mOwnRecord.instance;
+  if (IsLeaving(known.state) ||
+      !mDirectory.IsRecordedAsLeaving(mOwnRecord.name, known)) {
+    return;
+  }
+  LogEvent(log_level::info,
+           "instance_left",
+           { { "instance", known.id }, { "source", aSource } });
+  SetInstanceState(instance_state::gone);
 }
 
 void
@@ -916,14 +965,8 @@
 void
 mesh_node::OnInstanceLeft(const instance_incarnation& aInstance)
 {
-  if (IsLeaving(mOwnRecord.instance.state) ||
-      !HasLeft(aInstance, mOwnRecord.instance)) {
-    return;
-  }
-  LogEvent(log_level::info,
-           "instance_left",
-           { { "instance", aInstance.id }, { "source", "other nodes" } });
-  SetInstanceState(instance_state::gone);
+  RecordDeparture(aInstance);
+  EndDepartedInstance("other nodes");
 }
 
 void
--- a/src/mesh/mesh-node.h
+++ b/src/mesh/mesh-node.h
@@ -117,6 +117,10 @@
   void ListOtherHosts();
   /// Takes over what this host's entry in the store says of its instance.
   void RestoreOwnEntry(const host_record& aEntry);
+  /// Records the departures that this host's entry shows.
+  void RestoreDepartures(const host_record& aEntry);
+  /// Takes over the instance of the entry if none has been announced yet.
+  void RestoreInstance(const instance_record& aInstance);
   void ResumeInstance(const instance_record& aInstance);
   void ApplyClientLimits();
   /// Metrics of what clients keep from others.
@@ -140,8 +144,12 @@
   void SpreadOwnRecord();
   /// Latest start of the instance that an exit notice without a start means.
   std::int64_t StartBeforeExit(const std::string& aId) const;
-  /// Records in the directory that an instance on this host leaves.
-  void RecordDeparture(const instance_incarnation& aDeparture);
+  /// Records that an instance on this host leaves, for the other nodes and for
+  /// the entry in the store. Returns whether it was not recorded before.
+  bool RecordDeparture(const instance_incarnation& aDeparture);
+  /// Marks an instance as gone that counts as present although its departure is
+  /// recorded.
+  void EndDepartedInstance(const std::string& aSource);
   /// Changes the state of the instance on this host and tells the other nodes.
   void SetInstanceState(instance_state aState);
   /// Handles an answer in which the instance says that it is leaving.
@@ -202,6 +210,9 @@
   host_record mOwnRecord;
   /// The compressed configuration text that is served to other nodes.
   std::string mCompressedConfig;
+  /// Instance that reported its exit without its start, before this host's
+  /// entry was read; empty if none has.
+  std::string mExitedBeforeRestore;
   std::int64_t mAnnouncedSequence = -1;
   time_point mAnnouncedAt{};
   /// When the instance is expected to be warm.
--- /dev/null
+++ b/test/unit/departure-record-test.cc
@@ -0,0 +1,238 @@
+#include <catch2/catch.hpp>
+
+#include "harness/store-world.h"
+
+using namespace eelgrasstrack;
+using namespace eelgrasstrack::test;
+using nlohmann::json;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr const char* kNode = "node-1";
+
+instance_record
+MakeInstance(const std::string& aId, std::int64_t aStart)
+{
+  instance_record instance;
+  instance.id = aId;
+  instance.service = "orders";
+  instance.version = "v1";
+  instance.address = { "127.0.0.1", 9 };
+  instance.state = instance_state::ready;
+  instance.started_unix_ms = aStart;
+  return instance;
+}
+
+/// A node, and what the store holds of it.
+class departure_world : public store_world
+{
+public:
+  departure_world() = default;
+
+  /// All processes were killed; the node starts again.
+  explicit departure_world(const platform_store::copy& aStored)
+  {
+    store.Restore(aStored);
+    first_start = false;
+  }
+
+  mesh_node& Start() { return StartNode(kNode); }
+
+  /// The node hears of an instance, and its entry is written.
+  void Join(const instance_record& aInstance)
+  {
+    Start();
+    Announce(aInstance);
+    REQUIRE(RunUntil([this] { return StoredState() == "ready"; }));
+  }
+
+  void Announce(const instance_record& aInstance)
+  {
+    Node().HandleAnnouncement({ aInstance, ++mSequence });
+  }
+
+  /// Reports the exit of an instance. Returns whether that was acknowledged
+  /// within a second.
+  bool ReportExit(const exit_notice& aNotice)
+  {
+    std::optional<bool> acknowledged;
+    Node().AcknowledgeDeparture(Node().HandleInstanceExit(aNotice),
+                                [&acknowledged](const result<void>& aDone) {
+                                  acknowledged = aDone.has_value();
+                                });
+    REQUIRE(RunUntil([&acknowledged] { return acknowledged.has_value(); }));
+    return *acknowledged;
+  }
+
+  mesh_node& Node() { return *nodes.back()->node; }
+
+  /// State of the instance in the node's entry; empty if there is none.
+  std::string StoredState() const
+  {
+    json entry = store.Find(kHostKind, kNode);
+    return entry.is_null() || !entry.at("spec").contains("instance")
+             ? ""
+             : entry.at("spec").at("instance").at("state").get<std::string>();
+  }
+
+  /// Whether the node takes the instance beside it for ready.
+  bool TakesForReady()
+  {
+    json hosts = json::parse(Node().Dump()).at("hosts");
+    return hosts.at(0).contains("instance") &&
+           hosts.at(0).at("instance").at("state") == "ready";
+  }
+
+private:
+  std::int64_t mSequence = 0;
+};
+
+} // namespace
+
+// Guards against DRAIN: a write that names the instance as ready and has found
+// no answer is done after the departure was acknowledged.
+TEST_CASE_METHOD(departure_world,
+                 "departure record, earlier write is done late, stays",
+                 "[departure]")
+{
+  Join(MakeInstance("i-1", 1000));
+  store.SetFault(platform_store::fault::delays_writes);
+  Announce(MakeInstance("i-1", 2000));
+  RunFor(milliseconds(1000)); // its write is on the way
+  store.SetFault(platform_store::fault::none);
+  REQUIRE(ReportExit({ "i-1", 2000 }));
+  store.ExecuteLateWrites();
+  CHECK(StoredState() == "gone");
+}
+
+// Guards against instances that leave without an acknowledgement: the answer to
+// the write is lost.
+TEST_CASE_METHOD(departure_world,
+                 "departure record, answer to the write is lost, is "
+                 "acknowledged when it is reported again",
+                 "[departure]")
+{
+  Join(MakeInstance("i-1", 1000));
+  store.SetFault(platform_store::fault::drops_answers);
+  CHECK_FALSE(ReportExit({ "i-1", 1000 }));
+  store.SetFault(platform_store::fault::none);
+  CHECK(ReportExit({ "i-1", 1000 }));
+}
+
+// Guards against DRAIN: a late heartbeat reaches a restarted node before it can
+// read its entry, and the node writes over the departure.
+TEST_CASE("departure record, late heartbeat before the entry is read, instance "
+          "stays gone",
+          "[departure]")
+{
+  platform_store::copy stored;
+  {
+    departure_world killed;
+    killed.Join(MakeInstance("i-1", 1000));
+    REQUIRE(killed.ReportExit({ "i-1", 1000 }));
+    stored = killed.store.Copy();
+  }
+  departure_world restarted(stored);
+  restarted.store.SetFault(platform_store::fault::unavailable);
+  restarted.Start();
+  restarted.Announce(MakeInstance("i-1", 1000));
+  restarted.RunFor(milliseconds(300));
+  restarted.store.SetFault(platform_store::fault::none);
+  restarted.RunFor(milliseconds(2000));
+  CHECK_FALSE(restarted.TakesForReady());
+  CHECK(restarted.StoredState() == "gone");
+}
+
+// Guards against DRAIN: the node that acknowledged the departure had not heard
+// of the instance, and its entry names none.
+TEST_CASE("departure record, instance unknown to the node, late heartbeat "
+          "after a restart is refused",
+          "[departure]")
+{
+  platform_store::copy stored;
+  {
+    departure_world killed;
+    killed.first_start = false;
+    killed.Start();
+    killed.RunFor(milliseconds(1000));
+    REQUIRE(killed.ReportExit({ "i-1", {} }));
+    stored = killed.store.Copy();
+  }
+  departure_world restarted(stored);
+  restarted.Start();
+  restarted.RunFor(milliseconds(500));
+  restarted.Announce(MakeInstance("i-1", 1000));
+  CHECK_FALSE(restarted.TakesForReady());
+}
+
+// Guards against DRAIN: only the last departure of a host is in its entry.
+TEST_CASE("departure record, two instances left in turn, late heartbeat of the "
+          "first is refused",
+          "[departure]")
+{
+  platform_store::copy stored;
+  {
+    departure_world killed;
+    killed.Join(MakeInstance("i-1", 1000));
+    REQUIRE(killed.ReportExit({ "i-1", 1000 }));
+    killed.Announce(MakeInstance("i-2", 2000));
+    killed.RunFor(milliseconds(1000));
+    REQUIRE(killed.ReportExit({ "i-2", 2000 }));
+    stored = killed.store.Copy();
+  }
+  departure_world restarted(stored);
+  restarted.Start();
+  restarted.RunFor(milliseconds(500));
+  restarted.Announce(MakeInstance("i-1", 1000));
+  CHECK_FALSE(restarted.TakesForReady());
+}
+
+// Guards against DRAIN: the clock of the host was set back, and the start of
+// the instance lies after the notice, which does not name it.
+TEST_CASE("departure record, notice without a start, clock was set back, "
+          "instance is not resumed",
+          "[departure]")
+{
+  platform_store::copy stored;
+  std::int64_t start = 0;
+  {
+    departure_world killed;
+    constexpr std::int64_t kHourMs = 3'600'000;
+    start = killed.event_loop.UnixMilliseconds() + kHourMs;
+    killed.Join(MakeInstance("i-1", start));
+    stored = killed.store.Copy();
+  }
+  departure_world restarted(stored);
+  restarted.store.SetFault(platform_store::fault::unavailable);
+  restarted.Start();
+  CHECK_FALSE(restarted.ReportExit({ "i-1", {} }));
+  restarted.store.SetFault(platform_store::fault::none);
+  restarted.RunFor(milliseconds(1000));
+  CHECK_FALSE(restarted.TakesForReady());
+  CHECK(restarted.ReportExit({ "i-1", {} }));
+  CHECK_FALSE(restarted.TakesForReady());
+  CHECK(restarted.StoredState() == "gone");
+  restarted.Announce(MakeInstance("i-1", start)); // a late heartbeat
+  CHECK_FALSE(restarted.TakesForReady());
+}
+
+// Guards against an outage after a departure: the instance starts again with
+// its id, and is served.
+TEST_CASE("departure record, instance starts again after a restart, is ready",
+          "[departure]")
+{
+  platform_store::copy stored;
+  {
+    departure_world killed;
+    killed.Join(MakeInstance("i-1", 1000));
+    REQUIRE(killed.ReportExit({ "i-1", 1000 }));
+    stored = killed.store.Copy();
+  }
+  departure_world restarted(stored);
+  restarted.Start();
+  restarted.RunFor(milliseconds(500));
+  restarted.Announce(MakeInstance("i-1", 2000));
+  CHECK(restarted.TakesForReady());
+}
