Let a node whose clock was set back follow its predecessor's record

What callers could see: a node starts again after its host's clock was set back, and the others ignore its records, as those of its predecessor look newer, until the clock has made up for it. They go on choosing the predecessor's instance, or none, and don't tell the node that an instance has left, since the record that they hold shows that already.

Evidence: on the test "host record, clock was set back, others follow the restarted node" fails, with the predecessor's record in the store and at another node: that node does not hear of the instance within 10 s.

Change: a node that meets a newer record of itself, in its entry or in a message, continues with that incarnation plus one, as in SWIM. Requests that it has counted for a rollout before may be counted twice; it meets the record when it lists the hosts, so these are those of its first moments.

--- a/src/mesh/gossip.cc
+++ b/src/mesh/gossip.cc
@@ -486,15 +486,24 @@
       LogSkipped(record.error());
       continue;
     }
-    // This node's own record is always newer than the copies on other nodes.
-    if (record->name != mDirectory.Self() &&
-        mDirectory.Merge(*record, mLoop.Now())) {
+    if (record->name == mDirectory.Self()) {
+      HandleOwnRecord(*record);
+    } else if (mDirectory.Merge(*record, mLoop.Now())) {
       updates.push_back(std::move(*record));
     }
   }
   return updates;
 }
 
+void
+gossip::HandleOwnRecord(const host_record& aCopy)
+{
+  const known_host* self = mDirectory.Find(mDirectory.Self());
+  if (self != nullptr && IsNewer(aCopy, self->record)) {
+    mDelegate.OnNewerOwnRecord(aCopy);
+  }
+}
+
 bool
 gossip::IsNewerCanary(const canary_rollout& aCanary) const
 {
--- a/src/mesh/gossip.h
+++ b/src/mesh/gossip.h
@@ -30,6 +30,9 @@
   virtual void OnHostsChanged() = 0;
   /// Another node knows that this instance of this host has left.
   virtual void OnInstanceLeft(const instance_incarnation& aInstance) = 0;
+  /// Another node holds a record of this host that is newer than this node's
+  /// own: it is of an earlier process, whose clock was ahead.
+  virtual void OnNewerOwnRecord(const host_record& aRecord) = 0;
   /// The set of evacuated failure domains changed.
   virtual void OnEvacuationsChanged() = 0;
   /// Another node had removed this node from its directory. This node's entry
@@ -135,6 +138,8 @@
   bool IsInOwnDomain(const std::string& aName) const;
   bool IsNewerCanary(const canary_rollout& aCanary) const;
   std::vector<host_record> MergeHosts(const nlohmann::json& aMessage);
+  /// Handles a copy of this node's own record.
+  void HandleOwnRecord(const host_record& aCopy);
   /// Passes the rollout states that are newer than the known ones to the
   /// delegate and returns them.
   std::vector<canary_rollout> MergeCanaries(const nlohmann::json& aMessage);
--- a/src/mesh/mesh-node.cc
+++ b/src/mesh/mesh-node.cc
@@ -6,6 +6,7 @@
 
 #include "base/hash.h"
 #include "base/invariant.h"
+#include "base/json-decode.h"
 #include "base/log.h"
 #include "mesh/order-id-json.h"
 #include "mesh/role-assignment.h"
@@ -425,6 +426,7 @@
     mOwnRecord.quarantined = aEntry.quarantined;
   }
   mDepartures.HandleEntryStored(aEntry);
+  FollowRecord(aEntry);
   RestoreDepartures(aEntry);
   if (mOwnRecord.instance.id.empty()) {
     RestoreInstance(aEntry.instance);
@@ -434,6 +436,20 @@
   }
 }
 
+void
+mesh_node::FollowRecord(const host_record& aRecord)
+{
+  if (!IsNewer(aRecord, mOwnRecord) || aRecord.incarnation >= kMaxTimeMs) {
+    return;
+  }
+  LogEvent(log_level::warning,
+           "incarnation_raised",
+           { { "to", std::to_string(aRecord.incarnation + 1) },
+             { "before", std::to_string(mOwnRecord.incarnation) } });
+  mOwnRecord.incarnation = aRecord.incarnation + 1;
+  SpreadOwnRecord();
+}
+
 void
 mesh_node::RestoreDepartures(const host_record& aEntry)
 {
@@ -969,6 +985,12 @@
   EndDepartedInstance("other nodes");
 }
 
+void
+mesh_node::OnNewerOwnRecord(const host_record& aRecord)
+{
+  FollowRecord(aRecord);
+}
+
 void
 mesh_node::OnEvacuationsChanged()
 {
--- a/src/mesh/mesh-node.h
+++ b/src/mesh/mesh-node.h
@@ -88,6 +88,7 @@
   void OnNewerConfig(const host_record& aFrom, std::uint64_t aVersion) override;
   void OnHostsChanged() override;
   void OnInstanceLeft(const instance_incarnation& aInstance) override;
+  void OnNewerOwnRecord(const host_record& aRecord) override;
   void OnEvacuationsChanged() override;
   void OnRemovedByOthers() override;
   void OnCanaryUpdates(const std::vector<canary_rollout>& aCanaries) override;
@@ -117,6 +118,9 @@
   void ListOtherHosts();
   /// Takes over what this host's entry in the store says of its instance.
   void RestoreOwnEntry(const host_record& aEntry);
+  /// Gives this process a later incarnation than the one that has left this
+  /// record. The clock has been set back if it has none by its start.
+  void FollowRecord(const host_record& aRecord);
   /// Records the departures that this host's entry shows.
   void RestoreDepartures(const host_record& aEntry);
   /// Takes over the instance of the entry if none has been announced yet.
--- a/test/unit/departure-record-test.cc
+++ b/test/unit/departure-record-test.cc
@@ -85,6 +85,36 @@
            hosts.at(0).at("instance").at("state") == "ready";
   }
 
+  /// Sends a message of another node to the last one.
+  void Send(const json& aMessage)
+  {
+    buffered_request request;
+    request.method = "POST";
+    request.target = "/v1/gossip";
+    request.body = aMessage.dump();
+    std::optional<bool> handled;
+    control.Call(nodes.back()->settings.control_listen,
+                 std::move(request),
+                 seconds(1),
+                 [&handled](const result<buffered_response>& aAnswer) {
+                   handled = aAnswer && aAnswer->status == 200;
+                 });
+    RunUntil([&handled] { return handled.has_value(); });
+    REQUIRE(handled == true);
+  }
+
+  /// Id of the node's instance as the first node knows it.
+  std::string InstanceKnownToOther()
+  {
+    json hosts = json::parse(nodes.front()->node->Dump()).at("hosts");
+    for (const json& host : hosts) {
+      if (host.at("name") == kNode && host.contains("instance")) {
+        return host.at("instance").at("id").get<std::string>();
+      }
+    }
+    return "";
+  }
+
 private:
   std::int64_t mSequence = 0;
 };
@@ -236,3 +266,37 @@
   restarted.Announce(MakeInstance("i-1", 2000));
   CHECK(restarted.TakesForReady());
 }
+
+// Guards against a node that is ignored by the others: its clock was set back,
+// and their records of its predecessor look newer than its own.
+TEST_CASE("host record, clock was set back, others follow the restarted node",
+          "[departure]")
+{
+  bool inStore = GENERATE(false, true);
+  constexpr std::int64_t kHourMs = 3'600'000;
+  departure_world world;
+  host_record predecessor;
+  predecessor.name = kNode;
+  predecessor.domain = "a";
+  predecessor.hop = FreeAddress();
+  predecessor.control = FreeAddress();
+  predecessor.incarnation = world.event_loop.UnixMilliseconds() + kHourMs;
+  predecessor.instance = MakeInstance("i-1", 1000);
+  if (inStore) {
+    world.store.Put(kHostKind, kNode, EncodeHostRecord(predecessor));
+  }
+  world.first_start = false;
+  world.StartNode("node-2");
+  world.RunFor(milliseconds(1500)); // its entry is written
+  if (!inStore) {
+    world.Send({ { "from", kNode },
+                 { "hosts", { EncodeHostRecord(predecessor) } } });
+  }
+  world.Start();
+  world.RunFor(milliseconds(500));
+  world.Announce(MakeInstance("i-2", 2000));
+  CHECK(world.RunUntil(
+    [&world] { return world.InstanceKnownToOther() == "i-2"; }));
+  json own = json::parse(world.Node().Dump()).at("hosts").at(0);
+  CHECK(own.at("incarnation") > predecessor.incarnation);
+}
--- a/test/unit/store-restored-test.cc
+++ b/test/unit/store-restored-test.cc
@@ -40,6 +40,7 @@
   void OnNewerConfig(const host_record&, std::uint64_t) override {}
   void OnHostsChanged() override {}
   void OnInstanceLeft(const instance_incarnation&) override {}
+  void OnNewerOwnRecord(const host_record&) override {}
   void OnEvacuationsChanged() override {}
   void OnRemovedByOthers() override {}
   void OnCanaryUpdates(const std::vector<canary_rollout>&) override {}
