Test that eelgrasstrackd keeps a departure when nodes are killed

What a killed node confirmed is forgotten, but nothing resumes an upstream after a start: a node has none until it announces itself, and others hold a record of an earlier incarnation, which the new one replaces. No fault, so no change of the program.

--- a/test/integration/calls-test.cc
+++ b/test/integration/calls-test.cc
@@ -45,6 +45,24 @@
   }
 }
 
+/// Announces an upstream of the service `shift-desk` to a node, as the upstream
+/// does. Returns whether the node confirmed it.
+bool
+AnnounceUpstream(deployment_fixture& aTest,
+                 std::size_t aNode,
+                 std::size_t aUpstream,
+                 bool aLeaving)
+{
+  json body = { { "service", "shift-desk" },
+                { "version", "v1" },
+                { "address",
+                  ToString(aTest.fleet.UpstreamEndpoint(aUpstream)) },
+                { "slots", 12 },
+                { "leaving", aLeaving } };
+  http_result answer = aTest.fleet.Rpc(aNode, "POST", "/v1/upstream", &body);
+  return answer && answer->status == 200;
+}
+
 } // namespace
 
 TEST_CASE("Calls_NodesKilledUnderLoad_NoRequestRunsTwiceAndNotRunIsCorrect",
@@ -74,6 +92,56 @@
   test.RequireNoBrokenInvariant();
 }
 
+// Guards against DRAIN: the node confirms from memory that its upstream leaves,
+// is killed at once, and sends calls to the upstream when it starts again.
+TEST_CASE("Calls_UpstreamLeavesNodesKilledAtOnce_UpstreamGetsNoCalls",
+          "[calls]")
+{
+  bool allKilled = GENERATE(false, true);
+  constexpr std::size_t kLeaver = 0;
+  constexpr int kCallsPerNode = 20;
+  deployment_fixture test;
+  test.Start();
+  test.ApplyExample("seri-kenanga");
+  std::string log = test.fleet.Folder() + "/left.log";
+  // The test announces this upstream in its place.
+  std::size_t left = test.fleet.StartUpstream(
+    kLeaver,
+    { "shift-desk", "v1", 12, { "--node=127.0.0.1:1", "--log=" + log } });
+  test.fleet.StartUpstream(1, { "shift-desk", "v1", 12, {} });
+  REQUIRE(AnnounceUpstream(test, kLeaver, left, false));
+  REQUIRE(test.WaitForUpstreams(2, "v1", 2));
+  REQUIRE(AnnounceUpstream(test, kLeaver, left, true));
+  std::size_t killed = allKilled ? test.fleet.Size() : 1;
+  for (std::size_t i = 0; i < killed; ++i) {
+    test.fleet.Node(i).Kill();
+  }
+  for (std::size_t i = 0; i < killed; ++i) {
+    test.fleet.StartNode(i);
+  }
+  REQUIRE(test.fleet.WaitUntilServing(seconds(30)));
+  REQUIRE(test.WaitForUpstreams(2, "v1", 1));
+  int answered = 0;
+  for (std::size_t node = 0; node < test.fleet.Size(); ++node) {
+    for (int call = 0; call < kCallsPerNode; ++call) {
+      http_request request;
+      request.method = "POST";
+      request.path = "/shifts";
+      request.body = "{}";
+      request.headers = {
+        { "x-request-id", std::to_string(node) + "-" + std::to_string(call) }
+      };
+      http_result answer =
+        test.fleet.Call(test.fleet.NodeEndpoints(node).callers, request);
+      answered += answer && answer->status == 200 ? 1 : 0;
+    }
+  }
+  CHECK(answered > 0);
+  std::ifstream executions(log);
+  std::string id;
+  CHECK_FALSE(executions >> id);
+}
+
 TEST_CASE("Calls_SameRequestKeyTwiceAtOneUpstream_RunsOnce", "[calls]")
 {
   deployment_fixture test;
