Split the entry of the own host off mesh_node

The quarantined requests of an entry are taken over also if it was first read after a conflict. No other change of behaviour.

--- a/src/mesh/mesh-node.cc
+++ b/src/mesh/mesh-node.cc
@@ -36,11 +36,6 @@
 constexpr duration kFirstAnnouncementTimeout = std::chrono::milliseconds(2000);
 constexpr duration kFirstAnnouncementCheckPeriod =
   std::chrono::milliseconds(100);
-/// Changes of the node's entry within this time are combined into one write.
-constexpr duration kPublishDelay = std::chrono::milliseconds(700);
-/// Delay before the entry is written again while an instance that leaves waits
-/// for that.
-constexpr duration kDepartureRetryDelay = std::chrono::milliseconds(250);
 constexpr duration kListRetryDelay = std::chrono::milliseconds(500);
 constexpr duration kConfigFetchTimeout = std::chrono::milliseconds(900);
 /// Delay before a configuration is fetched from another failure domain, so that
@@ -128,7 +123,6 @@
             mEvacuations,
             aCounters,
             *this)
-  , mDepartures(aLoop)
   , mEntryRepair(aLoop, aStore, mDirectory, mGossip)
   , mCanaryDriver(aLoop,
                   aClient,
@@ -137,6 +131,7 @@
                   mVersions,
                   aCounters,
                   *this)
+  , mEntry(aLoop, aStore, mOwnRecord, *this)
 {
   mOwnRecord.name = mSettings.name;
   mOwnRecord.domain = mSettings.domain;
@@ -299,94 +294,7 @@
     mLoop.RunAfter(kFirstAnnouncementCheckPeriod, [this] { Join(); });
     return;
   }
-  PublishOwnRecord();
-}
-
-void
-mesh_node::PublishOwnRecord()
-{
-  // An instance may leave while its node stops; that must be known afterwards.
-  if (mPublishing || (mDraining && !mDepartures.IsWaiting())) {
-    return;
-  }
-  if (mPublished && HaveSameEntry(*mPublished, mOwnRecord)) {
-    return;
-  }
-  mPublishing = true;
-  host_record written = mOwnRecord;
-  written.leaving = false; // the entry also holds for the next process
-  mStore.PublishHost(written, [this, written](const result<void>& aDone) {
-    mPublishing = false;
-    if (!aDone) {
-      HandlePublishFailed(aDone.error());
-      return;
-    }
-    mDepartures.HandleEntryStored(written);
-    // Nodes that publish after this write see this node's entry when they list
-    // the hosts. Nodes that published earlier may miss it: list again to find
-    // them.
-    bool first = !mPublished || !mHostsListed;
-    mPublished = written;
-    if (first) {
-      ListOtherHosts();
-    }
-    PublishOwnRecord(); // the record may have changed during the write
-  });
-}
-
-void
-mesh_node::HandlePublishFailed(const error& aError)
-{
-  LogEvent(
-    log_level::debug, "publish_failed", { { "reason", aError.message } });
-  if (aError.kind == error_kind::conflict) {
-    ReadOwnEntry();
-    return;
-  }
-  // A call that has timed out has taken long enough.
-  bool timedOut = aError.kind == error_kind::deadline_exceeded;
-  PublishSoon(timedOut ? duration(0) : kDepartureRetryDelay);
-}
-
-void
-mesh_node::ReadOwnEntry()
-{
-  mPublishing = true;
-  mStore.ReadHost(mOwnRecord.name, [this](const result<host_record>& aEntry) {
-    mPublishing = false;
-    if (!aEntry) {
-      LogEvent(log_level::debug,
-               "own_entry_not_read",
-               { { "reason", aEntry.error().message } });
-    } else {
-      mPublished = *aEntry;
-      RestoreOwnEntry(*aEntry);
-    }
-    PublishSoon(kDepartureRetryDelay);
-  });
-}
-
-void
-mesh_node::PublishSoon(duration aDelay)
-{
-  if (mDepartures.IsWaiting()) {
-    mLoop.RunAfter(aDelay, [this] { PublishOwnRecord(); });
-  } else {
-    SchedulePublish();
-  }
-}
-
-void
-mesh_node::SchedulePublish()
-{
-  if (mPublishScheduled) {
-    return;
-  }
-  mPublishScheduled = true;
-  mLoop.RunAfter(kPublishDelay, [this] {
-    mPublishScheduled = false;
-    PublishOwnRecord();
-  });
+  mEntry.Publish();
 }
 
 void
@@ -403,7 +311,7 @@
     for (const host_record& record : *aHosts) {
       mQuarantine.Learn(record);
       if (record.name == mOwnRecord.name) {
-        RestoreOwnEntry(record);
+        mEntry.HandleListed(record);
       } else {
         mDirectory.Merge(record, mLoop.Now());
       }
@@ -414,18 +322,27 @@
     mGossip.SpreadHost(mOwnRecord);
     // Other nodes supply the changes made since the entries were written.
     mGossip.CompareAtStart();
-    PublishSoon(duration(0));
+    mEntry.PublishSoon(duration(0));
   });
 }
 
 void
-mesh_node::RestoreOwnEntry(const host_record& aEntry)
+mesh_node::OnEntryWritten(bool aFirst)
 {
-  if (!mPublished) {
-    mPublished = aEntry;
+  // Nodes that publish after this write see this node's entry when they list
+  // the hosts. Nodes that published earlier may miss it: list again to find
+  // them.
+  if (aFirst || !mHostsListed) {
+    ListOtherHosts();
+  }
+}
+
+void
+mesh_node::OnEntryRead(const host_record& aEntry, bool aFirst)
+{
+  if (aFirst) {
     mOwnRecord.quarantined = aEntry.quarantined;
   }
-  mDepartures.HandleEntryStored(aEntry);
   FollowRecord(aEntry);
   RestoreDepartures(aEntry);
   if (mOwnRecord.instance.id.empty()) {
@@ -456,8 +373,8 @@
   if (aEntry.last_departure) {
     RecordDeparture(*aEntry.last_departure);
   }
-  bool exited = !mExitedBeforeRestore.empty() &&
-                mExitedBeforeRestore == aEntry.instance.id;
+  bool exited =
+    !mExitedBeforeRestore.empty() && mExitedBeforeRestore == aEntry.instance.id;
   if (IsLeaving(aEntry.instance.state) || exited) {
     RecordDeparture(IncarnationOf(aEntry.instance));
   }
@@ -506,7 +423,7 @@
   RefreshVersions();
   mGossip.SpreadHost(mOwnRecord);
   if (mHostsListed) {
-    SchedulePublish();
+    mEntry.SchedulePublish();
   }
 }
 
@@ -523,9 +440,8 @@
   // A node that has started again knows the departure from its entry or from
   // other nodes.
   bool knownToLeave = sameIncarnation && IsLeaving(known.state);
-  late = late ||
-         (announced.state == instance_state::ready && !knownToLeave &&
-          mDirectory.IsRecordedAsLeaving(mOwnRecord.name, announced));
+  late = late || (announced.state == instance_state::ready && !knownToLeave &&
+                  mDirectory.IsRecordedAsLeaving(mOwnRecord.name, announced));
   if (late) {
     LogEvent(log_level::info,
              "announcement_late",
@@ -601,12 +517,7 @@
 mesh_node::AcknowledgeDeparture(const instance_incarnation& aDeparture,
                                 done_callback aDone)
 {
-  if (mPublished && Covers(mPublished->last_departure, aDeparture)) {
-    aDone({});
-    return;
-  }
-  mDepartures.Await(aDeparture, std::move(aDone));
-  PublishOwnRecord();
+  mEntry.AcknowledgeDeparture(aDeparture, std::move(aDone));
 }
 
 bool
@@ -805,6 +716,7 @@
   }
   LogEvent(log_level::info, "node_stopping");
   mDraining = true;
+  mEntry.SetStopping();
   mDrainStarted = mLoop.Now();
   mOwnRecord.leaving = true;
   mDispatcher.SetLeaving(true);
@@ -1001,8 +913,7 @@
 mesh_node::OnRemovedByOthers()
 {
   LogEvent(log_level::info, "dropped_by_others");
-  mPublished.reset();
-  SchedulePublish();
+  mEntry.HandleLost();
 }
 
 void
--- a/src/mesh/mesh-node.h
+++ b/src/mesh/mesh-node.h
@@ -3,10 +3,10 @@
 
 #include "mesh/canary-driver.h"
 #include "mesh/control-store.h"
-#include "mesh/departure-acknowledger.h"
 #include "mesh/gossip.h"
 #include "mesh/host-entry-repair.h"
 #include "mesh/mesh-settings.h"
+#include "mesh/own-entry.h"
 #include "mesh/quarantine-entries.h"
 #include "proxy/hop-server.h"
 #include "proxy/ingress.h"
@@ -30,6 +30,7 @@
   : public control_store_observer
   , public gossip_delegate
   , public canary_observer
+  , public own_entry_delegate
 {
 public:
   mesh_node(loop& aLoop,
@@ -98,6 +99,10 @@
   void OnCanaryLearned() override;
   void OnDeciderSilent(const std::string& aHost) override;
 
+  // own_entry_delegate
+  void OnEntryRead(const host_record& aEntry, bool aFirst) override;
+  void OnEntryWritten(bool aFirst) override;
+
 private:
   /// A host that holds a configuration.
   struct config_source
@@ -116,8 +121,6 @@
   /// first.
   void Join();
   void ListOtherHosts();
-  /// Takes over what this host's entry in the store says of its instance.
-  void RestoreOwnEntry(const host_record& aEntry);
   /// Gives this process a later incarnation than the one that has left this
   /// record. The clock has been set back if it has none by its start.
   void FollowRecord(const host_record& aRecord);
@@ -132,17 +135,6 @@
   /// Whether this node, after a restart, holds the latest configuration that
   /// another node has announced, or none has answered.
   bool HasCaughtUp() const;
-  /// Writes this node's entry to the store if an address or the instance
-  /// changed.
-  void PublishOwnRecord();
-  /// Publishes after a delay, to combine changes into one write.
-  void SchedulePublish();
-  void HandlePublishFailed(const error& aError);
-  /// Reads the entry that another write has left, and publishes again.
-  void ReadOwnEntry();
-  /// Publishes after a delay: this one if an instance that leaves waits for it,
-  /// else the usual one.
-  void PublishSoon(duration aDelay);
   /// Sends this node's changed record to other nodes with a new sequence
   /// number.
   void SpreadOwnRecord();
@@ -208,10 +200,10 @@
   hop_server mHopServer;
   quarantine_entries mQuarantine;
   gossip mGossip;
-  departure_acknowledger mDepartures;
   host_entry_repair mEntryRepair;
   canary_driver mCanaryDriver;
   host_record mOwnRecord;
+  own_entry mEntry;
   /// The compressed configuration text that is served to other nodes.
   std::string mCompressedConfig;
   /// Instance that reported its exit without its start, before this host's
@@ -223,10 +215,6 @@
   time_point mColdUntil{};
   time_point mDrainStarted{};
   time_point mStarted{};
-  /// This node's entry in the store, as last written or listed.
-  std::optional<host_record> mPublished;
-  bool mPublishing = false;
-  bool mPublishScheduled = false;
   bool mHostsListed = false;
   bool mDraining = false;
   bool mFetchingConfig = false;
--- a/test/unit/departure-record-test.cc
+++ b/test/unit/departure-record-test.cc
@@ -289,14 +289,14 @@
   world.StartNode("node-2");
   world.RunFor(milliseconds(1500)); // its entry is written
   if (!inStore) {
-    world.Send({ { "from", kNode },
-                 { "hosts", { EncodeHostRecord(predecessor) } } });
+    world.Send(
+      { { "from", kNode }, { "hosts", { EncodeHostRecord(predecessor) } } });
   }
   world.Start();
   world.RunFor(milliseconds(500));
   world.Announce(MakeInstance("i-2", 2000));
-  CHECK(world.RunUntil(
-    [&world] { return world.InstanceKnownToOther() == "i-2"; }));
+  CHECK(
+    world.RunUntil([&world] { return world.InstanceKnownToOther() == "i-2"; }));
   json own = json::parse(world.Node().Dump()).at("hosts").at(0);
   CHECK(own.at("incarnation") > predecessor.incarnation);
 }
