--- a/src/mesh/host-directory.cc
+++ b/src/mesh/host-directory.cc
@@ -50,8 +50,7 @@
 }
 
 void
-host_directory::RecordLastDeparture(const host_record& aRecord,
-                                    time_point aNow)
+host_directory::RecordLastDeparture(const host_record& aRecord, time_point aNow)
 {
   if (aRecord.last_departure) {
     RecordLeaving(aRecord.name, *aRecord.last_departure, aNow);
@@ -62,9 +61,8 @@
 host_directory::LastDeparture(const std::string& aHost) const
 {
   auto leaving = mLeaving.find(aHost);
-  return leaving == mLeaving.end()
-           ? std::nullopt
-           : std::optional(leaving->second.incarnation);
+  return leaving == mLeaving.end() ? std::nullopt
+                                   : std::optional(leaving->second.incarnation);
 }
 
 bool
--- a/test/harness/mesh-world.cc
+++ b/test/harness/mesh-world.cc
@@ -204,8 +204,7 @@
 mesh_world::AddRestartedHost(host_record aEntry)
 {
   EndFirstStart();
-  std::size_t index =
-    AddHost(aEntry.instance.service, aEntry.instance.version);
+  std::size_t index = AddHost(aEntry.instance.service, aEntry.instance.version);
   const world_host& host = *mHosts[index];
   aEntry.hop = host.settings.hop_listen;
   aEntry.control = host.settings.control_listen;
--- a/test/harness/mesh-world.h
+++ b/test/harness/mesh-world.h
@@ -100,10 +100,10 @@
   /// announced automatically.
   void EndFirstStart() { mFirstStart = false; }
 
-  /// Starts the node of a host of another world, in which all nodes were killed,
-  /// beside its instance, which is not announced. `aEntry` is the host's entry
-  /// in the store; it gets the addresses that the host has here. Returns the
-  /// index of the host.
+  /// Starts the node of a host of another world, in which all nodes were
+  /// killed, beside its instance, which is not announced. `aEntry` is the
+  /// host's entry in the store; it gets the addresses that the host has here.
+  /// Returns the index of the host.
   std::size_t AddRestartedHost(host_record aEntry);
 
   /// Replaces the node of a host by a new process that knows nothing, while the
