Record the departure of the present instance over any other

An exit notice without a start, of an instance that the node has not heard of, counts as a departure of anything that has started by now. A node that started again resumed the instance.

Change: the departure of the present instance replaces the recorded one. An acknowledgement waits until the entry names this departure or has an instance that started later, whose order refuses late heartbeats; the departure of another instance no longer counts.

--- a/src/mesh/departure-acknowledger.cc
+++ b/src/mesh/departure-acknowledger.cc
@@ -53,7 +53,7 @@
 departure_acknowledger::HandleEntryStored(const host_record& aEntry)
 {
   for (const pending_ptr& pending : std::vector<pending_ptr>(mPending)) {
-    if (Covers(aEntry.last_departure, pending->departure)) {
+    if (ShowsDeparture(aEntry, pending->departure)) {
       Finish(pending, {});
     }
   }
--- a/src/mesh/host-directory.cc
+++ b/src/mesh/host-directory.cc
@@ -40,8 +40,18 @@
 {
   auto known = mLeaving.find(aHost);
   if (known != mLeaving.end() &&
-      (known->second.incarnation == aInstance ||
-       known->second.incarnation.started_unix_ms > aInstance.started_unix_ms)) {
+      known->second.incarnation.started_unix_ms > aInstance.started_unix_ms) {
+    return false;
+  }
+  return RecordPresentLeaving(aHost, aInstance, aNow);
+}
+
+bool
+host_directory::RecordPresentLeaving(const std::string& aHost,
+                                     const instance_incarnation& aInstance,
+                                     time_point aNow)
+{
+  if (LastDeparture(aHost) == aInstance) {
     return false;
   }
   mLeaving.insert_or_assign(aHost, leaving_instance{ aInstance, aNow });
@@ -83,7 +93,7 @@
     return std::nullopt;
   }
   const instance_incarnation& departure = leaving->second.incarnation;
-  if (Covers(host->record.last_departure, departure)) {
+  if (ShowsDeparture(host->record, departure)) {
     return std::nullopt;
   }
   const instance_record& shown = host->record.instance;
--- a/src/mesh/host-directory.h
+++ b/src/mesh/host-directory.h
@@ -42,6 +42,11 @@
                      const instance_incarnation& aInstance,
                      time_point aNow);
 
+  /// Same for the instance that the host has now, which is later than any whose
+  /// departure is recorded.
+  bool RecordPresentLeaving(const std::string& aHost,
+                            const instance_incarnation& aInstance,
+                            time_point aNow);
   /// The last departure recorded for a host, if any.
   std::optional<instance_incarnation> LastDeparture(
     const std::string& aHost) const;
--- a/src/mesh/host-record.cc
+++ b/src/mesh/host-record.cc
@@ -112,15 +112,13 @@
 }
 
 bool
-Covers(const std::optional<instance_incarnation>& aLast,
-       const instance_incarnation& aDeparture)
+ShowsDeparture(const host_record& aRecord,
+               const instance_incarnation& aDeparture)
 {
-  if (!aLast) {
-    return false;
-  }
-  return aLast->id == aDeparture.id
-           ? aLast->started_unix_ms >= aDeparture.started_unix_ms
-           : aLast->started_unix_ms > aDeparture.started_unix_ms;
+  const std::optional<instance_incarnation>& last = aRecord.last_departure;
+  bool named = last && last->id == aDeparture.id &&
+               last->started_unix_ms >= aDeparture.started_unix_ms;
+  return named || aRecord.instance.started_unix_ms > aDeparture.started_unix_ms;
 }
 
 bool
--- a/src/mesh/host-record.h
+++ b/src/mesh/host-record.h
@@ -71,12 +71,6 @@
 bool
 HasLeft(const instance_incarnation& aLeft, const instance_record& aInstance);
 
-/// Whether a host whose last departure is `aLast` has recorded `aDeparture`: it
-/// is that one, or an earlier one, as instances of a host follow each other.
-bool
-Covers(const std::optional<instance_incarnation>& aLast,
-       const instance_incarnation& aDeparture);
-
 /// The instance of a host leaves, or has left.
 struct host_departure
 {
@@ -128,6 +122,13 @@
   bool operator==(const host_record&) const = default;
 };
 
+/// Whether a record of a host keeps an instance of that host from being taken
+/// for present: the record names its departure, or an instance that has started
+/// later, as the instances of a host follow each other.
+bool
+ShowsDeparture(const host_record& aRecord,
+               const instance_incarnation& aDeparture);
+
 /// Whether `aLeft` is newer than `aRight`, a record of the same host.
 bool
 IsNewer(const host_record& aLeft, const host_record& aRight);
--- a/src/mesh/mesh-node.cc
+++ b/src/mesh/mesh-node.cc
@@ -523,9 +523,13 @@
 bool
 mesh_node::RecordDeparture(const instance_incarnation& aDeparture)
 {
+  const std::string& self = mOwnRecord.name;
+  bool isPresent =
+    !mOwnRecord.instance.id.empty() && HasLeft(aDeparture, mOwnRecord.instance);
   bool isNew =
-    mDirectory.RecordLeaving(mOwnRecord.name, aDeparture, mLoop.Now());
-  mOwnRecord.last_departure = mDirectory.LastDeparture(mOwnRecord.name);
+    isPresent ? mDirectory.RecordPresentLeaving(self, aDeparture, mLoop.Now())
+              : mDirectory.RecordLeaving(self, aDeparture, mLoop.Now());
+  mOwnRecord.last_departure = mDirectory.LastDeparture(self);
   return isNew;
 }
 
--- a/src/mesh/own-entry.cc
+++ b/src/mesh/own-entry.cc
@@ -144,7 +144,7 @@
 own_entry::AcknowledgeDeparture(const instance_incarnation& aDeparture,
                                 done_callback aDone)
 {
-  if (mStored && Covers(mStored->last_departure, aDeparture)) {
+  if (mStored && ShowsDeparture(*mStored, aDeparture)) {
     aDone({});
     return;
   }
--- a/src/mesh/own-entry.h
+++ b/src/mesh/own-entry.h
@@ -17,7 +17,7 @@
 };
 
 /// The entry of this host in the store: keeps it up to date with the node's
-/// record, and acknowledges departures that it names.
+/// record, and acknowledges departures that it shows.
 class own_entry
 {
 public:
@@ -35,7 +35,7 @@
   /// else the usual one.
   void PublishSoon(duration aDelay);
 
-  /// Calls `aDone` once the entry names this departure, which the node's record
+  /// Calls `aDone` once the entry shows this departure, which the node's record
   /// already does. Fails with `not_ready` if that takes longer than 0.9 s.
   void AcknowledgeDeparture(const instance_incarnation& aDeparture,
                             done_callback aDone);
--- a/test/unit/departure-record-test.cc
+++ b/test/unit/departure-record-test.cc
@@ -219,6 +219,32 @@
   CHECK_FALSE(restarted.TakesForReady());
 }
 
+// Guards against DRAIN: a notice without a start counts as later than the next
+// instance, whose departure is then acknowledged unrecorded.
+TEST_CASE("departure record, notice of an unknown instance came before, "
+          "departure of the present one is recorded",
+          "[departure]")
+{
+  platform_store::copy stored;
+  {
+    departure_world killed;
+    killed.first_start = false;
+    killed.Start();
+    killed.RunFor(milliseconds(1000));
+    REQUIRE(killed.ReportExit({ "i-0", {} }));
+    killed.Announce(MakeInstance("i-1", 1000));
+    REQUIRE(killed.RunUntil([&] { return killed.StoredState() == "ready"; }));
+    REQUIRE(killed.ReportExit({ "i-1", 1000 }));
+    CHECK(killed.StoredState() == "gone");
+    stored = killed.store.Copy();
+  }
+  departure_world restarted(stored);
+  restarted.Start();
+  restarted.RunFor(milliseconds(500));
+  restarted.Announce(MakeInstance("i-1", 1000)); // a late heartbeat
+  CHECK_FALSE(restarted.TakesForReady());
+}
+
 // Guards against DRAIN: the clock of the host was set back, and the start of
 // the instance lies after the notice, which does not name it.
 TEST_CASE("departure record, notice without a start, clock was set back, "
