Acknowledge a departure that an answer has shown before

Change: asking for the acknowledgement records the departure. This also covers an announcement that counts as late.

--- a/src/mesh/mesh-node.cc
+++ b/src/mesh/mesh-node.cc
@@ -517,6 +517,11 @@
 mesh_node::AcknowledgeDeparture(const instance_incarnation& aDeparture,
                                 done_callback aDone)
 {
+  // An announcement that counted as late, or of an instance that is known to
+  // leave by one of its answers, has not recorded it.
+  if (RecordDeparture(aDeparture)) {
+    EndDepartedInstance("announcement");
+  }
   mEntry.AcknowledgeDeparture(aDeparture, std::move(aDone));
 }
 
--- a/src/mesh/mesh-node.h
+++ b/src/mesh/mesh-node.h
@@ -65,9 +65,9 @@
   /// incarnation that leaves.
   instance_incarnation HandleInstanceExit(const exit_notice& aNotice);
 
-  /// Calls `aDone` once the departure of an instance on this host, which was
-  /// announced before, is recorded in the store, so that a restarted node knows
-  /// it too. Fails with `not_ready` if it is not within 0.9 s.
+  /// Calls `aDone` once the departure of an instance on this host is recorded
+  /// in the store, so that a restarted node knows it too. Fails with
+  /// `not_ready` if it is not within 0.9 s.
   void AcknowledgeDeparture(const instance_incarnation& aDeparture,
                             done_callback aDone);
 
--- a/test/unit/departure-test.cc
+++ b/test/unit/departure-test.cc
@@ -169,6 +169,19 @@
   CHECK(ReportExit([this] { CHECK(StoreKnows()); }));
 }
 
+// Guards against instances that leave without an acknowledgement: the node
+// knows already from an answer that the instance leaves.
+TEST_CASE_METHOD(departure_fixture,
+                 "departure, known from an answer before it is reported, is "
+                 "acknowledged",
+                 "[departure]")
+{
+  world.Behaviour(leaver).leaving = true;
+  REQUIRE(RunsAtLeaver() > 0);
+  world.Announce(leaver, instance_state::draining);
+  CHECK(Acknowledge({ kInstance, kBorn }));
+}
+
 // Guards against DRAIN: the store is away when the departure is reported, and
 // its entry says ready when the node starts again.
 TEST_CASE_METHOD(departure_fixture,
