--- a/test/harness/mesh-world.cc
+++ b/test/harness/mesh-world.cc
@@ -123,12 +123,15 @@
 void
 store_access::ReadHost(const std::string& aName, host_callback aDone)
 {
-  auto found = mStore.hosts.find(aName);
   result<host_record> entry =
-    found == mStore.hosts.end()
-      ? Fail(error_kind::not_found, "no entry of " + aName)
-      : result<host_record>(found->second);
-  mKnownHosts.insert(aName);
+    Fail(error_kind::not_found, "no entry of " + aName);
+  auto found = mStore.hosts.find(aName);
+  if (mStore.unavailable) {
+    entry = Fail(error_kind::store_unavailable, "store is unavailable");
+  } else if (found != mStore.hosts.end()) {
+    entry = found->second;
+    mKnownHosts.insert(aName);
+  }
   mLoop.RunAfter(duration(1), [entry, aDone] { aDone(entry); });
 }
 
