--- a/test/unit/departure-record-test.cc
+++ b/test/unit/departure-record-test.cc
@@ -119,6 +119,23 @@
   std::int64_t mSequence = 0;
 };
 
+/// What the store holds when all processes are killed at the end of a run.
+platform_store::copy
+StoredAfter(const std::function<void(departure_world&)>& aRun)
+{
+  departure_world killed;
+  aRun(killed);
+  return killed.store.Copy();
+}
+
+/// An instance has left, and that was acknowledged.
+void
+LeaveAcknowledged(departure_world& aWorld)
+{
+  aWorld.Join(MakeInstance("i-1", 1000));
+  REQUIRE(aWorld.ReportExit({ "i-1", 1000 }));
+}
+
 } // namespace
 
 // Guards against DRAIN: a write that names the instance as ready and has found
@@ -157,14 +174,7 @@
           "stays gone",
           "[departure]")
 {
-  platform_store::copy stored;
-  {
-    departure_world killed;
-    killed.Join(MakeInstance("i-1", 1000));
-    REQUIRE(killed.ReportExit({ "i-1", 1000 }));
-    stored = killed.store.Copy();
-  }
-  departure_world restarted(stored);
+  departure_world restarted(StoredAfter(LeaveAcknowledged));
   restarted.store.SetFault(platform_store::fault::unavailable);
   restarted.Start();
   restarted.Announce(MakeInstance("i-1", 1000));
@@ -181,16 +191,12 @@
           "after a restart is refused",
           "[departure]")
 {
-  platform_store::copy stored;
-  {
-    departure_world killed;
-    killed.first_start = false;
-    killed.Start();
-    killed.RunFor(milliseconds(1000));
-    REQUIRE(killed.ReportExit({ "i-1", {} }));
-    stored = killed.store.Copy();
-  }
-  departure_world restarted(stored);
+  departure_world restarted(StoredAfter([](departure_world& aKilled) {
+    aKilled.first_start = false;
+    aKilled.Start();
+    aKilled.RunFor(milliseconds(1000));
+    REQUIRE(aKilled.ReportExit({ "i-1", {} }));
+  }));
   restarted.Start();
   restarted.RunFor(milliseconds(500));
   restarted.Announce(MakeInstance("i-1", 1000));
@@ -202,17 +208,12 @@
           "first is refused",
           "[departure]")
 {
-  platform_store::copy stored;
-  {
-    departure_world killed;
-    killed.Join(MakeInstance("i-1", 1000));
-    REQUIRE(killed.ReportExit({ "i-1", 1000 }));
-    killed.Announce(MakeInstance("i-2", 2000));
-    killed.RunFor(milliseconds(1000));
-    REQUIRE(killed.ReportExit({ "i-2", 2000 }));
-    stored = killed.store.Copy();
-  }
-  departure_world restarted(stored);
+  departure_world restarted(StoredAfter([](departure_world& aKilled) {
+    LeaveAcknowledged(aKilled);
+    aKilled.Announce(MakeInstance("i-2", 2000));
+    aKilled.RunFor(milliseconds(1000));
+    REQUIRE(aKilled.ReportExit({ "i-2", 2000 }));
+  }));
   restarted.Start();
   restarted.RunFor(milliseconds(500));
   restarted.Announce(MakeInstance("i-1", 1000));
@@ -225,20 +226,17 @@
           "departure of the present one is recorded",
           "[departure]")
 {
-  platform_store::copy stored;
-  {
-    departure_world killed;
-    killed.first_start = false;
-    killed.Start();
-    killed.RunFor(milliseconds(1000));
-    REQUIRE(killed.ReportExit({ "i-0", {} }));
-    killed.Announce(MakeInstance("i-1", 1000));
-    REQUIRE(killed.RunUntil([&] { return killed.StoredState() == "ready"; }));
-    REQUIRE(killed.ReportExit({ "i-1", 1000 }));
-    CHECK(killed.StoredState() == "gone");
-    stored = killed.store.Copy();
-  }
-  departure_world restarted(stored);
+  departure_world restarted(StoredAfter([](departure_world& aKilled) {
+    aKilled.first_start = false;
+    aKilled.Start();
+    aKilled.RunFor(milliseconds(1000));
+    REQUIRE(aKilled.ReportExit({ "i-0", {} }));
+    aKilled.Announce(MakeInstance("i-1", 1000));
+    REQUIRE(aKilled.RunUntil(
+      [&aKilled] { return aKilled.StoredState() == "ready"; }));
+    REQUIRE(aKilled.ReportExit({ "i-1", 1000 }));
+    CHECK(aKilled.StoredState() == "gone");
+  }));
   restarted.Start();
   restarted.RunFor(milliseconds(500));
   restarted.Announce(MakeInstance("i-1", 1000)); // a late heartbeat
@@ -251,16 +249,12 @@
           "instance is not resumed",
           "[departure]")
 {
-  platform_store::copy stored;
   std::int64_t start = 0;
-  {
-    departure_world killed;
+  departure_world restarted(StoredAfter([&start](departure_world& aKilled) {
     constexpr std::int64_t kHourMs = 3'600'000;
-    start = killed.event_loop.UnixMilliseconds() + kHourMs;
-    killed.Join(MakeInstance("i-1", start));
-    stored = killed.store.Copy();
-  }
-  departure_world restarted(stored);
+    start = aKilled.event_loop.UnixMilliseconds() + kHourMs;
+    aKilled.Join(MakeInstance("i-1", start));
+  }));
   restarted.store.SetFault(platform_store::fault::unavailable);
   restarted.Start();
   CHECK_FALSE(restarted.ReportExit({ "i-1", {} }));
@@ -279,14 +273,7 @@
 TEST_CASE("departure record, instance starts again after a restart, is ready",
           "[departure]")
 {
-  platform_store::copy stored;
-  {
-    departure_world killed;
-    killed.Join(MakeInstance("i-1", 1000));
-    REQUIRE(killed.ReportExit({ "i-1", 1000 }));
-    stored = killed.store.Copy();
-  }
-  departure_world restarted(stored);
+  departure_world restarted(StoredAfter(LeaveAcknowledged));
   restarted.Start();
   restarted.RunFor(milliseconds(500));
   restarted.Announce(MakeInstance("i-1", 2000));
