Show which configuration a node holds, from whom, and how old its knowledge is

A failed fetch of a configuration wrote no line, a 404 did not say what the node knew, and nobody knew how old the knowledge of the store was.

Change, without any change of what is decided: - config_follower, taken out of mesh_node, follows the configuration and records its source, when it was taken, and when it was last known to be the latest one in the store.

--- /dev/null
+++ b/src/mesh/config-follower.cc
@@ -0,0 +1,210 @@
+#include "mesh/config-follower.h"
+
+#include <utility>
+
+#include "base/log.h"
+#include "wire/compression.h"
+#include "wire/status.h"
+
+namespace eelgrasstrack {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr duration kFetchTimeout = std::chrono::milliseconds(900);
+/// Delay before a configuration is fetched from another failure domain, so that
+/// the watchers of the own domain can supply it first.
+constexpr duration kOtherDomainFetchDelay = std::chrono::milliseconds(600);
+constexpr std::size_t kMaxConfigBytes = 16U << 20U;
+constexpr const char* kStoreSource = "store";
+
+/// Age in milliseconds, or an empty text if there is none.
+std::string
+AgeText(const std::optional<duration>& aAge)
+{
+  return aAge ? std::to_string(Milliseconds(*aAge)) : "";
+}
+
+} // namespace
+
+config_follower::config_follower(loop& aLoop,
+                                 control_client& aClient,
+                                 control_store& aStore,
+                                 proxy_counters& aCounters,
+                                 std::string aDomain,
+                                 config_follower_delegate& aDelegate)
+  : mLoop(aLoop)
+  , mClient(aClient)
+  , mStore(aStore)
+  , mCounters(aCounters)
+  , mDomain(std::move(aDomain))
+  , mDelegate(aDelegate)
+{
+}
+
+void
+config_follower::HandleStored(const accepted_table& aTable)
+{
+  if (Take(aTable, kStoreSource)) {
+    mDelegate.OnConfigTaken(aTable.table, "");
+  }
+}
+
+void
+config_follower::HandleConfirmed(time_point aTime)
+{
+  std::optional<time_point>& confirmed = mKnowledge.confirmed_at;
+  confirmed = std::max(confirmed.value_or(aTime), aTime);
+}
+
+void
+config_follower::HandleAnnounced(const host_record& aFrom,
+                                 std::uint64_t aVersion,
+                                 std::optional<duration> aStoreAge)
+{
+  if (aVersion <= Version()) {
+    if (aStoreAge) {
+      HandleConfirmed(mLoop.Now() - *aStoreAge);
+    }
+    return;
+  }
+  if (aFrom.domain == mDomain || Version() == 0) {
+    Fetch(aFrom, aVersion);
+    return;
+  }
+  mLoop.RunAfter(kOtherDomainFetchDelay,
+                 [this, from = aFrom, aVersion] { Fetch(from, aVersion); });
+}
+
+bool
+config_follower::Take(const accepted_table& aTable, const std::string& aSource)
+{
+  if (aTable.table->Version() <= Version()) {
+    return false;
+  }
+  time_point now = mLoop.Now();
+  LogEvent(log_level::info,
+           "configuration_taken",
+           { { "version", std::to_string(aTable.table->Version()) },
+             { "before", std::to_string(Version()) },
+             { "source", aSource },
+             { "store_age_ms", AgeText(mKnowledge.StoreAge(now)) },
+             { "routes", std::to_string(aTable.table->RouteCount()) } });
+  mKnowledge.version = aTable.table->Version();
+  mKnowledge.source = aSource;
+  mKnowledge.taken_at = now;
+  mCompressedText = Compress(aTable.text);
+  return true;
+}
+
+void
+config_follower::Fetch(const host_record& aFrom, std::uint64_t aVersion)
+{
+  if (Version() >= aVersion) {
+    return;
+  }
+  if (mFetching) {
+    mPendingFetch = config_source{ aFrom, aVersion };
+    return;
+  }
+  mFetching = true;
+  buffered_request request;
+  request.target = "/v1/config";
+  mCounters.Add(proxy_event::peer_message);
+  mClient.Call(aFrom.control,
+               std::move(request),
+               kFetchTimeout,
+               [this, source = config_source{ aFrom, aVersion }](
+                 result<buffered_response> aResponse) {
+                 mFetching = false;
+                 HandleFetched(source, std::move(aResponse));
+                 // A version announced during this fetch.
+                 if (std::optional<config_source> next =
+                       std::exchange(mPendingFetch, std::nullopt)) {
+                   Fetch(next->host, next->version);
+                 }
+               });
+}
+
+void
+config_follower::HandleFetched(const config_source& aSource,
+                               result<buffered_response> aResponse)
+{
+  if (!aResponse) {
+    mCounters.Add(proxy_event::peer_failed);
+    LogFetchFailed(aSource, aResponse.error().message);
+    return;
+  }
+  if (aResponse->status != status::kOk) {
+    mCounters.Add(proxy_event::peer_failed);
+    LogFetchFailed(aSource, "status " + std::to_string(aResponse->status));
+    return;
+  }
+  result<std::string> text = Decompress(aResponse->body, kMaxConfigBytes);
+  result<accepted_table> table =
+    text ? mStore.ParseTable(std::move(*text))
+         : result<accepted_table>(tl::unexpected<error>(text.error()));
+  if (!table) {
+    LogEvent(
+      log_level::warning,
+      "configuration_refused",
+      { { "from", aSource.host.name }, { "reason", table.error().message } });
+    return;
+  }
+  if (Take(*table, aSource.host.name)) {
+    mDelegate.OnConfigTaken(table->table, aSource.host.name);
+  }
+}
+
+void
+config_follower::LogFetchFailed(const config_source& aSource,
+                                const std::string& aReason)
+{
+  LogEvent(log_level::warning,
+           "configuration_fetch_failed",
+           { { "from", aSource.host.name },
+             { "version", std::to_string(aSource.version) },
+             { "held", std::to_string(Version()) },
+             { "store_age_ms", AgeText(mKnowledge.StoreAge(mLoop.Now())) },
+             { "reason", aReason } });
+}
+
+void
+config_follower::AppendMetrics(std::string& aText) const
+{
+  auto add = [&aText](const std::string& aName, double aValue) {
+    aText += "eelgrasstrack_" + aName + ' ' + std::to_string(aValue) + '\n';
+  };
+  auto seconds = [](duration aDuration) {
+    return std::chrono::duration<double>(aDuration).count();
+  };
+  time_point now = mLoop.Now();
+  aText += "eelgrasstrack_config_version " + std::to_string(Version()) + '\n';
+  if (Version() > 0) {
+    aText +=
+      "eelgrasstrack_config_source{source=\"" + mKnowledge.source + "\"} 1\n";
+    add("config_age_seconds", seconds(now - mKnowledge.taken_at));
+  }
+  if (std::optional<duration> age = mKnowledge.StoreAge(now)) {
+    add("store_knowledge_age_seconds", seconds(*age));
+  }
+}
+
+json
+config_follower::Dump() const
+{
+  time_point now = mLoop.Now();
+  json dump = { { "version", Version() },
+                { "source", mKnowledge.source },
+                { "fetching", mFetching } };
+  if (Version() > 0) {
+    dump["taken_ms_ago"] = Milliseconds(now - mKnowledge.taken_at);
+  }
+  if (std::optional<duration> age = mKnowledge.StoreAge(now)) {
+    dump["store_age_ms"] = Milliseconds(*age);
+  }
+  return dump;
+}
+
+} // namespace eelgrasstrack
--- a/src/mesh/control-store.h
+++ b/src/mesh/control-store.h
@@ -45,6 +45,8 @@
   virtual ~control_store_observer() = default;
   /// A configuration was read.
   virtual void OnTable(accepted_table aTable) = 0;
+  /// The store held no later configuration at `aTime` than those passed on.
+  virtual void OnConfigConfirmed(time_point aTime) = 0;
   /// An order was read, or its record changed.
   virtual void OnOrder(const canary_order& aOrder) = 0;
   /// The order of a service was removed.
--- a/src/mesh/gossip.cc
+++ b/src/mesh/gossip.cc
@@ -32,6 +32,8 @@
 constexpr unsigned kCrossDomainCompareOneIn = 3;
 
 constexpr const char* kEvacuationsField = "evacuated";
+/// Milliseconds since the configuration was the latest one in the store.
+constexpr const char* kStoreAgeField = "store_age_ms";
 
 void
 AddDepartures(json& aMessage, const std::vector<host_departure>& aDepartures)
@@ -41,6 +43,18 @@
   }
 }
 
+/// How long ago the sender's configuration was the latest one in the store, if
+/// it knows.
+std::optional<duration>
+StoreAgeIn(const json& aMessage)
+{
+  if (!aMessage.contains(kStoreAgeField)) {
+    return std::nullopt;
+  }
+  return std::chrono::milliseconds(
+    UnsignedIn<std::uint32_t>(aMessage.at(kStoreAgeField)));
+}
+
 void
 LogSkipped(const error& aError)
 {
@@ -165,8 +179,11 @@
 json
 gossip::MessageHeader() const
 {
-  json header = { { "from", mDirectory.Self() },
-                  { "config", mDelegate.ConfigVersion() } };
+  const config_knowledge& config = mDelegate.Configuration();
+  json header = { { "from", mDirectory.Self() }, { "config", config.version } };
+  if (std::optional<duration> age = config.StoreAge(mLoop.Now())) {
+    header[kStoreAgeField] = Milliseconds(*age);
+  }
   if (mEvacuations.IsKnown()) {
     header[kEvacuationsField] = EncodeEvacuations(mEvacuations.Snapshot());
   }
@@ -557,8 +574,8 @@
     UnsignedIn<std::uint64_t>(aMessage.value("config", json(0)));
   mLatestPeerConfig = std::max(mLatestPeerConfig.value_or(0), config);
   const known_host* sender = mDirectory.Find(from);
-  if (config > mDelegate.ConfigVersion() && sender != nullptr) {
-    mDelegate.OnNewerConfig(sender->record, config);
+  if (sender != nullptr) {
+    mDelegate.OnConfigAnnounced(sender->record, config, StoreAgeIn(aMessage));
   }
   if (aMessage.value("dropped", false)) {
     mDelegate.OnRemovedByOthers();
--- a/src/mesh/gossip.h
+++ b/src/mesh/gossip.h
@@ -9,6 +9,7 @@
 #include "mesh/evacuation-table.h"
 #include "mesh/gossip-codec.h"
 #include "mesh/host-directory.h"
+#include "proxy/config-knowledge.h"
 #include "proxy/crash-table.h"
 #include "proxy/proxy-counters.h"
 #include "proxy/version-selector.h"
@@ -21,11 +22,13 @@
 {
 public:
   virtual ~gossip_delegate() = default;
-  /// Version of the configuration that this node holds, or 0.
-  virtual std::uint64_t ConfigVersion() const = 0;
-  /// Another host holds a later configuration than this node.
-  virtual void OnNewerConfig(const host_record& aFrom,
-                             std::uint64_t aVersion) = 0;
+  /// What this node knows of its configuration.
+  virtual const config_knowledge& Configuration() const = 0;
+  /// Another host announces the version that it holds, which was the latest one
+  /// in the store `aStoreAge` ago; nothing if it does not know.
+  virtual void OnConfigAnnounced(const host_record& aFrom,
+                                 std::uint64_t aVersion,
+                                 std::optional<duration> aStoreAge) = 0;
   /// The directory changed: a record, or whether a host is reachable.
   virtual void OnHostsChanged() = 0;
   /// Another node knows that this instance of this host has left.
--- a/src/mesh/mesh-node.cc
+++ b/src/mesh/mesh-node.cc
@@ -11,7 +11,6 @@
 #include "mesh/order-id-json.h"
 #include "mesh/role-assignment.h"
 #include "proxy/instance-notices.h"
-#include "wire/compression.h"
 #include "wire/status.h"
 
 namespace eelgrasstrack {
@@ -37,11 +36,6 @@
 constexpr duration kFirstAnnouncementCheckPeriod =
   std::chrono::milliseconds(100);
 constexpr duration kListRetryDelay = std::chrono::milliseconds(500);
-constexpr duration kConfigFetchTimeout = std::chrono::milliseconds(900);
-/// Delay before a configuration is fetched from another failure domain, so that
-/// the watchers of the own domain can supply it first.
-constexpr duration kOtherDomainFetchDelay = std::chrono::milliseconds(600);
-constexpr std::size_t kMaxConfigBytes = 16U << 20U;
 /// Number of heartbeat intervals without a heartbeat after which the instance
 /// is marked absent.
 constexpr int kMaxMissedHeartbeats = 4;
@@ -101,6 +95,7 @@
   , mDispatcher(aTransport, mNames, mLinkPacer.Scheduler(), mCrashes, mVersions)
   , mHopClient(aTransport, mNames)
   , mQuota(aLoop, aClient, mDirectory)
+  , mConfig(aLoop, aClient, aStore, aCounters, mSettings.domain, *this)
   , mIngress({ aTransport,
                mNames,
                mDispatcher,
@@ -112,7 +107,8 @@
                aCounters,
                mCrashes,
                mEvacuations,
-               mQuota.Requests() })
+               mQuota.Requests(),
+               mConfig.Knowledge() })
   , mHopServer(aTransport, mNames, mDispatcher, mLinkPacer)
   , mQuarantine(aLoop, mCrashes)
   , mGossip(aLoop,
@@ -710,6 +706,14 @@
   std::vector<std::string> watchers = WatchersOf(
     mDirectory, mOwnRecord.domain, kWatchersPerDomain * (1 + additional));
   bool watches = !mDraining && IndexOf(watchers, mOwnRecord.name) >= 0;
+  if (watches != mWatches) {
+    mWatches = watches;
+    LogEvent(
+      log_level::info,
+      watches ? "store_watch_started" : "store_watch_stopped",
+      { { "watchers", std::to_string(watchers.size()) },
+        { "since_watcher_ms", std::to_string(Milliseconds(sinceWatcher)) } });
+  }
   mStore.SetWatching(watches);
   mEntryRepair.SetActive(watches);
   if (watches && mStore.AnsweredSince(now - kStoreAnswerWindow)) {
@@ -768,27 +772,13 @@
 void
 mesh_node::OnTable(accepted_table aTable)
 {
-  if (ApplyTable(std::move(aTable))) {
-    mGossip.SpreadConfigVersion(false);
-  }
+  mConfig.HandleStored(aTable);
 }
 
-bool
-mesh_node::ApplyTable(accepted_table aTable)
+void
+mesh_node::OnConfigConfirmed(time_point aTime)
 {
-  if (aTable.table->Version() <= ConfigVersion()) {
-    return false;
-  }
-  LogEvent(log_level::info,
-           "configuration_taken",
-           { { "version", std::to_string(aTable.table->Version()) },
-             { "before", std::to_string(ConfigVersion()) },
-             { "routes", std::to_string(aTable.table->RouteCount()) } });
-  mCompressedConfig = Compress(aTable.text);
-  mIngress.SetTable(aTable.table);
-  mQuota.SetTable(aTable.table);
-  UpdateColdLimit();
-  return true;
+  mConfig.HandleConfirmed(aTime);
 }
 
 void
@@ -821,73 +811,18 @@
 
 // gossip_delegate
 
-std::uint64_t
-mesh_node::ConfigVersion() const
-{
-  return mIngress.Table() ? mIngress.Table()->Version() : 0;
-}
-
-void
-mesh_node::OnNewerConfig(const host_record& aFrom, std::uint64_t aVersion)
+const config_knowledge&
+mesh_node::Configuration() const
 {
-  if (aFrom.domain == mOwnRecord.domain || ConfigVersion() == 0) {
-    FetchConfig(aFrom, aVersion);
-    return;
-  }
-  mLoop.RunAfter(kOtherDomainFetchDelay, [this, from = aFrom, aVersion] {
-    FetchConfig(from, aVersion);
-  });
+  return mConfig.Knowledge();
 }
 
 void
-mesh_node::FetchConfig(const host_record& aFrom, std::uint64_t aVersion)
+mesh_node::OnConfigAnnounced(const host_record& aFrom,
+                             std::uint64_t aVersion,
+                             std::optional<duration> aStoreAge)
 {
-  if (ConfigVersion() >= aVersion) {
-    return;
-  }
-  if (mFetchingConfig) {
-    mPendingFetch = config_source{ aFrom, aVersion };
-    return;
-  }
-  mFetchingConfig = true;
-  buffered_request request;
-  request.target = "/v1/config";
-  mCounters.Add(proxy_event::peer_message);
-  mClient.Call(aFrom.control,
-               std::move(request),
-               kConfigFetchTimeout,
-               [this, from = aFrom.name](result<buffered_response> aResponse) {
-                 mFetchingConfig = false;
-                 HandleFetchedConfig(from, std::move(aResponse));
-                 // A version announced during this fetch.
-                 if (std::optional<config_source> next =
-                       std::exchange(mPendingFetch, std::nullopt)) {
-                   FetchConfig(next->host, next->version);
-                 }
-               });
-}
-
-void
-mesh_node::HandleFetchedConfig(const std::string& aFrom,
-                               result<buffered_response> aResponse)
-{
-  if (!aResponse || aResponse->status != status::kOk) {
-    mCounters.Add(proxy_event::peer_failed);
-    return;
-  }
-  result<std::string> text = Decompress(aResponse->body, kMaxConfigBytes);
-  result<accepted_table> table =
-    text ? mStore.ParseTable(std::move(*text))
-         : result<accepted_table>(tl::unexpected<error>(text.error()));
-  if (!table) {
-    LogEvent(log_level::warning,
-             "configuration_refused",
-             { { "from", aFrom }, { "reason", table.error().message } });
-    return;
-  }
-  if (ApplyTable(std::move(*table))) {
-    mGossip.ForwardConfigVersion(aFrom);
-  }
+  mConfig.HandleAnnounced(aFrom, aVersion, aStoreAge);
 }
 
 void
@@ -933,6 +868,22 @@
   }
 }
 
+// config_follower_delegate
+
+void
+mesh_node::OnConfigTaken(const traffic_table_ptr& aTable,
+                         const std::string& aFrom)
+{
+  mIngress.SetTable(aTable);
+  mQuota.SetTable(aTable);
+  UpdateColdLimit();
+  if (aFrom.empty()) {
+    mGossip.SpreadConfigVersion(false);
+  } else {
+    mGossip.ForwardConfigVersion(aFrom);
+  }
+}
+
 // canary_observer
 
 void
@@ -988,9 +939,9 @@
     return;
   }
   if (aRequest.target == "/v1/config") {
-    aRespond(mCompressedConfig.empty()
-               ? Response(status::kNotFound)
-               : Response(status::kOk, mCompressedConfig));
+    const std::string& text = mConfig.CompressedText();
+    aRespond(text.empty() ? Response(status::kNotFound)
+                          : Response(status::kOk, text));
     return;
   }
   if (aRequest.target == "/metrics") {
@@ -1036,7 +987,8 @@
   mQuota.AppendMetrics(text);
   text += ClientMetrics();
   run_load load = mDispatcher.Load();
-  text += "eelgrasstrack_config_version " + std::to_string(ConfigVersion()) +
+  mConfig.AppendMetrics(text);
+  text += "eelgrasstrack_store_watcher " + std::to_string(mWatches ? 1 : 0) +
           "\neelgrasstrack_hosts " + std::to_string(mDirectory.All().size()) +
           "\neelgrasstrack_instance_busy " + std::to_string(load.busy) +
           "\neelgrasstrack_instance_waiting " + std::to_string(load.waiting) +
@@ -1084,6 +1036,8 @@
   return json({ { "name", mOwnRecord.name },
                 { "ready", Ready() },
                 { "config_version", ConfigVersion() },
+                { "configuration", mConfig.Dump() },
+                { "watches_store", mWatches },
                 { "hosts", std::move(hosts) },
                 { "moves", std::move(canaries) },
                 { "evacuated", mEvacuations.Snapshot().domains },
--- a/src/mesh/mesh-node.h
+++ b/src/mesh/mesh-node.h
@@ -2,6 +2,7 @@
 #define EELGRASSTRACK_MESH_MESH_NODE_H_
 
 #include "mesh/canary-driver.h"
+#include "mesh/config-follower.h"
 #include "mesh/control-store.h"
 #include "mesh/gossip.h"
 #include "mesh/host-entry-repair.h"
@@ -30,6 +31,7 @@
   : public control_store_observer
   , public gossip_delegate
   , public canary_observer
+  , public config_follower_delegate
   , public own_entry_delegate
 {
 public:
@@ -71,6 +73,9 @@
   void AcknowledgeDeparture(const instance_incarnation& aDeparture,
                             done_callback aDone);
 
+  /// Version of the configuration that this node holds, or 0.
+  std::uint64_t ConfigVersion() const { return mConfig.Version(); }
+
   /// Metrics in the text exposition format.
   std::string Metrics() const;
 
@@ -79,14 +84,17 @@
 
   // control_store_observer
   void OnTable(accepted_table aTable) override;
+  void OnConfigConfirmed(time_point aTime) override;
   void OnOrder(const canary_order& aOrder) override;
   void OnOrderRemoved(const std::string& aService) override;
   void OnEvacuations(const evacuation_snapshot& aSnapshot) override;
   void OnStoreRestored() override;
 
   // gossip_delegate
-  std::uint64_t ConfigVersion() const override;
-  void OnNewerConfig(const host_record& aFrom, std::uint64_t aVersion) override;
+  const config_knowledge& Configuration() const override;
+  void OnConfigAnnounced(const host_record& aFrom,
+                         std::uint64_t aVersion,
+                         std::optional<duration> aStoreAge) override;
   void OnHostsChanged() override;
   void OnInstanceLeft(const instance_incarnation& aInstance) override;
   void OnNewerOwnRecord(const host_record& aRecord) override;
@@ -94,6 +102,10 @@
   void OnRemovedByOthers() override;
   void OnCanaryUpdates(const std::vector<canary_rollout>& aCanaries) override;
 
+  // config_follower_delegate
+  void OnConfigTaken(const traffic_table_ptr& aTable,
+                     const std::string& aFrom) override;
+
   // canary_observer
   void OnCanaryUpdate(const canary_rollout& aCanary) override;
   void OnCanaryLearned() override;
@@ -104,19 +116,6 @@
   void OnEntryWritten(bool aFirst) override;
 
 private:
-  /// A host that holds a configuration.
-  struct config_source
-  {
-    host_record host;
-    std::uint64_t version = 0;
-  };
-
-  /// Applies a configuration if it is newer than the current one. Returns
-  /// whether it was applied.
-  bool ApplyTable(accepted_table aTable);
-  void FetchConfig(const host_record& aFrom, std::uint64_t aVersion);
-  void HandleFetchedConfig(const std::string& aFrom,
-                           result<buffered_response> aResponse);
   /// Lists the other hosts. On a first start, publishes this node's entry
   /// first.
   void Join();
@@ -196,6 +195,7 @@
   instance_dispatcher mDispatcher;
   hop_client mHopClient;
   quota_service mQuota;
+  config_follower mConfig;
   ingress mIngress;
   hop_server mHopServer;
   quarantine_entries mQuarantine;
@@ -204,8 +204,6 @@
   canary_driver mCanaryDriver;
   host_record mOwnRecord;
   own_entry mEntry;
-  /// The compressed configuration text that is served to other nodes.
-  std::string mCompressedConfig;
   /// Instance that reported its exit without its start, before this host's
   /// entry was read; empty if none has.
   std::string mExitedBeforeRestore;
@@ -217,9 +215,8 @@
   time_point mStarted{};
   bool mHostsListed = false;
   bool mDraining = false;
-  bool mFetchingConfig = false;
-  /// A newer configuration announced while a fetch was in progress.
-  std::optional<config_source> mPendingFetch;
+  /// Whether this node watches the store for its failure domain.
+  bool mWatches = false;
 };
 
 } // namespace eelgrasstrack
--- /dev/null
+++ b/src/proxy/config-knowledge.h
@@ -0,0 +1,33 @@
+#ifndef EELGRASSTRACK_PROXY_CONFIG_KNOWLEDGE_H_
+#define EELGRASSTRACK_PROXY_CONFIG_KNOWLEDGE_H_
+
+#include <optional>
+#include <string>
+
+#include "base/clock.h"
+
+namespace eelgrasstrack {
+
+/// What a node knows of the configuration that it holds.
+struct config_knowledge
+{
+  /// Version held, 0 if there is none.
+  std::uint64_t version = 0;
+  /// Who supplied it: `store` or the name of a host; empty if there is none.
+  std::string source;
+  /// When this node began to use it.
+  time_point taken_at{};
+  /// Latest time at which the store is known to have held no later version;
+  /// nothing before the first answer of the store, or of a node that had one.
+  std::optional<time_point> confirmed_at;
+
+  /// Age of the knowledge of the store.
+  std::optional<duration> StoreAge(time_point aNow) const
+  {
+    return confirmed_at ? std::optional(aNow - *confirmed_at) : std::nullopt;
+  }
+};
+
+} // namespace eelgrasstrack
+
+#endif // EELGRASSTRACK_PROXY_CONFIG_KNOWLEDGE_H_
--- a/src/proxy/ingress.h
+++ b/src/proxy/ingress.h
@@ -4,6 +4,7 @@
 #include "mesh/evacuation-table.h"
 #include "mesh/host-directory.h"
 #include "proxy/caller-wait-estimator.h"
+#include "proxy/config-knowledge.h"
 #include "proxy/crash-table.h"
 #include "proxy/hop-client.h"
 #include "proxy/instance-chooser.h"
@@ -32,6 +33,7 @@
   crash_table& crashes;
   const evacuation_table& evacuations;
   request_quota& quota;
+  const config_knowledge& config;
 };
 
 /// The first hop: accepts requests of callers on this host, matches each to a
--- a/src/proxy/proxied-request.cc
+++ b/src/proxy/proxied-request.cc
@@ -90,7 +90,7 @@
   mRoute = mTable->Match(host != nullptr ? *host : "", mReceived.head.target);
   if (mRoute == nullptr) {
     mDependencies.counters.Add(proxy_event::no_route);
-    Log("no_route", { { "target", mReceived.head.target } });
+    LogNoRoute();
     AnswerLocally(status::kNotFound, {});
     return;
   }
@@ -788,6 +788,20 @@
   }
 }
 
+void
+proxied_request::LogNoRoute()
+{
+  const config_knowledge& config = mDependencies.config;
+  std::optional<duration> storeAge = config.StoreAge(Now());
+  Log(
+    "no_route",
+    { { "target", mReceived.head.target },
+      { "source", config.source },
+      { "taken_ms_ago", std::to_string(Milliseconds(Now() - config.taken_at)) },
+      { "store_age_ms",
+        storeAge ? std::to_string(Milliseconds(*storeAge)) : "unknown" } });
+}
+
 void
 proxied_request::Log(std::string_view aEvent,
                      std::initializer_list<log_field> aFields)
--- a/src/proxy/proxied-request.h
+++ b/src/proxy/proxied-request.h
@@ -157,6 +157,8 @@
   void EndRun(instance_chooser::outcome aOutcome,
               const std::optional<run_load>& aLoad);
   void Finish();
+  /// Logs what this node knows of the configuration without the route.
+  void LogNoRoute();
   void Log(std::string_view aEvent, std::initializer_list<log_field> aFields);
 
   ingress& mIngress;
--- a/test/unit/odd-entry-test.cc
+++ b/test/unit/odd-entry-test.cc
@@ -69,6 +69,7 @@
   {
     version = aTable.table->Version();
   }
+  void OnConfigConfirmed(time_point) override {}
   void OnOrder(const canary_order& aOrder) override
   {
     services.insert(aOrder.service);
--- a/test/unit/store-client-test.cc
+++ b/test/unit/store-client-test.cc
@@ -29,6 +29,7 @@
   {
     versions.push_back(aTable.table->Version());
   }
+  void OnConfigConfirmed(time_point aTime) override { confirmed_at = aTime; }
   void OnOrder(const canary_order& aOrder) override
   {
     orders.push_back(aOrder);
@@ -41,6 +42,7 @@
   void OnStoreRestored() override {}
 
   std::vector<std::uint64_t> versions;
+  time_point confirmed_at{};
   std::vector<canary_order> orders;
   evacuation_snapshot evacuations;
 };
--- a/test/unit/store-restored-test.cc
+++ b/test/unit/store-restored-test.cc
@@ -36,14 +36,21 @@
 class unused_delegate final : public gossip_delegate
 {
 public:
-  std::uint64_t ConfigVersion() const override { return 0; }
-  void OnNewerConfig(const host_record&, std::uint64_t) override {}
+  const config_knowledge& Configuration() const override { return mKnowledge; }
+  void OnConfigAnnounced(const host_record&,
+                         std::uint64_t,
+                         std::optional<duration>) override
+  {
+  }
   void OnHostsChanged() override {}
   void OnInstanceLeft(const instance_incarnation&) override {}
   void OnNewerOwnRecord(const host_record&) override {}
   void OnEvacuationsChanged() override {}
   void OnRemovedByOthers() override {}
   void OnCanaryUpdates(const std::vector<canary_rollout>&) override {}
+
+private:
+  config_knowledge mKnowledge;
 };
 
 /// The repair of host entries on the only node that has tasks.
