--- a/test/harness/platform-store.cc
+++ b/test/harness/platform-store.cc
@@ -49,12 +49,19 @@
                                tcp_transport& aTransport,
                                const endpoint& aAddress)
   : mLoop(aLoop)
+{
+  ServeAlsoAt(aTransport, aAddress);
+}
+
+void
+platform_store::ServeAlsoAt(tcp_transport& aTransport, const endpoint& aAddress)
 {
   result<void> opened =
     ServeAt(aTransport,
             aAddress,
-            [this](buffered_request aRequest, respond_callback aRespond) {
-              Handle(std::move(aRequest), std::move(aRespond));
+            [this, address = ToString(aAddress)](buffered_request aRequest,
+                                                 respond_callback aRespond) {
+              Handle(address, std::move(aRequest), std::move(aRespond));
             });
   if (!opened) {
     throw std::runtime_error(opened.error().message);
@@ -62,27 +69,64 @@
 }
 
 void
-platform_store::Handle(buffered_request aRequest, respond_callback aRespond)
+platform_store::SetFaultAt(const endpoint& aAddress,
+                           std::optional<fault> aFault)
+{
+  if (aFault) {
+    mFaultsByAddress[ToString(aAddress)] = *aFault;
+  } else {
+    mFaultsByAddress.erase(ToString(aAddress));
+  }
+}
+
+platform_store::fault
+platform_store::FaultAt(const std::string& aAddress) const
+{
+  auto found = mFaultsByAddress.find(aAddress);
+  return found == mFaultsByAddress.end() ? mFault : found->second;
+}
+
+void
+platform_store::Handle(const std::string& aAddress,
+                       buffered_request aRequest,
+                       respond_callback aRespond)
 {
   ++mCalls;
+  fault current = FaultAt(aAddress);
   aRespond = [this,
               respond = std::move(aRespond)](buffered_response aResponse) {
     aResponse.fields.push_back({ "Store-Era", std::to_string(mEra) });
     InsertRawTexts(aResponse.body);
-    respond(aResponse);
+    if (mResponseDelay == duration(0)) {
+      respond(aResponse);
+      return;
+    }
+    mLoop.RunAfter(mResponseDelay,
+                   [respond, aResponse] { respond(aResponse); });
   };
-  if (mFault == fault::unavailable || mFault == fault::rate_limited) {
-    aRespond(Response(mFault == fault::unavailable ? status::kUnavailable
-                                                   : status::kTooManyRequests));
+  if (current == fault::unavailable || current == fault::rate_limited) {
+    aRespond(Response(current == fault::unavailable
+                        ? status::kUnavailable
+                        : status::kTooManyRequests));
     return;
   }
-  if (mFault == fault::delays_writes && aRequest.method != "GET") {
+  if (current == fault::delays_writes && aRequest.method != "GET") {
     mLateWrites.push_back(std::move(aRequest));
     return;
   }
-  if (mFault == fault::drops_answers) {
+  if (current == fault::drops_answers) {
     aRespond = [](const buffered_response&) {};
   }
+  bool lists = aRequest.method == "GET" &&
+               PathSegments(aRequest.target).size() == 1 &&
+               QueryParameter(aRequest.target, "watch").empty();
+  if (current == fault::empty_listings && lists) {
+    aRespond(Response(status::kOk,
+                      { { "items", json::array() },
+                        { "has_more", false },
+                        { "at", mRevision } }));
+    return;
+  }
   buffered_response response =
     aRequest.method == "GET" ? Read(aRequest, aRespond) : Write(aRequest);
   if (aRespond) {
--- a/test/harness/platform-store.h
+++ b/test/harness/platform-store.h
@@ -25,6 +25,8 @@
     /// Sends no response to a write and executes it when `ExecuteLateWrites` is
     /// called, if its condition still holds.
     delays_writes,
+    /// Responds to a listing with no objects and executes other calls.
+    empty_listings,
   };
 
   platform_store(loop& aLoop,
@@ -56,7 +58,16 @@
   /// Drops the history of changes: watches from an older revision get 410.
   void Compact() { mOldestWatchRevision = mRevision; }
 
+  /// Serves at another address as well. Calls that arrive there can have a
+  /// fault of their own.
+  void ServeAlsoAt(tcp_transport& aTransport, const endpoint& aAddress);
+
   void SetFault(fault aFault) { mFault = aFault; }
+  /// Sets the fault of the calls that arrive at one address, in place of the
+  /// one for all; nothing: the one for all.
+  void SetFaultAt(const endpoint& aAddress, std::optional<fault> aFault);
+  /// Sets how long each response is held back.
+  void SetResponseDelay(duration aDelay) { mResponseDelay = aDelay; }
   /// Executes the delayed writes.
   void ExecuteLateWrites();
   /// Sets the maximum number of objects on one page of a listing.
@@ -76,7 +87,10 @@
     respond_callback respond;
   };
 
-  void Handle(buffered_request aRequest, respond_callback aRespond);
+  void Handle(const std::string& aAddress,
+              buffered_request aRequest,
+              respond_callback aRespond);
+  fault FaultAt(const std::string& aAddress) const;
   /// Serves a GET. Clears `aRespond` if the call is a watch, which responds
   /// later.
   buffered_response Read(const buffered_request& aRequest,
@@ -101,6 +115,8 @@
   unsigned mCalls = 0;
   std::map<std::string, std::string> mRawTexts;
   fault mFault = fault::none;
+  std::map<std::string, fault> mFaultsByAddress;
+  duration mResponseDelay{ 0 };
   std::vector<buffered_request> mLateWrites;
 };
 
--- /dev/null
+++ b/test/unit/config-propagation-test.cc
@@ -0,0 +1,132 @@
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <cstdio>
+#include <cstdlib>
+
+#include "base/log.h"
+#include "harness/config-faults.h"
+
+using namespace eelgrasstrack;
+using namespace eelgrasstrack::test;
+using std::chrono::seconds;
+
+namespace {
+
+/// A number from the environment, for runs by hand.
+std::uint64_t
+NumberFromEnvironment(const char* aName, std::uint64_t aDefault)
+{
+  const char* text = std::getenv(aName);
+  return text == nullptr ? aDefault : std::stoull(text);
+}
+
+std::string
+TextFromEnvironment(const char* aName)
+{
+  const char* text = std::getenv(aName);
+  return text == nullptr ? "" : text;
+}
+
+std::string
+Describe(const config_play& aPlay)
+{
+  std::string text;
+  for (const config_play::late_node& node : aPlay.late_nodes) {
+    text += " " + node.name + (node.watches ? " (watches)" : "") + " +" +
+            std::to_string(Milliseconds(node.late)) + " ms";
+  }
+  return text;
+}
+
+} // namespace
+
+// Plays all faults, or those whose names hold CONFIG_FAULT, with a seed of
+// CONFIG_SEED, CONFIG_PLAYS times each, on a fleet of CONFIG_DOMAINS times
+// CONFIG_HOSTS nodes, and prints how late changes were in force. CONFIG_LOG=1
+// shows the nodes' logs.
+TEST_CASE("config propagation, all faults, prints how late changes are",
+          "[.soak]")
+{
+  if (NumberFromEnvironment("CONFIG_LOG", 0) != 0) {
+    ConfigureLog(log_level::info, log_format::json);
+  }
+  std::string wanted = TextFromEnvironment("CONFIG_FAULT");
+  std::uint64_t plays = NumberFromEnvironment("CONFIG_PLAYS", 6);
+  std::uint64_t seed = NumberFromEnvironment("CONFIG_SEED", 1);
+  config_fleet fleet({ NumberFromEnvironment("CONFIG_DOMAINS", 4),
+                       NumberFromEnvironment("CONFIG_HOSTS", 4) });
+  for (const config_fault& fault : AllConfigFaults()) {
+    if (fault.name.find(wanted) == std::string::npos) {
+      continue;
+    }
+    change_offsets offsets(seed);
+    std::uint64_t late = 0;
+    duration latest{ 0 };
+    duration slowest{ 0 };
+    for (std::uint64_t i = 0; i < plays; ++i) {
+      fleet.RunFor(offsets.NextPause());
+      duration offset = offsets.Next();
+      std::printf("PLAY %s #%llu offset %lld ms\n",
+                  fault.name.c_str(),
+                  static_cast<unsigned long long>(i),
+                  static_cast<long long>(Milliseconds(offset)));
+      config_play play = PlayFault(fleet, fault, offset);
+      late += play.late_nodes.empty() ? 0 : 1;
+      latest = std::max(latest, play.Latest());
+      slowest = std::max(slowest, play.slowest);
+      std::printf("SEEN %s #%llu slowest %lld ms late:%s\n",
+                  fault.name.c_str(),
+                  static_cast<unsigned long long>(i),
+                  static_cast<long long>(Milliseconds(play.slowest)),
+                  Describe(play).c_str());
+      std::fflush(stdout);
+    }
+    std::printf("TOTAL %s: %llu of %llu plays late, by %lld ms at most, "
+                "slowest %lld ms\n",
+                fault.name.c_str(),
+                static_cast<unsigned long long>(late),
+                static_cast<unsigned long long>(plays),
+                static_cast<long long>(Milliseconds(latest)),
+                static_cast<long long>(Milliseconds(slowest)));
+    std::fflush(stdout);
+  }
+}
+
+// Prints what calm changes cost and how soon they are in force.
+TEST_CASE("config propagation, calm fleet, prints calls and times",
+          "[.measure]")
+{
+  constexpr int kChanges = 20;
+  constexpr duration kPeriod = seconds(1);
+  config_fleet fleet({});
+  fleet.RunFor(seconds(3));
+  auto print = [&fleet](const char* aPhase, const auto& aRun) {
+    time_point began = fleet.Now();
+    unsigned calls = fleet.Store().CallCount();
+    std::uint64_t messages = fleet.Count(proxy_event::peer_message);
+    aRun();
+    double elapsed = std::chrono::duration<double>(fleet.Now() - began).count();
+    std::printf(
+      "%s: %.1f calls to the store a second, %.1f messages a second\n",
+      aPhase,
+      static_cast<double>(fleet.Store().CallCount() - calls) / elapsed,
+      static_cast<double>(fleet.Count(proxy_event::peer_message) - messages) /
+        elapsed);
+  };
+  print("calm", [&] { fleet.RunFor(seconds(20)); });
+  std::vector<duration> times;
+  print("a change a second", [&] {
+    for (int i = 0; i < kChanges; ++i) {
+      fleet.ConfirmNextVersion();
+      fleet.RunFor(kPeriod);
+      for (std::size_t node = 0; node < fleet.Size(); ++node) {
+        times.push_back(fleet.InForceAt(node).value_or(fleet.Now()) -
+                        fleet.ConfirmedAt());
+      }
+    }
+  });
+  std::sort(times.begin(), times.end());
+  std::printf("in force after %lld ms (median), %lld ms (max)\n",
+              static_cast<long long>(Milliseconds(times[times.size() / 2])),
+              static_cast<long long>(Milliseconds(times.back())));
+}
