Failing tests: a change is not in force in time after connections fell silent

The tests silence open connections, let the watchers of a failure domain fail, or let the store recover, and compare when each node has a change in force with the stated bound: 2 s after the confirmation, or 3 s after the disturbance.

--- a/test/harness/config-faults.cc
+++ b/test/harness/config-faults.cc
@@ -13,8 +13,8 @@
 
 /// A change that is not in force at all nodes after this time counts as lost.
 constexpr duration kPlayTime = seconds(15);
-/// Time after a play until the fleet is calm again.
-constexpr duration kCalmTime = seconds(4);
+/// Time from the last messages about instances until a fault begins.
+constexpr duration kSettlingTime = milliseconds(1000);
 /// Longest time that the store holds a watch without a change.
 constexpr duration kLongestWatch = milliseconds(2500);
 /// Outage that is long enough for the retries to reach their longest delay.
@@ -272,11 +272,15 @@
 }
 
 config_play
-PlayFault(config_fleet& aFleet, const config_fault& aFault, duration aOffset)
+PlayFault(config_fleet& aFleet,
+          const config_fault& aFault,
+          const play_timing& aTiming)
 {
+  aFleet.RestartInstances();
+  aFleet.RunFor(kSettlingTime + aTiming.pause);
   std::vector<std::size_t> disturbed = aFault.begin(aFleet);
   time_point stable = aFleet.Now() + kStableTime;
-  aFleet.RunFor(aOffset);
+  aFleet.RunFor(aTiming.offset);
   std::vector<bool> watched;
   for (std::size_t i = 0; i < aFleet.Size(); ++i) {
     watched.push_back(aFleet.Watches(i));
@@ -300,7 +304,6 @@
     }
   }
   aFault.end(aFleet);
-  aFleet.RunFor(kCalmTime);
   return play;
 }
 
@@ -326,22 +329,20 @@
   throw std::invalid_argument("no such fault: " + aName);
 }
 
-duration
-change_offsets::Next()
+play_timing
+timing_source::Next()
 {
   constexpr std::array<duration, 3> kOffsets{ milliseconds(0),
                                               milliseconds(300),
                                               milliseconds(1000) };
   constexpr duration kMaxJitter = milliseconds(100);
-  std::uniform_int_distribution<std::int64_t> jitter(0, kMaxJitter.count());
-  return kOffsets.at(mIndex++ % kOffsets.size()) + duration(jitter(mRandom));
-}
-
-duration
-change_offsets::NextPause()
-{
   std::uniform_int_distribution<std::int64_t> pause(0, kLongestWatch.count());
-  return duration(pause(mRandom));
+  std::uniform_int_distribution<std::int64_t> jitter(0, kMaxJitter.count());
+  play_timing timing;
+  timing.pause = duration(pause(mRandom));
+  timing.offset =
+    kOffsets.at(mIndex++ % kOffsets.size()) + duration(jitter(mRandom));
+  return timing;
 }
 
 } // namespace eelgrasstrack::test
--- a/test/harness/config-faults.h
+++ b/test/harness/config-faults.h
@@ -45,10 +45,20 @@
 /// Time after a disturbance from which the bound applies again.
 inline constexpr duration kStableTime = std::chrono::seconds(3);
 
-/// Plays a fault: begins it, confirms a change `aOffset` later, measures, ends
-/// it. Leaves the fleet calm.
+/// When a fault begins and when the change comes.
+struct play_timing
+{
+  /// Time before the fault, at most as long as a watch of the store.
+  duration pause{ 0 };
+  /// Time from the fault until the change is confirmed.
+  duration offset{ 0 };
+};
+
+/// Plays a fault: begins it, confirms a change, measures, ends the fault.
 config_play
-PlayFault(config_fleet& aFleet, const config_fault& aFault, duration aOffset);
+PlayFault(config_fleet& aFleet,
+          const config_fault& aFault,
+          const play_timing& aTiming);
 
 /// All faults that concern the fleet, with failure domain 0 as the disturbed
 /// one where there is one.
@@ -59,20 +69,17 @@
 config_fault
 ConfigFault(const std::string& aName);
 
-/// Offsets of changes after the begin of a fault: 0, 0.3 and 1 s in turn, each
-/// with a random part of up to 0.1 s.
-class change_offsets
+/// Seeded timings: the offset is 0, 0.3 and 1 s in turn, each with a random
+/// part of up to 0.1 s.
+class timing_source
 {
 public:
-  explicit change_offsets(std::uint64_t aSeed)
+  explicit timing_source(std::uint64_t aSeed)
     : mRandom(aSeed)
   {
   }
 
-  duration Next();
-  /// A time within one watch of the store, so that faults begin at any part of
-  /// it.
-  duration NextPause();
+  play_timing Next();
 
 private:
   std::mt19937_64 mRandom;
--- a/test/harness/config-fleet.cc
+++ b/test/harness/config-fleet.cc
@@ -15,16 +15,12 @@
 namespace {
 
 using nlohmann::json;
-using std::chrono::milliseconds;
 using std::chrono::seconds;
 
 constexpr unsigned kMaxConnections = 4096;
 /// Pause after each turn of all loops.
 constexpr std::chrono::microseconds kTurnPause{ 500 };
 constexpr duration kMaxStartTime = seconds(20);
-/// Changes while the fleet settles, and the time between them.
-constexpr int kSettlingChanges = 5;
-constexpr duration kSettlingPeriod = milliseconds(1200);
 
 /// Handles what is due on a loop without waiting.
 void
@@ -65,6 +61,7 @@
   proxy_counters counters;
   platform::store_client store;
   mesh_settings settings;
+  instance_record instance;
   std::unique_ptr<mesh_node> node;
   std::optional<time_point> in_force_at;
   bool frozen = false;
@@ -90,7 +87,6 @@
                 kMaxStartTime)) {
     throw std::runtime_error("the fleet does not start");
   }
-  Settle();
 }
 
 config_fleet::~config_fleet() = default;
@@ -123,14 +119,14 @@
   if (!opened) {
     throw std::runtime_error(opened.error().message);
   }
-  instance_record instance;
+  instance_record& instance = started->instance;
   instance.id = "i-" + settings.name;
   instance.service = settings.service;
   instance.version = "v1";
   instance.address = FreeAddress();
   instance.state = instance_state::ready;
   instance.started_unix_ms = 1000;
-  started->node->HandleAnnouncement({ instance, 1 });
+  started->node->HandleAnnouncement({ instance, ++mAnnouncements });
   return started;
 }
 
@@ -144,15 +140,6 @@
     });
 }
 
-void
-config_fleet::Settle()
-{
-  for (int i = 0; i < kSettlingChanges; ++i) {
-    ConfirmNextVersion();
-    RunFor(kSettlingPeriod);
-  }
-}
-
 void
 config_fleet::RunOnce()
 {
@@ -266,6 +253,23 @@
   return true;
 }
 
+void
+config_fleet::RestartInstances()
+{
+  constexpr int kStarts = 2;
+  for (std::size_t i = 0; i < Size(); ++i) {
+    if (!mMachines[i]) {
+      continue;
+    }
+    SetLogNode(mNames[i]);
+    for (int start = 0; start < kStarts; ++start) {
+      ++mMachines[i]->instance.started_unix_ms;
+      mMachines[i]->node->HandleAnnouncement(
+        { mMachines[i]->instance, ++mAnnouncements });
+    }
+  }
+}
+
 void
 config_fleet::Silence(link_kind aLinks, silence_kind aKind)
 {
--- a/test/harness/config-fleet.h
+++ b/test/harness/config-fleet.h
@@ -34,8 +34,8 @@
 class config_fleet
 {
 public:
-  /// Starts the nodes and runs until all hold the first configuration, know
-  /// each other and keep connections open.
+  /// Starts the nodes and runs until all hold the first configuration and know
+  /// each other.
   explicit config_fleet(fleet_size aSize);
   ~config_fleet();
   config_fleet(const config_fleet&) = delete;
@@ -68,6 +68,11 @@
   /// Whether all nodes but these have the confirmed version in force.
   bool InForceExcept(const std::vector<std::size_t>& aNodes) const;
 
+  /// Announces two starts of each instance at once. The messages about them
+  /// leave each node with as many open connections to the others as it keeps,
+  /// and the write of its entry leaves one to the store.
+  void RestartInstances();
+
   /// Silences the connections that are open now.
   void Silence(link_kind aLinks, silence_kind aKind = silence_kind::stalled);
   /// Cuts a node's path to the store, for new connections too, or restores it.
@@ -91,8 +96,6 @@
   void RunOnce();
   void RecordVersions();
   bool AllKnowEachOther() const;
-  /// Uses the connections as changes do, so that nodes keep them open.
-  void Settle();
 
   fleet_size mSize;
   std::vector<std::string> mNames;
@@ -103,6 +106,8 @@
   std::vector<std::unique_ptr<machine>> mMachines;
   std::uint64_t mVersion = 1;
   time_point mConfirmedAt{};
+  /// Sequence number of the last announcements of instances.
+  std::int64_t mAnnouncements = 0;
   connection_silencer mSilencer;
 };
 
--- a/test/unit/config-propagation-test.cc
+++ b/test/unit/config-propagation-test.cc
@@ -12,6 +12,9 @@
 
 namespace {
 
+/// Time after a play until the fleet is calm again.
+constexpr duration kCalmTime = seconds(4);
+
 /// A number from the environment, for runs by hand.
 std::uint64_t
 NumberFromEnvironment(const char* aName, std::uint64_t aDefault)
@@ -38,6 +41,41 @@
   return text;
 }
 
+/// Four failure domains of four nodes.
+class config_propagation_fixture
+{
+public:
+  explicit config_propagation_fixture(fleet_size aSize = {})
+    : mFleet(aSize)
+  {
+  }
+
+  /// Plays faults one after the other, with a seed, and checks that each change
+  /// is in force in time.
+  void CheckFaults(const std::vector<std::string>& aFaults, std::uint64_t aSeed)
+  {
+    timing_source timings(aSeed);
+    for (const std::string& name : aFaults) {
+      config_play play = PlayFault(mFleet, ConfigFault(name), timings.Next());
+      CAPTURE(name, aSeed, Describe(play));
+      CHECK(play.late_nodes.empty());
+    }
+  }
+
+private:
+  config_fleet mFleet;
+};
+
+/// One failure domain of three nodes, of which two watch the store.
+class small_fleet_fixture : public config_propagation_fixture
+{
+public:
+  small_fleet_fixture()
+    : config_propagation_fixture({ 1, 3 })
+  {
+  }
+};
+
 } // namespace
 
 // Plays all faults, or those whose names hold CONFIG_FAULT, with a seed of
@@ -59,18 +97,18 @@
     if (fault.name.find(wanted) == std::string::npos) {
       continue;
     }
-    change_offsets offsets(seed);
+    timing_source timings(seed);
     std::uint64_t late = 0;
     duration latest{ 0 };
     duration slowest{ 0 };
     for (std::uint64_t i = 0; i < plays; ++i) {
-      fleet.RunFor(offsets.NextPause());
-      duration offset = offsets.Next();
+      play_timing timing = timings.Next();
       std::printf("PLAY %s #%llu offset %lld ms\n",
                   fault.name.c_str(),
                   static_cast<unsigned long long>(i),
-                  static_cast<long long>(Milliseconds(offset)));
-      config_play play = PlayFault(fleet, fault, offset);
+                  static_cast<long long>(Milliseconds(timing.offset)));
+      config_play play = PlayFault(fleet, fault, timing);
+      fleet.RunFor(kCalmTime);
       late += play.late_nodes.empty() ? 0 : 1;
       latest = std::max(latest, play.Latest());
       slowest = std::max(slowest, play.slowest);
@@ -92,6 +130,90 @@
   }
 }
 
+// Guards against a change that waits for one fetch after the other over
+// connections that are silent: the watchers have it, the other nodes do not.
+TEST_CASE_METHOD(config_propagation_fixture,
+                 "config propagation, links between nodes silent, change is in "
+                 "force in time",
+                 "[config-propagation][known-red]")
+{
+  CheckFaults({ "node links silent" }, 1);
+}
+
+// Guards against watchers that wait for the store over one silent connection
+// after the other, while they count as watchers.
+TEST_CASE_METHOD(config_propagation_fixture,
+                 "config propagation, links to the store silent, change is in "
+                 "force in time",
+                 "[config-propagation][known-red]")
+{
+  CheckFaults({ "store links silent" }, 1);
+}
+
+// Guards against both at once: neither the store nor a watcher is reached
+// before all connections that are kept to it have timed out.
+TEST_CASE_METHOD(config_propagation_fixture,
+                 "config propagation, all links silent, change is in force in "
+                 "time",
+                 "[config-propagation][known-red]")
+{
+  CheckFaults({ "all links silent" }, 1);
+}
+
+// Guards against the first one in a fleet without other failure domains.
+TEST_CASE_METHOD(small_fleet_fixture,
+                 "config propagation of a small fleet, links between nodes "
+                 "silent, change is in force in time",
+                 "[config-propagation][small-fleet][known-red]")
+{
+  CheckFaults({ "node links silent" }, 1);
+}
+
+// Guards against the others in a fleet without other failure domains.
+TEST_CASE_METHOD(small_fleet_fixture,
+                 "config propagation of a small fleet, links to the store "
+                 "silent, change is in force in time",
+                 "[config-propagation][small-fleet][known-red]")
+{
+  CheckFaults({ "store links silent", "all links silent" }, 1);
+}
+
+// Guards against nodes that wait for watchers which no longer serve them.
+TEST_CASE_METHOD(config_propagation_fixture,
+                 "config propagation, watchers of a domain fail, change is in "
+                 "force in time at the others",
+                 "[config-propagation]")
+{
+  CheckFaults({ "watchers frozen", "watchers killed" }, 1);
+}
+
+// Guards against nodes that rely on watchers which the store does not reach.
+TEST_CASE_METHOD(config_propagation_fixture,
+                 "config propagation, watchers of a domain cut off from the "
+                 "store, change is in force in time at the others",
+                 "[config-propagation]")
+{
+  CheckFaults({ "watchers cut off from the store", "watchers get 503" }, 1);
+}
+
+// Guards against watchers and connections that have to be replaced at once.
+TEST_CASE_METHOD(config_propagation_fixture,
+                 "config propagation, all links silent and watchers frozen, "
+                 "change is in force in time at the others",
+                 "[config-propagation][known-red]")
+{
+  CheckFaults({ "all links silent, watchers frozen" }, 1);
+}
+
+// Guards against retries that have become rare during an outage of the store.
+TEST_CASE_METHOD(config_propagation_fixture,
+                 "config propagation, store was out, change is in force in "
+                 "time",
+                 "[config-propagation]")
+{
+  CheckFaults({ "store was out for 4 s", "store drops its history" }, 1);
+}
+
 // Prints what calm changes cost and how soon they are in force.
 TEST_CASE("config propagation, calm fleet, prints calls and times",
           "[.measure]")
