--- a/test/harness/platform-store.cc
+++ b/test/harness/platform-store.cc
@@ -198,9 +198,14 @@
     }
     items.push_back(object);
   }
-  return Response(
+  buffered_response response = Response(
     status::kOk,
     { { "items", items }, { "has_more", has_more }, { "at", mRevision } });
+  if (std::function<void()> task =
+        has_more ? std::exchange(mAfterPage, nullptr) : nullptr) {
+    task();
+  }
+  return response;
 }
 
 buffered_response
--- a/test/harness/platform-store.h
+++ b/test/harness/platform-store.h
@@ -72,6 +72,11 @@
   void ExecuteLateWrites();
   /// Sets the maximum number of objects on one page of a listing.
   void SetPageSize(std::size_t aSize) { mPageSize = aSize; }
+  /// Calls `aTask` once, after the next page that others follow was read.
+  void RunAfterPage(std::function<void()> aTask)
+  {
+    mAfterPage = std::move(aTask);
+  }
 
   /// Returns the current object, or null if there is none.
   nlohmann::json Find(const std::string& aKind, const std::string& aName) const;
@@ -112,6 +117,7 @@
   std::uint64_t mEra = 1;
   std::uint64_t mOldestWatchRevision = 0;
   std::size_t mPageSize = 500;
+  std::function<void()> mAfterPage;
   unsigned mCalls = 0;
   std::map<std::string, std::string> mRawTexts;
   fault mFault = fault::none;
--- a/test/unit/store-client-test.cc
+++ b/test/unit/store-client-test.cc
@@ -231,6 +231,20 @@
   CHECK(WaitForVersion(8));
 }
 
+// Guards against a change that is lost because it was made after its page of a
+// listing was read, and the watch began at the revision of the last page.
+TEST_CASE_METHOD(store_client_fixture,
+                 "store client, change between pages, is reported",
+                 "[store-client]")
+{
+  store.Put("config", "other-1", { { "by", "another writer" } });
+  store.Put("config", "other-2", { { "by", "another writer" } });
+  store.SetPageSize(1);
+  store.RunAfterPage([this] { store.Put("config", "main", MakeTable(8)); });
+  client.SetWatching(true);
+  CHECK(WaitForVersion(8));
+}
+
 TEST_CASE_METHOD(store_client_fixture,
                  "store client, hosts on several pages, lists all valid ones",
                  "[store-client]")
