--- a/src/wire/channel-pool.cc
+++ b/src/wire/channel-pool.cc
@@ -42,6 +42,18 @@
   });
 }
 
+void
+channel_pool::CloseUnusedSince(time_point aMark)
+{
+  std::erase_if(mIdle, [&](const std::shared_ptr<client_channel>& aChannel) {
+    bool unused = aChannel->IdleSince() <= aMark;
+    if (unused) {
+      aChannel->Abort();
+    }
+    return unused;
+  });
+}
+
 void
 channel_pool::Clear()
 {
--- a/src/wire/channel-pool.h
+++ b/src/wire/channel-pool.h
@@ -29,6 +29,9 @@
   /// longer than `aLimit`.
   void CloseIdle(duration aLimit, time_point aNow);
 
+  /// Closes connections whose last use ended at `aMark` or before.
+  void CloseUnusedSince(time_point aMark);
+
   /// Closes all connections.
   void Clear();
 
--- a/src/wire/control-client.cc
+++ b/src/wire/control-client.cc
@@ -1,11 +1,11 @@
 #include "wire/control-client.h"
 
+#include "wire/control-attempt.h"
+
 namespace eelgrasstrack {
 
 namespace {
 
-/// Maximum size of the body of an answer (8 MiB).
-constexpr std::size_t kMaxAnswerBytes = 8U << 20U;
 /// Maximum number of idle connections that are kept to one address.
 constexpr std::size_t kMaxIdlePerEndpoint = 2;
 
@@ -32,102 +32,135 @@
 
 } // namespace
 
-/// One call in progress. Its channel, of which it is the observer, keeps it
-/// alive.
-class control_client_exchange final
-  : public client_channel::observer
-  , public std::enable_shared_from_this<control_client_exchange>
+/// One call in progress: one attempt, or two if the request is sent again. Its
+/// attempts and timers keep it alive.
+class control_call final : public std::enable_shared_from_this<control_call>
 {
 public:
-  control_client_exchange(control_client& aClient,
-                          endpoint aEndpoint,
-                          response_callback aDone)
+  control_call(control_client& aClient,
+               endpoint aEndpoint,
+               const call_options& aOptions,
+               response_callback aDone)
     : mClient(aClient)
     , mEndpoint(std::move(aEndpoint))
+    , mOptions(aOptions)
     , mDone(std::move(aDone))
-    , mHeld(aClient.mAnswerBytes)
+    , mStartedAt(Loop().Now())
   {
   }
 
-  void Start(std::shared_ptr<client_channel> aChannel,
-             const std::string& aText,
-             duration aTimeout)
+  void Start(std::shared_ptr<client_channel> aChannel, std::string aText)
   {
-    mChannel = std::move(aChannel);
-    mTimer = Loop().RunAfter(aTimeout, [self = shared_from_this()] {
-      self->Finish(
-        tl::unexpected<error>(
-          { error_kind::deadline_exceeded,
-            "no answer before the timeout from " + ToString(self->mEndpoint),
-            execution::unknown }),
-        false);
-    });
-    mChannel->Begin(aText, shared_from_this(), {}, {});
+    mTimeoutTimer = Loop().RunAfter(
+      mOptions.timeout, [self = shared_from_this()] { self->TimeOut(); });
+    StartAttempt(std::move(aChannel), aText);
+    if (mOptions.resend_after > duration(0)) {
+      mText = std::move(aText);
+      ResendAfter(mOptions.resend_after);
+    }
   }
 
-  void OnAnswerHead(message_head& aHead, std::optional<std::uint64_t>) override
+private:
+  loop& Loop() { return mClient.mTransport.Loop(); }
+
+  void StartAttempt(std::shared_ptr<client_channel> aChannel,
+                    const std::string& aText)
   {
-    mResponse.status = aHead.status;
-    mResponse.fields = aHead.fields;
+    auto attempt = std::make_shared<control_attempt>(
+      mEndpoint, mClient.mAnswerBytes, Loop());
+    mRunning.push_back(attempt);
+    attempt->Start(std::move(aChannel),
+                   aText,
+                   [self = shared_from_this(),
+                    ended = attempt.get()](result<buffered_response> aResult) {
+                     self->OnAttemptEnded(*ended, std::move(aResult));
+                   });
   }
 
-  void OnAnswerBody(std::string_view aBytes) override
+  void ResendAfter(duration aDelay)
   {
-    if (mResponse.body.size() + aBytes.size() > kMaxAnswerBytes) {
-      Finish(Fail(error_kind::too_large,
-                  "answer exceeds 8 MiB, from " + ToString(mEndpoint)),
-             false);
+    mResendTimer = Loop().RunAfter(
+      aDelay, [self = shared_from_this()] { self->ResendIfSilent(); });
+  }
+
+  void ResendIfSilent()
+  {
+    duration silence = Loop().Now() - mRunning.front()->LastProgress();
+    if (silence < mOptions.resend_after) {
+      ResendAfter(mOptions.resend_after - silence);
       return;
     }
-    if (!AppendReserved(mResponse.body, aBytes, mHeld)) {
-      Finish(Fail(error_kind::too_large,
-                  "no memory left for the answer from " + ToString(mEndpoint)),
-             false);
+    std::string text = std::move(mText);
+    // Without a descriptor for a second attempt, the first one goes on alone.
+    if (std::shared_ptr<client_channel> channel = mClient.Open(mEndpoint)) {
+      StartAttempt(std::move(channel), text);
     }
   }
 
-  void OnAnswerEnd() override { Finish(std::move(mResponse), true); }
+  void OnAttemptEnded(control_attempt& aAttempt,
+                      result<buffered_response> aResult)
+  {
+    bool first = &aAttempt == mRunning.front().get();
+    std::shared_ptr<client_channel> channel = aAttempt.TakeChannel();
+    std::erase_if(mRunning,
+                  [&](const std::shared_ptr<control_attempt>& aRunning) {
+                    return aRunning.get() == &aAttempt;
+                  });
+    if (!aResult) {
+      OnAttemptFailed(std::move(aResult.error()));
+      return;
+    }
+    if (!first) {
+      mClient.CloseUnusedSince(mEndpoint, mStartedAt);
+    }
+    mClient.Release(mEndpoint, std::move(channel));
+    Finish(std::move(aResult));
+  }
 
-  void OnChannelFailed(const channel_failure& aFailure) override
+  /// The call fails with its last attempt. What an attempt may have run stays
+  /// unknown, whatever becomes of the other one.
+  void OnAttemptFailed(error aError)
   {
-    bool unsent = aFailure.end == close_reason::connect_failed;
-    Finish(tl::unexpected<error>(
-             { unsent ? error_kind::upstream_unreachable
-                      : error_kind::upstream_broken,
-               ToString(mEndpoint) + ": " + aFailure.reason,
-               unsent ? execution::not_run : execution::unknown }),
-           false);
+    if (!mFailure || mFailure->execution_status == execution::not_run) {
+      mFailure = std::move(aError);
+    }
+    if (mRunning.empty()) {
+      Finish(tl::unexpected<error>(*mFailure));
+    }
   }
 
-private:
-  loop& Loop() { return mClient.mTransport.Loop(); }
+  void TimeOut()
+  {
+    mClient.CloseUnusedSince(mEndpoint, mStartedAt);
+    Finish(Fail(error_kind::deadline_exceeded,
+                "no answer before the timeout from " + ToString(mEndpoint)));
+  }
 
-  void Finish(result<buffered_response> aResult, bool aKeep)
+  void Finish(result<buffered_response> aResult)
   {
-    if (!mDone) {
-      return;
+    Loop().Cancel(mTimeoutTimer);
+    Loop().Cancel(mResendTimer);
+    for (const std::shared_ptr<control_attempt>& attempt :
+         std::exchange(mRunning, {})) {
+      attempt->Abort();
     }
-    Loop().Cancel(mTimer);
-    std::shared_ptr<control_client_exchange> self = shared_from_this();
     response_callback done = std::move(mDone);
-    mDone = nullptr;
-    std::shared_ptr<client_channel> channel = std::move(mChannel);
-    if (aKeep) {
-      mClient.Release(mEndpoint, channel);
-    } else {
-      channel->Abort();
-    }
     done(std::move(aResult));
   }
 
   control_client& mClient;
   endpoint mEndpoint;
+  call_options mOptions;
   response_callback mDone;
-  buffered_response mResponse;
-  /// Account of the answer's body.
-  body_reservation mHeld;
-  std::shared_ptr<client_channel> mChannel;
-  timer_id mTimer = 0;
+  time_point mStartedAt;
+  /// Request to send again.
+  std::string mText;
+  /// Attempts without a result; the first one, unless it has failed, in front.
+  std::vector<std::shared_ptr<control_attempt>> mRunning;
+  /// Failure of one of two attempts.
+  std::optional<error> mFailure;
+  timer_id mTimeoutTimer = 0;
+  timer_id mResendTimer = 0;
 };
 
 control_client::control_client(tcp_transport& aTransport)
@@ -138,10 +171,11 @@
 void
 control_client::Call(const endpoint& aEndpoint,
                      buffered_request aRequest,
-                     duration aTimeout,
+                     const call_options& aOptions,
                      response_callback aDone)
 {
-  std::shared_ptr<client_channel> channel = Acquire(aEndpoint);
+  std::shared_ptr<client_channel> channel =
+    aOptions.new_connection ? Open(aEndpoint) : Acquire(aEndpoint);
   if (!channel) {
     mTransport.Loop().RunAfter(duration(0), [aDone, aEndpoint] {
       aDone(
@@ -150,9 +184,21 @@
     });
     return;
   }
-  auto exchange = std::make_shared<control_client_exchange>(
-    *this, aEndpoint, std::move(aDone));
-  exchange->Start(channel, FormatRequest(aEndpoint, aRequest), aTimeout);
+  auto call = std::make_shared<control_call>(
+    *this, aEndpoint, aOptions, std::move(aDone));
+  call->Start(std::move(channel), FormatRequest(aEndpoint, aRequest));
+}
+
+void
+control_client::Call(const endpoint& aEndpoint,
+                     buffered_request aRequest,
+                     duration aTimeout,
+                     response_callback aDone)
+{
+  Call(aEndpoint,
+       std::move(aRequest),
+       call_options{ .timeout = aTimeout },
+       std::move(aDone));
 }
 
 std::shared_ptr<client_channel>
@@ -165,6 +211,12 @@
       return channel;
     }
   }
+  return Open(aEndpoint);
+}
+
+std::shared_ptr<client_channel>
+control_client::Open(const endpoint& aEndpoint)
+{
   return client_channel::Open(mTransport, aEndpoint, {});
 }
 
@@ -187,4 +239,22 @@
                 [](const auto& aEntry) { return aEntry.second.Empty(); });
 }
 
+void
+control_client::CloseIdleTo(const endpoint& aEndpoint)
+{
+  auto found = mIdle.find(ToString(aEndpoint));
+  if (found != mIdle.end()) {
+    found->second.Clear();
+  }
+}
+
+void
+control_client::CloseUnusedSince(const endpoint& aEndpoint, time_point aMark)
+{
+  auto found = mIdle.find(ToString(aEndpoint));
+  if (found != mIdle.end()) {
+    found->second.CloseUnusedSince(aMark);
+  }
+}
+
 } // namespace eelgrasstrack
