--- a/src/proxy/hop-client.cc
+++ b/src/proxy/hop-client.cc
@@ -60,6 +60,8 @@
   }
 
   time_point StartedAt() const { return mStartedAt; }
+  /// Whether a part of the answer has been received.
+  bool Answered() const { return mAnswered || mFailure; }
 
   /// Fails a request that was never sent or, if the host is unreachable, one
   /// that may be sent elsewhere.
@@ -276,6 +278,20 @@
   }
 }
 
+void
+hop_client::CloseIfSilent(host_state& aState, time_point aNow)
+{
+  std::optional<time_point> mark;
+  for (const hop_run* run : aState.runs) {
+    if (!run->Answered() && aNow - run->StartedAt() > kReceiveTimeout) {
+      mark = std::max(mark.value_or(run->StartedAt()), run->StartedAt());
+    }
+  }
+  if (mark) {
+    aState.idle.CloseUnusedSince(*mark);
+  }
+}
+
 void
 hop_client::Sweep(time_point aNow)
 {
@@ -283,6 +299,7 @@
   std::vector<std::shared_ptr<hop_run>> overdue;
   for (auto& [name, state] : mHosts) {
     state.idle.CloseIdle(kIdleTimeout, aNow);
+    CloseIfSilent(state, aNow);
     bool unresponsive = false;
     for (hop_run* run : state.runs) {
       if (aNow - run->StartedAt() > kConnectTimeout) {
--- a/src/proxy/hop-client.h
+++ b/src/proxy/hop-client.h
@@ -38,7 +38,7 @@
   void HandleUnreachableHost(const std::string& aHostName);
 
   /// Reports hosts with overdue answers, fails requests that could not be sent
-  /// and closes idle connections.
+  /// and closes idle connections that are old or may have fallen silent.
   void Sweep(time_point aNow);
 
 private:
@@ -59,6 +59,9 @@
   };
 
   std::shared_ptr<client_channel> AcquireChannel(host_state& aState);
+  /// Closes the idle connections to a host that may be as silent as those of
+  /// its overdue requests: they were last used before such a request began.
+  static void CloseIfSilent(host_state& aState, time_point aNow);
   void ReportSuspected(const std::string& aHostName);
   /// Reports the host's record as stale if the failure shows that it is.
   void ReportIfStale(const std::string& aHostName, const run_failure& aFailure);
