--- a/src/mesh/gossip.cc
+++ b/src/mesh/gossip.cc
@@ -14,6 +14,9 @@
 using nlohmann::json;
 
 constexpr duration kMessageTimeout = std::chrono::milliseconds(800);
+/// A message without an answer is sent again after this time. The receiver
+/// merges versioned state, so a second copy changes nothing.
+constexpr duration kMessageResendTime = std::chrono::milliseconds(250);
 constexpr duration kProbeTimeout = std::chrono::milliseconds(350);
 constexpr duration kProbePeriod = std::chrono::milliseconds(500);
 constexpr duration kComparePeriod = std::chrono::milliseconds(2500);
@@ -397,7 +400,8 @@
   request.body = aBody;
   mClient.Call(host->record.control,
                std::move(request),
-               kMessageTimeout,
+               call_options{ .timeout = kMessageTimeout,
+                             .resend_after = kMessageResendTime },
                [this, aName](result<buffered_response> aResponse) {
                  if (!aResponse || aResponse->status != status::kOk) {
                    mCounters.Add(proxy_event::peer_failed);
@@ -440,7 +444,8 @@
   mClient.Call(
     host->record.control,
     std::move(request),
-    kProbeTimeout,
+    // Open connections may be silent although the host is there.
+    call_options{ .timeout = kProbeTimeout, .new_connection = true },
     [this, aName, aMissesAllowed](result<buffered_response> aResponse) {
       mProbing.erase(aName);
       if (!aResponse && aMissesAllowed > 0) {
--- a/test/unit/silent-connections-test.cc
+++ b/test/unit/silent-connections-test.cc
@@ -103,6 +103,17 @@
     }
   }
 
+  bool IsPeerUnreachable()
+  {
+    nlohmann::json dump = nlohmann::json::parse(world.Node(front).Dump());
+    for (const nlohmann::json& host : dump.at("hosts")) {
+      if (host.at("name") == "peer") {
+        return host.at("unreachable").get<bool>();
+      }
+    }
+    return true;
+  }
+
   mesh_world world;
   std::size_t front = 0;
   /// Connections to the peer for requests, and for messages and probes.
@@ -125,6 +136,53 @@
 
 } // namespace
 
+// Guards against a probe over a silent connection, after which a sound host
+// counted as lost.
+TEST_CASE_METHOD(silent_connections_fixture,
+                 "silent connections, host is probed, is not lost",
+                 "[silent-connections]")
+{
+  SendAtATime(1);
+  REQUIRE_FALSE(controls.empty());
+  Silence(hops);
+  Silence(controls);
+  pending_answer overdue = world.StartRequest(front, "GET", "/orders/2");
+  constexpr unsigned kSteps = 60;
+  for (unsigned i = 0; i < kSteps; ++i) {
+    world.RunFor(milliseconds(20));
+    REQUIRE_FALSE(IsPeerUnreachable());
+  }
+}
+
+// Guards against CONFIG: a message to another node, which may announce a
+// configuration, was lost on a silent connection.
+TEST_CASE_METHOD(silent_connections_fixture,
+                 "silent connections, message to another node, arrives on a "
+                 "new connection within its timeout",
+                 "[silent-connections]")
+{
+  REQUIRE_FALSE(controls.empty());
+  const std::size_t before = controls.size();
+  Silence(controls);
+  const host_record third = HostRecord("third");
+  nlohmann::json message = { { "from", "third" },
+                             { "config", 1 },
+                             { "hosts", { EncodeHostRecord(third) } } };
+  // The front forwards what it hears from another failure domain.
+  REQUIRE(world.PostToNode(front, "/v1/gossip", message.dump()) == 200);
+  world.RunFor(milliseconds(800));
+  auto arrivals = [&](std::size_t aFirst, std::size_t aLast) {
+    return std::count_if(controls.begin() + static_cast<std::ptrdiff_t>(aFirst),
+                         controls.begin() + static_cast<std::ptrdiff_t>(aLast),
+                         [](const auto& aConnection) {
+                           return aConnection->received.find("i-third") !=
+                                  std::string::npos;
+                         });
+  };
+  REQUIRE(arrivals(0, before) == 1);
+  CHECK(arrivals(before, controls.size()) == 1);
+}
+
 // Guards against requests that wait for their deadlines on silent connections
 // to another host after an earlier one got no answer there.
 TEST_CASE_METHOD(silent_connections_fixture,
