--- a/src/proxy/instance-dispatcher.cc
+++ b/src/proxy/instance-dispatcher.cc
@@ -17,8 +17,9 @@
 
 /// How often waiting requests that are too late are refused.
 constexpr duration kSweepPeriod = std::chrono::milliseconds(20);
-/// An idle connection to the instance is closed after this time.
-constexpr duration kIdleTimeout = std::chrono::seconds(6);
+/// An idle connection to the instance is closed after this time. It may have
+/// fallen silent without a reset, which only a request would show.
+constexpr duration kIdleTimeout = std::chrono::milliseconds(1500);
 /// Subtracted from the drain time for the transmission to the instance.
 constexpr duration kDrainReserve = std::chrono::milliseconds(500);
 /// Time for which requests that wait when the failure domain is evacuated may
--- a/test/unit/silent-connections-test.cc
+++ b/test/unit/silent-connections-test.cc
@@ -198,3 +198,41 @@
   SendAtATime(2);
   CHECK_FALSE(overdue->has_value());
 }
+
+// Guards against requests that wait for their deadlines on connections to
+// another host that fell silent while they were idle.
+TEST_CASE_METHOD(silent_connections_fixture,
+                 "silent connections to a host, idle for three seconds, are "
+                 "not used",
+                 "[silent-connections]")
+{
+  SendAtATime(3);
+  Silence(hops);
+  world.RunFor(seconds(3));
+  SendAtATime(3);
+}
+
+// Guards against requests that wait for their deadlines on connections to the
+// instance that fell silent while they were idle.
+TEST_CASE_METHOD(silent_connections_fixture,
+                 "silent connections to the instance, idle for three seconds, "
+                 "are not used",
+                 "[silent-connections]")
+{
+  connections instance;
+  endpoint address = FreeAddress();
+  REQUIRE(world.Sockets().Listen(
+    address, [&instance](std::shared_ptr<connection> aNew) {
+      auto accepted = std::make_shared<answering_connection>(aNew, kAnswer);
+      instance.push_back(accepted);
+      aNew->SetObserver(accepted);
+    }));
+  world.ReplaceInstance(front, address);
+  auto send = [&] {
+    return world.StatusOf(world.SendAsNode(front, "GET", "/front/1"));
+  };
+  REQUIRE(send() == 200);
+  Silence(instance);
+  world.RunFor(seconds(3));
+  CHECK(send() == 200);
+}
