eelgrasstrackd: show which configuration a node holds, from whom, and how old its knowledge is

Change, without any change of what is decided: fleet_node keeps a config_knowledge, as the mesh does. Answers of the store confirm it, as of the time at which the store must have held the object; probes carry its age on as an optional last field of the digest, which nodes of earlier versions skip. Metrics config_source, config_age_seconds, store_knowledge_age_seconds, store_watcher; config.source, taken_ms_ago, store_age_ms in the dump; log events store_lost, store_regained, store_watch_started and _stopped, no_route; the age in config_in_force.

--- a/src/call/call-types.h
+++ b/src/call/call-types.h
@@ -4,6 +4,7 @@
 #include <functional>
 
 #include "peer/messages.h"
+#include "proxy/config-knowledge.h"
 #include "routing/upstream-picker.h"
 
 namespace eelgrasstrack {
@@ -97,6 +98,8 @@
   /// Whether this node has a current configuration.
   virtual bool Ready() const = 0;
   virtual const snapshot_ptr& Config() const = 0;
+  /// Source and age of the configuration.
+  virtual const config_knowledge& Knowledge() const = 0;
   virtual const rollout_state_table& Rollouts() const = 0;
   /// Upstreams of a service version that accept calls.
   virtual const std::vector<upstream_candidate>& Candidates(
--- a/src/call/first-hop.cc
+++ b/src/call/first-hop.cc
@@ -4,7 +4,9 @@
 
 #include "base/hash.h"
 #include "base/invariant.h"
+#include "base/log.h"
 #include "base/parse-number.h"
+#include "fleet/store-age-text.h"
 #include "http/error-response.h"
 #include "routing/route-table.h"
 
@@ -103,6 +105,21 @@
 {
 }
 
+void
+call_session::LogNoRoute() const
+{
+  const config_knowledge& config = mHop.mView.Knowledge();
+  duration heldFor = mStarted - config.taken_at;
+  LogEvent(log_level::info,
+           "no_route",
+           { { "request", mRequestKey },
+             { "target", mCallerRequest.request.path },
+             { "config", std::to_string(config.version) },
+             { "source", config.source },
+             { "taken_ms_ago", std::to_string(Milliseconds(heldFor)) },
+             { "store_age_ms", StoreAgeText(config, mStarted) } });
+}
+
 void
 call_session::Start()
 {
@@ -127,6 +144,7 @@
                       HeaderValue(headers, "host"),
                       mCallerRequest.request.path);
   if (mRoute == nullptr) {
+    LogNoRoute();
     RespondWithError(
       MakeError(error_kind::not_found, "no route matches this request"));
     return;
--- a/src/call/first-hop.h
+++ b/src/call/first-hop.h
@@ -107,6 +107,8 @@
   void Cancel();
 
 private:
+  /// Logs by which configuration no route was found.
+  void LogNoRoute() const;
   void ChooseVersionAndStartAttempt();
   void ClaimKeyAndStartAttempt();
   /// Picks an upstream and sends the call to it. Falls back to the old version
--- a/src/daemon/node.cc
+++ b/src/daemon/node.cc
@@ -753,18 +753,22 @@
 std::string
 node::Dump() const
 {
-  state_dump_sources sources{ mFleet,     mSwitch,   mLastHop,
-                              mStore,     mFirstHop, mLoop.Now() - mStartedAt,
-                              IsServing() };
+  time_point now = mLoop.Now();
+  state_dump_sources sources{
+    mFleet,    mSwitch, mLastHop,         mStore,
+    mFirstHop, now,     now - mStartedAt, IsServing()
+  };
   return DumpState(sources);
 }
 
 std::string
 node::Metrics() const
 {
-  state_dump_sources sources{ mFleet,     mSwitch,   mLastHop,
-                              mStore,     mFirstHop, mLoop.Now() - mStartedAt,
-                              IsServing() };
+  time_point now = mLoop.Now();
+  state_dump_sources sources{
+    mFleet,    mSwitch, mLastHop,         mStore,
+    mFirstHop, now,     now - mStartedAt, IsServing()
+  };
   std::string text = ExposeCounters(sources);
   for (const auto& [status, count] : mStatusCounts) {
     text += "eelgrasstrack_answers_total{status=\"" + std::to_string(status) +
--- a/src/daemon/node.h
+++ b/src/daemon/node.h
@@ -62,6 +62,10 @@
   // routing_view
   bool Ready() const override { return mFleet.Ready(); }
   const snapshot_ptr& Config() const override { return mFleet.Config(); }
+  const config_knowledge& Knowledge() const override
+  {
+    return mFleet.Knowledge();
+  }
   const rollout_state_table& Rollouts() const override
   {
     return mFleet.Rollouts();
--- a/src/daemon/state-dump.cc
+++ b/src/daemon/state-dump.cc
@@ -67,6 +67,45 @@
   return list;
 }
 
+json
+RenderConfig(const fleet_node& aFleet, time_point aNow)
+{
+  const config_knowledge& config = aFleet.Knowledge();
+  std::optional<std::uint64_t> floor = aFleet.VersionFloor();
+  json body = { { "version", aFleet.Config()->version },
+                { "hash", HexOf(aFleet.Config()->hash) },
+                { "floor", floor ? json(*floor) : json() },
+                { "documents", aFleet.Config()->documents.size() },
+                { "source", config.source } };
+  if (config.version > 0) {
+    body["taken_ms_ago"] = Milliseconds(aNow - config.taken_at);
+  }
+  if (std::optional<duration> age = config.StoreAge(aNow)) {
+    body["store_age_ms"] = Milliseconds(*age);
+  }
+  return body;
+}
+
+void
+AppendConfigMetrics(std::string& aText,
+                    const fleet_node& aFleet,
+                    time_point aNow)
+{
+  const config_knowledge& config = aFleet.Knowledge();
+  auto add = [&aText](const std::string& aName, duration aAge) {
+    double seconds = std::chrono::duration<double>(aAge).count();
+    aText += "eelgrasstrack_" + aName + " " + std::to_string(seconds) + "\n";
+  };
+  if (config.version > 0) {
+    aText +=
+      "eelgrasstrack_config_source{source=\"" + config.source + "\"} 1\n";
+    add("config_age_seconds", aNow - config.taken_at);
+  }
+  if (std::optional<duration> age = config.StoreAge(aNow)) {
+    add("store_knowledge_age_seconds", *age);
+  }
+}
+
 json
 RenderRollouts(const rollout_state_table& aStates)
 {
@@ -132,7 +171,6 @@
 {
   const fleet_node& fleet = aSources.fleet;
   const store_counters& store = aSources.store.Counters();
-  std::optional<std::uint64_t> floor = fleet.VersionFloor();
   json body = { { "node", fleet.Self().node },
                 { "domain", fleet.Self().domain },
                 { "incarnation", fleet.Self().incarnation },
@@ -140,11 +178,7 @@
                 { "uptime_ms", Milliseconds(aSources.uptime) },
                 { "processor_us", ProcessorTime().count() },
                 { "resident_bytes", ResidentBytes() },
-                { "config",
-                  { { "version", fleet.Config()->version },
-                    { "hash", HexOf(fleet.Config()->hash) },
-                    { "floor", floor ? json(*floor) : json() },
-                    { "documents", fleet.Config()->documents.size() } } },
+                { "config", RenderConfig(fleet, aSources.now) },
                 { "watches_store", fleet.WatchesStore() },
                 { "store",
                   { { "calls", store.calls },
@@ -169,6 +203,8 @@
     text += "eelgrasstrack_" + aName + " " + std::to_string(aValue) + "\n";
   };
   add("config_version", aSources.fleet.Config()->version);
+  AppendConfigMetrics(text, aSources.fleet, aSources.now);
+  add("store_watcher", aSources.fleet.WatchesStore() ? 1 : 0);
   add("serving", aSources.serving ? 1 : 0);
   add("members_alive", aSources.fleet.Members().AliveCount());
   add("links", aSources.peers.LinkCount());
--- a/src/daemon/state-dump.h
+++ b/src/daemon/state-dump.h
@@ -17,6 +17,7 @@
   const last_hop& last;
   const http_object_store& store;
   const first_hop& first;
+  time_point now{};
   duration uptime{};
   bool serving = false;
 };
--- a/src/fleet/fleet-node.cc
+++ b/src/fleet/fleet-node.cc
@@ -4,6 +4,7 @@
 
 #include "base/hash.h"
 #include "base/log.h"
+#include "fleet/store-age-text.h"
 
 namespace eelgrasstrack {
 
@@ -95,6 +96,7 @@
   , mWriter(aStore, aScheduler, mOptions.random_seed + 100)
   , mFollower(aStore,
               aScheduler,
+              aClock,
               *this,
               mSelf.domain,
               mOptions.random_seed + 200)
@@ -124,9 +126,11 @@
 {
   bool versionIsFloor = mFloor.Value() && !mVersionUncertain &&
                         mReplica.Version() >= *mFloor.Value();
-  return {
-    mReplica.Version(), mMembers.Hash(), mRollouts.Hash(), versionIsFloor
-  };
+  return { mReplica.Version(),
+           mMembers.Hash(),
+           mRollouts.Hash(),
+           versionIsFloor,
+           mKnowledge.StoreAge(mClock.Now()) };
 }
 
 void
@@ -439,6 +443,9 @@
   time_point now = mClock.Now();
   peer_state& view = mPeers[aPeer];
   view.last_digest = aTheirs;
+  if (aTheirs.store_age) {
+    ConfirmVersion(aTheirs.config_version, now - *aTheirs.store_age);
+  }
   if (aTheirs.config_version < mReplica.Version()) {
     SendConfigTo(aPeer, aTheirs.config_version);
   } else if (aTheirs.config_version > mReplica.Version()) {
@@ -709,10 +716,16 @@
   if (!mReplica.Install(aSnapshot)) {
     return false;
   }
+  time_point now = mClock.Now();
+  mKnowledge.source = aFrom.empty() ? "store" : aFrom;
   LogEvent(log_level::info,
            "config_in_force",
            { { "version", std::to_string(aSnapshot->version) },
-             { "from", aFrom.empty() ? "store" : aFrom } });
+             { "before", std::to_string(mKnowledge.version) },
+             { "from", mKnowledge.source },
+             { "store_age_ms", StoreAgeText(mKnowledge, now) } });
+  mKnowledge.version = aSnapshot->version;
+  mKnowledge.taken_at = now;
   std::set<std::string> open;
   for (const auto& [id, rollout] : aSnapshot->rollouts) {
     if (rollout.IsOpen()) {
@@ -725,6 +738,16 @@
   return true;
 }
 
+void
+fleet_node::ConfirmVersion(std::uint64_t aVersion, time_point aAsOf)
+{
+  if (aVersion > mReplica.Version()) {
+    return;
+  }
+  mKnowledge.confirmed_at =
+    std::max(mKnowledge.confirmed_at.value_or(aAsOf), aAsOf);
+}
+
 void
 fleet_node::SpreadConfig(const node_id& aExcept)
 {
@@ -748,12 +771,13 @@
 }
 
 void
-fleet_node::OnStoreConfig(const config_state& aState)
+fleet_node::OnStoreConfig(const config_state& aState, time_point aAsOf)
 {
   mFloor.AddStoreVersion(aState.version);
   ClearVersionUncertainty();
   mAwaitingContact = false;
   if (aState.version <= mReplica.Version()) {
+    ConfirmVersion(aState.version, aAsOf);
     return;
   }
   result<snapshot_ptr> built = BuildSnapshot(aState.version, aState.documents);
@@ -764,11 +788,13 @@
     return;
   }
   InstallConfig(*built, kNoNode);
+  ConfirmVersion(aState.version, aAsOf);
 }
 
 void
-fleet_node::OnStoreEmpty()
+fleet_node::OnStoreEmpty(time_point aAsOf)
 {
+  ConfirmVersion(0, aAsOf);
   ClearVersionUncertainty();
   mFloor.AddStoreVersion(0);
 }
--- a/src/fleet/fleet-node.h
+++ b/src/fleet/fleet-node.h
@@ -11,6 +11,7 @@
 #include "fleet/store-follower.h"
 #include "membership/failure-detector.h"
 #include "membership/overlay.h"
+#include "proxy/config-knowledge.h"
 #include "rollout/rollout-state.h"
 
 namespace eelgrasstrack {
@@ -83,6 +84,9 @@
   bool Ready() const;
 
   const snapshot_ptr& Config() const { return mReplica.Current(); }
+  /// Which configuration the node holds, and how old its knowledge of the
+  /// store is.
+  const config_knowledge& Knowledge() const { return mKnowledge; }
   const member_table& Members() const { return mMembers; }
   const rollout_state_table& Rollouts() const { return mRollouts; }
   const member_record& Self() const { return mSelf; }
@@ -91,8 +95,8 @@
   std::optional<std::uint64_t> VersionFloor() const { return mFloor.Value(); }
 
   // store_follower_owner
-  void OnStoreConfig(const config_state& aState) override;
-  void OnStoreEmpty() override;
+  void OnStoreConfig(const config_state& aState, time_point aAsOf) override;
+  void OnStoreEmpty(time_point aAsOf) override;
   void OnBootstrap(const bootstrap_record& aRecord) override;
   std::vector<node_id> BootstrapNodesOfDomain() const override;
   std::size_t FleetSize() const override { return mMembers.AliveCount(); }
@@ -139,6 +143,8 @@
   void SendConfigTo(const node_id& aPeer, std::uint64_t aTheirVersion);
   void RequestConfig(const node_id& aPeer);
   bool InstallConfig(const snapshot_ptr& aSnapshot, const node_id& aFrom);
+  /// The store held `aVersion` at `aAsOf`.
+  void ConfirmVersion(std::uint64_t aVersion, time_point aAsOf);
   /// Pushes small deltas to the peers and announces larger changes.
   void SpreadConfig(const node_id& aExcept);
   /// If the peer set `version_is_floor`, adds its version to the version floor
@@ -177,6 +183,7 @@
   member_table mMembers;
   failure_detector mDetector;
   config_replica mReplica;
+  config_knowledge mKnowledge;
   version_floor mFloor;
   rollout_state_table mRollouts;
   config_writer mWriter;
--- a/src/fleet/store-follower.cc
+++ b/src/fleet/store-follower.cc
@@ -28,11 +28,13 @@
 
 store_follower::store_follower(object_store& aStore,
                                task_scheduler& aScheduler,
+                               const clock_source& aClock,
                                store_follower_owner& aOwner,
                                std::string aDomain,
                                std::uint64_t aSeed)
   : mStore(aStore)
   , mScheduler(aScheduler)
+  , mClock(aClock)
   , mOwner(aOwner)
   , mDomain(std::move(aDomain))
   , mRandom(aSeed)
@@ -153,23 +155,26 @@
   if (mConfigLoaded) {
     return;
   }
-  mStore.Get(kConfigKey, [this](result<stored_object> aObject) {
-    if (!HandleConfig(aObject)) {
+  time_point startedAt = mClock.Now();
+  mStore.Get(kConfigKey, [this, startedAt](result<stored_object> aObject) {
+    if (!HandleConfig(aObject, startedAt)) {
       mScheduler.RunAfter(mConfigBackoff.NextDelay(), [this] { ReadConfig(); });
     }
   });
 }
 
 bool
-store_follower::HandleConfig(const result<stored_object>& aObject)
+store_follower::HandleConfig(const result<stored_object>& aObject,
+                             time_point aAsOf)
 {
+  LogStoreState(aObject);
   if (!aObject) {
     return false;
   }
   mStoreVersion = std::max(mStoreVersion, aObject->version);
   if (aObject->version == 0) {
     mConfigLoaded = true;
-    mOwner.OnStoreEmpty();
+    mOwner.OnStoreEmpty(aAsOf);
     return true;
   }
   result<config_state> state = DecodeConfigState(aObject->value);
@@ -180,13 +185,34 @@
     return false;
   }
   mConfigLoaded = true;
-  mOwner.OnStoreConfig(*state);
+  mOwner.OnStoreConfig(*state, aAsOf);
   return true;
 }
 
+void
+store_follower::LogStoreState(const result<stored_object>& aObject)
+{
+  bool lost = !aObject;
+  if (lost == mStoreLost) {
+    return;
+  }
+  mStoreLost = lost;
+  if (lost) {
+    LogEvent(log_level::warning,
+             "store_lost",
+             { { "reason", aObject.error().message } });
+  } else {
+    LogEvent(log_level::info, "store_regained");
+  }
+}
+
 void
 store_follower::SetWatching(bool aWatching)
 {
+  if (mWatching != aWatching) {
+    LogEvent(log_level::info,
+             aWatching ? "store_watch_started" : "store_watch_stopped");
+  }
   mWatching = aWatching;
   if (mWatching && !mWatchPending) {
     Watch();
@@ -197,12 +223,18 @@
 store_follower::Watch()
 {
   mWatchPending = true;
+  time_point startedAt = mClock.Now();
   mStore.Watch(kConfigKey,
                mStoreVersion,
                kWatchTimeout,
-               [this](result<stored_object> aObject) {
+               [this, startedAt](result<stored_object> aObject) {
                  mWatchPending = false;
-                 bool handled = HandleConfig(aObject);
+                 // What the call took beyond its wait may be the delay of the
+                 // answer on its way.
+                 time_point now = mClock.Now();
+                 duration delay =
+                   std::max(duration(0), now - startedAt - kWatchTimeout);
+                 bool handled = HandleConfig(aObject, now - delay);
                  if (!mWatching) {
                    return;
                  }
@@ -223,8 +255,9 @@
 store_follower::PollEvery(duration aPeriod)
 {
   mScheduler.RunAfter(aPeriod, [this, aPeriod] {
-    mStore.Get(kConfigKey, [this](result<stored_object> aObject) {
-      HandleConfig(aObject);
+    time_point startedAt = mClock.Now();
+    mStore.Get(kConfigKey, [this, startedAt](result<stored_object> aObject) {
+      HandleConfig(aObject, startedAt);
     });
     PollEvery(aPeriod);
   });
--- a/src/fleet/store-follower.h
+++ b/src/fleet/store-follower.h
@@ -18,9 +18,10 @@
 {
 public:
   virtual ~store_follower_owner() = default;
-  virtual void OnStoreConfig(const config_state& aState) = 0;
-  /// The store holds no configuration yet.
-  virtual void OnStoreEmpty() = 0;
+  /// The store held this configuration at `aAsOf`.
+  virtual void OnStoreConfig(const config_state& aState, time_point aAsOf) = 0;
+  /// The store held no configuration at `aAsOf`.
+  virtual void OnStoreEmpty(time_point aAsOf) = 0;
   virtual void OnBootstrap(const bootstrap_record& aRecord) = 0;
   /// Nodes that the bootstrap record should list for this failure domain.
   virtual std::vector<node_id> BootstrapNodesOfDomain() const = 0;
@@ -37,6 +38,7 @@
 public:
   store_follower(object_store& aStore,
                  task_scheduler& aScheduler,
+                 const clock_source& aClock,
                  store_follower_owner& aOwner,
                  std::string aDomain,
                  std::uint64_t aSeed);
@@ -79,12 +81,15 @@
                       std::uint64_t aVersion);
   void ReadConfig();
   void Watch();
-  /// Passes the object to the owner. Returns false if it could not be read or
-  /// decoded.
-  bool HandleConfig(const result<stored_object>& aObject);
+  /// Passes the object, which the store held at `aAsOf`, to the owner. Returns
+  /// false if it could not be read or decoded.
+  bool HandleConfig(const result<stored_object>& aObject, time_point aAsOf);
+  /// Logs the first failed call in a row and the first answer after it.
+  void LogStoreState(const result<stored_object>& aObject);
 
   object_store& mStore;
   task_scheduler& mScheduler;
+  const clock_source& mClock;
   store_follower_owner& mOwner;
   std::string mDomain;
   std::mt19937_64 mRandom;
@@ -93,6 +98,7 @@
   jittered_backoff mWatchBackoff;
   std::uint64_t mStoreVersion = 0;
   bool mConfigLoaded = false;
+  bool mStoreLost = false;
   bool mWatching = false;
   bool mWatchPending = false;
   bool mBootstrapPending = false;
--- a/src/peer/codec.cc
+++ b/src/peer/codec.cc
@@ -41,22 +41,37 @@
   { "claim_answer", "u", true },
 } };
 
+/// Limit for the age of a peer's knowledge of the store.
+constexpr std::chrono::milliseconds kMaxStoreAge = std::chrono::hours(24);
+
 json
 Encode(const state_digest& aDigest)
 {
-  return { aDigest.config_version,
-           aDigest.member_hash,
-           aDigest.rollout_hash,
-           aDigest.version_is_floor ? 1 : 0 };
+  json fields = { aDigest.config_version,
+                  aDigest.member_hash,
+                  aDigest.rollout_hash,
+                  aDigest.version_is_floor ? 1 : 0 };
+  if (aDigest.store_age) {
+    fields.push_back(Milliseconds(*aDigest.store_age));
+  }
+  return fields;
 }
 
 state_digest
 DecodeDigest(const json& aValue)
 {
-  return { aValue.at(0).get<std::uint64_t>(),
-           aValue.at(1).get<std::uint64_t>(),
-           aValue.at(2).get<std::uint64_t>(),
-           aValue.at(3).get<int>() != 0 };
+  state_digest digest{ aValue.at(0).get<std::uint64_t>(),
+                       aValue.at(1).get<std::uint64_t>(),
+                       aValue.at(2).get<std::uint64_t>(),
+                       aValue.at(3).get<int>() != 0,
+                       std::nullopt };
+  // Nodes of earlier versions do not send the age.
+  if (aValue.size() > 4) {
+    std::uint64_t age = aValue.at(4).get<std::uint64_t>();
+    digest.store_age = std::chrono::milliseconds(std::min<std::uint64_t>(
+      age, static_cast<std::uint64_t>(kMaxStoreAge.count())));
+  }
+  return digest;
 }
 
 json
--- a/src/peer/messages.h
+++ b/src/peer/messages.h
@@ -2,11 +2,13 @@
 #define EELGRASSTRACK_PEER_MESSAGES_H_
 
 #include <array>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
 #include <vector>
 
+#include "base/clock.h"
 #include "base/error.h"
 #include "config/snapshot.h"
 #include "http/message.h"
@@ -26,6 +28,9 @@
   /// Whether a restarted node may use `config_version` as a lower bound of the
   /// version that was in force before its restart.
   bool version_is_floor = false;
+  /// How long ago the store is known to have held no later version than
+  /// `config_version`; nothing if the sender does not know.
+  std::optional<duration> store_age;
 
   bool operator==(const state_digest&) const = default;
 };
--- a/test/harness/virtual-mesh.cc
+++ b/test/harness/virtual-mesh.cc
@@ -227,6 +227,7 @@
   // routing_view
   bool Ready() const override { return true; }
   const snapshot_ptr& Config() const override { return mMesh.mConfig; }
+  const config_knowledge& Knowledge() const override { return mKnowledge; }
   const rollout_state_table& Rollouts() const override { return mRollouts; }
   const std::vector<upstream_candidate>& Candidates(
     const std::string&,
@@ -437,6 +438,7 @@
   std::unique_ptr<rollout_driver> mDriver;
   rollout_state_table mRollouts;
   std::vector<upstream_candidate> mCandidates;
+  config_knowledge mKnowledge;
   std::map<hop_token, hop_callback> mPendingCalls;
   hop_token mNextToken = 1;
   attempt_id mNextAttempt = 0;
--- a/test/unit/distribution-test.cc
+++ b/test/unit/distribution-test.cc
@@ -172,6 +172,41 @@
   REQUIRE(fleet.Store().RefusedCalls() == 0);
 }
 
+// Guards against nodes that hold a configuration without knowing how old their
+// knowledge of the store is.
+TEST_CASE_METHOD(fleet_fixture,
+                 "fleet node, change accepted, every node knows its source and "
+                 "the age of its knowledge",
+                 "[fleet][config-knowledge]")
+{
+  std::uint64_t version = Apply(3, "op-1");
+  fleet.Advance(seconds(60));
+  time_point now = fleet.Time().Now();
+  for (std::size_t i = 0; i < fleet.Size(); ++i) {
+    const config_knowledge& config = fleet.Node(i).Knowledge();
+    CAPTURE(i);
+    CHECK(config.version == version);
+    CHECK_FALSE(config.source.empty());
+    CHECK(now - config.taken_at >= seconds(60));
+    REQUIRE(config.StoreAge(now));
+    CHECK(*config.StoreAge(now) < seconds(40));
+  }
+}
+
+TEST_CASE("peer codec, digest with and without the age of its knowledge, "
+          "decodes to the same digest",
+          "[codec][config-knowledge]")
+{
+  state_digest digest{ 3, 4, 5, true, std::nullopt };
+  if (GENERATE(false, true)) {
+    digest.store_age = milliseconds(1500);
+  }
+  result<peer_message> decoded =
+    DecodeMessage(EncodeMessage(ping_message{ 3, digest }));
+  REQUIRE(decoded);
+  CHECK(std::get<ping_message>(*decoded).digest == digest);
+}
+
 TEST_CASE("PeerCodec_EncodedMessage_DecodesToTheSameMessage", "[codec]")
 {
   call_message call;
