--- a/test/harness/fake-store.cc
+++ b/test/harness/fake-store.cc
@@ -9,6 +9,8 @@
 /// Rate limits of the platform, from the users' description of it.
 constexpr double kReadsPerSecond = 2000;
 constexpr double kWritesPerSecond = 300;
+/// Time after which a caller gives up a call, in addition to a watch's wait.
+constexpr duration kCallTimeout = std::chrono::seconds(3);
 
 result<stored_object>
 UnavailableError(execution aRan)
@@ -55,9 +57,33 @@
   return admitted;
 }
 
+template<typename T>
+void
+fake_store::TimeOut(std::function<void(result<T>)> aDone, duration aWait)
+{
+  mTime.RunAfter(aWait + kCallTimeout, [aDone] {
+    aDone(tl::unexpected<error>(UnavailableError(execution::unknown).error()));
+  });
+}
+
+stored_object
+fake_store::Sent(const std::string& aKey)
+{
+  stored_object object = mObjects[aKey];
+  if (mAnswersToTruncate > 0 && object.version != 0) {
+    --mAnswersToTruncate;
+    object.value.resize(object.value.size() / 2);
+  }
+  return object;
+}
+
 void
 fake_store::Get(const std::string& aKey, get_callback aDone)
 {
+  if (mHanging) {
+    TimeOut<stored_object>(aDone, duration(0));
+    return;
+  }
   if (mUnavailable) {
     Reply<stored_object>(aDone, UnavailableError(execution::unknown));
     return;
@@ -67,7 +93,7 @@
       aDone, Fail(error_kind::overloaded, "object store: rate limit exceeded"));
     return;
   }
-  Reply<stored_object>(aDone, mObjects[aKey]);
+  Reply<stored_object>(aDone, Sent(aKey));
 }
 
 void
@@ -80,6 +106,10 @@
     return result<std::uint64_t>(
       tl::unexpected<error>(UnavailableError(aRan).error()));
   };
+  if (mHanging) {
+    TimeOut<std::uint64_t>(aDone, duration(0));
+    return;
+  }
   if (mUnavailable) {
     Reply<std::uint64_t>(aDone, lost(execution::unknown));
     return;
@@ -104,11 +134,11 @@
       stored.version = ++mNextVersion;
       stored.value = value;
       for (auto each = mWatches.begin(); each != mWatches.end();) {
-        if (each->key != aKey) {
+        if (each->key != aKey || each->silent) {
           ++each;
           continue;
         }
-        Reply<stored_object>(each->done, stored);
+        Reply<stored_object>(each->done, Sent(aKey));
         each = mWatches.erase(each);
       }
       std::uniform_real_distribution<double> draw(0, 1);
@@ -126,6 +156,10 @@
                   duration aWait,
                   get_callback aDone)
 {
+  if (mHanging) {
+    TimeOut<stored_object>(aDone, aWait);
+    return;
+  }
   if (mUnavailable) {
     Reply<stored_object>(aDone, UnavailableError(execution::unknown));
     return;
@@ -136,7 +170,7 @@
     return;
   }
   if (mObjects[aKey].version != aKnownVersion) {
-    Reply<stored_object>(aDone, mObjects[aKey]);
+    Reply<stored_object>(aDone, Sent(aKey));
     return;
   }
   std::uint64_t id = ++mNextWatch;
@@ -147,13 +181,25 @@
         return aWatch.id == id;
       });
     if (found != mWatches.end()) {
-      get_callback done = found->done;
+      watch ended = *found;
       mWatches.erase(found);
-      Reply<stored_object>(done, mObjects[aKey]);
+      if (ended.silent) {
+        TimeOut<stored_object>(ended.done, duration(0));
+      } else {
+        Reply<stored_object>(ended.done, Sent(aKey));
+      }
     }
   });
 }
 
+void
+fake_store::SilencePendingWatches()
+{
+  for (watch& each : mWatches) {
+    each.silent = true;
+  }
+}
+
 void
 fake_store::SetUnavailable(bool aUnavailable)
 {
--- a/test/harness/fake-store.h
+++ b/test/harness/fake-store.h
@@ -30,6 +30,13 @@
 
   /// While unavailable, all new calls fail, as do the pending watches.
   void SetUnavailable(bool aUnavailable);
+  /// The connections of all pending watches fall silent: these calls end with
+  /// their timeout. New calls work.
+  void SilencePendingWatches();
+  /// While hanging, new calls get no answer and end with their timeout.
+  void SetHanging(bool aHanging) { mHanging = aHanging; }
+  /// Cuts the next `aCount` answers with an object short.
+  void TruncateAnswers(unsigned aCount) { mAnswersToTruncate = aCount; }
   /// Each step of a call takes between half of `aDelay` and twice `aDelay`.
   void SetDelay(duration aDelay) { mDelay = aDelay; }
   /// Sets the probability that a write takes effect but its answer is lost.
@@ -54,10 +61,17 @@
     std::uint64_t known_version;
     std::uint64_t id;
     get_callback done;
+    bool silent = false;
   };
 
   duration Latency();
   bool Admit(bool aWrite);
+  /// Ends a call that got no answer, `aWait` and the call timeout after its
+  /// start.
+  template<typename T>
+  void TimeOut(std::function<void(result<T>)> aDone, duration aWait);
+  /// The object as a caller receives it.
+  stored_object Sent(const std::string& aKey);
   template<typename T>
   void Reply(std::function<void(result<T>)> aDone, result<T> aResult)
   {
@@ -73,6 +87,8 @@
   duration mDelay = std::chrono::milliseconds(3);
   double mLostAnswerChance = 0;
   bool mUnavailable = false;
+  bool mHanging = false;
+  unsigned mAnswersToTruncate = 0;
   std::uint64_t mNextVersion = 0;
   std::uint64_t mNextWatch = 0;
   std::uint64_t mCalls = 0;
--- a/test/harness/fault-proxy.cc
+++ b/test/harness/fault-proxy.cc
@@ -79,13 +79,23 @@
   while (!mStop) {
     std::vector<pollfd> watched{ { mListener, POLLIN, 0 } };
     for (connection& each : mConnections) {
-      watched.push_back({ each.requests.source_fd, POLLIN, 0 });
-      watched.push_back({ each.answers.source_fd, POLLIN, 0 });
+      // A closed end of a silent connection would be reported without end.
+      watched.push_back(
+        { each.requests.source_closed ? -1 : each.requests.source_fd,
+          POLLIN,
+          0 });
+      watched.push_back(
+        { each.answers.source_closed ? -1 : each.answers.source_fd,
+          POLLIN,
+          0 });
     }
     poll(watched.data(), watched.size(), kPollMs);
     if ((watched[0].revents & POLLIN) != 0) {
       Accept();
     }
+    if (mSilenceOpen.exchange(false)) {
+      SilenceConnections();
+    }
     std::size_t index = 1;
     for (connection& each : mConnections) {
       if (index + 1 >= watched.size()) {
@@ -102,11 +112,15 @@
     for (auto each = mConnections.begin(); each != mConnections.end();) {
       Flush(*each, each->requests, false);
       Flush(*each, each->answers, true);
-      bool finished =
-        each->broken || disconnectAll ||
+      bool closed =
         (each->requests.source_closed &&
          each->requests.pending_chunks.empty()) ||
         (each->answers.source_closed && each->answers.pending_chunks.empty());
+      bool finished = disconnectAll || each->broken || closed;
+      // The other end is not told.
+      if (each->silent) {
+        finished = disconnectAll;
+      }
       if (finished) {
         Close(*each);
         each = mConnections.erase(each);
@@ -117,6 +131,16 @@
   }
 }
 
+void
+fault_proxy::SilenceConnections()
+{
+  for (connection& each : mConnections) {
+    each.silent = true;
+    each.requests.pending_chunks.clear();
+    each.answers.pending_chunks.clear();
+  }
+}
+
 void
 fault_proxy::Accept()
 {
@@ -161,7 +185,8 @@
     aConnection.broken = errno != EAGAIN && errno != EINTR;
     return;
   }
-  if (faults.drop_all || (aAnswers && faults.drop_answers)) {
+  if (aConnection.silent || faults.drop_all ||
+      (aAnswers && faults.drop_answers)) {
     return;
   }
   bytes.resize(static_cast<std::size_t>(length));
--- a/test/harness/fault-proxy.h
+++ b/test/harness/fault-proxy.h
@@ -39,6 +39,10 @@
   /// Closes all connections that are open.
   void DisconnectAll() { mDisconnectAll = true; }
 
+  /// All connections that are open fall silent: nothing is passed on in either
+  /// direction, and they stay open. New connections work.
+  void SilenceOpenConnections() { mSilenceOpen = true; }
+
   const endpoint& ListenAddress() const { return mListen; }
   std::uint64_t Accepted() const { return mAccepted; }
 
@@ -67,9 +71,12 @@
     direction requests;
     direction answers;
     bool broken = false;
+    /// Received bytes are discarded, and neither end is closed.
+    bool silent = false;
   };
 
   void Run();
+  void SilenceConnections();
   void Accept();
   void Read(connection& aConnection, direction& aDirection, bool aAnswers);
   void Flush(connection& aConnection, direction& aDirection, bool aAnswers);
@@ -81,6 +88,7 @@
   std::list<connection> mConnections;
   std::atomic<bool> mStop{ false };
   std::atomic<bool> mDisconnectAll{ false };
+  std::atomic<bool> mSilenceOpen{ false };
   std::atomic<std::uint64_t> mAccepted{ 0 };
   std::thread mThread;
 };
--- a/test/harness/virtual-fleet.cc
+++ b/test/harness/virtual-fleet.cc
@@ -218,12 +218,23 @@
   mHosts[aNode].links.clear();
   for (std::size_t other : others) {
     mHosts[other].links.erase(aNode);
+    mSilentLinks.erase(EndsOf(aNode, other));
     RunOnNode(other, mHosts[other].generation, Latency(), [this, other, aNode] {
       mHosts[other].node->OnLinkDown(NameOf(aNode), true);
     });
   }
 }
 
+void
+virtual_fleet::SilenceOpenLinks()
+{
+  for (std::size_t i = 0; i < mHosts.size(); ++i) {
+    for (std::size_t other : mHosts[i].links) {
+      mSilentLinks.insert(EndsOf(i, other));
+    }
+  }
+}
+
 void
 virtual_fleet::Kill(std::size_t aNode)
 {
@@ -302,6 +313,7 @@
       self.node->OnLinkDown(NameOf(aTo), false);
       return;
     }
+    mSilentLinks.erase(EndsOf(aFrom, aTo));
     bool isNewLink = self.links.insert(aTo).second;
     other.links.insert(aFrom);
     if (isNewLink) {
@@ -324,6 +336,9 @@
     return;
   }
   ++from.sent.messages[aMessage.index()];
+  if (mSilentLinks.count(EndsOf(aFrom, aTo)) != 0) {
+    return;
+  }
   if (mOptions.count_bytes) {
     from.sent.bytes[aMessage.index()] += EncodeMessage(aMessage).size();
   }
--- a/test/harness/virtual-fleet.h
+++ b/test/harness/virtual-fleet.h
@@ -45,6 +45,9 @@
   void Leave(std::size_t aNode);
   /// Suspends the process of a node for a time.
   void Pause(std::size_t aNode, duration aTime);
+  /// All open links fall silent: they carry no more messages and stay open.
+  /// New links work.
+  void SilenceOpenLinks();
   /// Separates a failure domain from all others, or reconnects it.
   void SetDomainPartitioned(std::size_t aDomain, bool aCut);
 
@@ -105,6 +108,12 @@
   void Connect(std::size_t aFrom, std::size_t aTo);
   void Send(std::size_t aFrom, std::size_t aTo, const peer_message& aMessage);
   void BreakLinks(std::size_t aNode);
+  /// Both nodes, the lower one first.
+  using link_ends = std::pair<std::size_t, std::size_t>;
+  static link_ends EndsOf(std::size_t aOne, std::size_t aOther)
+  {
+    return { std::min(aOne, aOther), std::max(aOne, aOther) };
+  }
   /// Runs a task on a node after a delay. The task waits while the node is
   /// paused and is dropped if the process has ended.
   void RunOnNode(std::size_t aNode,
@@ -121,6 +130,7 @@
   std::mt19937_64 mRandom;
   std::vector<host> mHosts;
   std::set<std::size_t> mPartitionedDomains;
+  std::set<link_ends> mSilentLinks;
   std::vector<std::string> mViolations;
 };
 
