HTTP client: a timeout closes the kept connections

Cause: a call that timed out closed its own connection only. If the kept connections to the store had fallen silent together, the following calls took one after the other and timed out as well: 3 s for each, up to 15 of them.

Change: a call that times out closes all kept connections, so that the next call opens a new one. Calls in progress are left alone.

Result: the new test failed before (the second call timed out too, no fourth connection was opened) and passes; [own-call] passes.

--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -160,6 +160,8 @@
   void TimeOut()
   {
     bool sent = mChannel && mChannel->Sent();
+    // The kept connections may have fallen silent with this one.
+    mClient.mIdle.Clear();
     Fail(error_kind::deadline_exceeded,
          sent ? execution::unknown : execution::not_run,
          "no response before the deadline");
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -41,7 +41,8 @@
 
 /// An HTTP/1.1 client for one endpoint. It keeps connections alive and runs
 /// one call at a time on each. A connection whose call failed, timed out or
-/// was cancelled is closed and not reused.
+/// was cancelled is closed and not reused. After a timeout, the next call opens
+/// a new connection.
 class http_client
 {
 public:
--- a/test/unit/own-call-test.cc
+++ b/test/unit/own-call-test.cc
@@ -10,22 +10,35 @@
 
 namespace {
 
-/// A server that answers each request with the same text.
+/// A server that answers each request with the same text, unless its connection
+/// is among the first `aSilent` ones.
 class scripted_server final : public connection::observer
 {
 public:
-  scripted_server(std::shared_ptr<connection> aConnection, std::string aText)
+  scripted_server(std::shared_ptr<connection> aConnection,
+                  std::string aText,
+                  unsigned aNumber,
+                  const unsigned& aSilent)
     : mConnection(std::move(aConnection))
     , mText(std::move(aText))
+    , mNumber(aNumber)
+    , mSilent(aSilent)
   {
   }
 
-  void OnReceived(std::string_view) override { mConnection->Send(mText); }
+  void OnReceived(std::string_view) override
+  {
+    if (mNumber > mSilent) {
+      mConnection->Send(mText);
+    }
+  }
   void OnEnded(close_reason) override {}
 
 private:
   std::shared_ptr<connection> mConnection;
   std::string mText;
+  unsigned mNumber;
+  const unsigned& mSilent;
 };
 
 /// A server, and the clients by which the program makes calls of its own.
@@ -37,7 +50,8 @@
     REQUIRE(
       sockets.Listen(address, [this, aText](std::shared_ptr<connection> aNew) {
         ++connections;
-        aNew->SetObserver(std::make_shared<scripted_server>(aNew, aText));
+        aNew->SetObserver(std::make_shared<scripted_server>(
+          aNew, aText, connections, silent_connections));
       }));
   }
 
@@ -56,19 +70,26 @@
   }
 
   /// Calls the server by the client of the daemon and the command line.
-  http_result CallByHttpClient()
+  http_result CallByHttpClient() { return CallByHttpClient(1).front(); }
+
+  /// Makes `aCount` calls at the same time.
+  std::vector<http_result> CallByHttpClient(std::size_t aCount)
   {
     http_request request;
     request.method = "GET";
     request.path = "/";
-    std::optional<http_result> ended;
-    http.Start(std::move(request), kTimeout, [&](http_result aResponse) {
-      ended = std::move(aResponse);
-      events.Stop();
-    });
+    std::vector<http_result> ended;
+    for (std::size_t i = 0; i < aCount; ++i) {
+      http.Start(request, kTimeout, [&](http_result aResponse) {
+        ended.push_back(std::move(aResponse));
+        if (ended.size() == aCount) {
+          events.Stop();
+        }
+      });
+    }
     events.Run();
-    REQUIRE(ended);
-    return *ended;
+    REQUIRE(ended.size() == aCount);
+    return ended;
   }
 
   static constexpr duration kTimeout = std::chrono::seconds(1);
@@ -76,6 +97,8 @@
   control_client control{ sockets };
   http_client http{ sockets, address, {} };
   unsigned connections = 0;
+  /// Number of connections, from the first one on, that get no answer.
+  unsigned silent_connections = 0;
 };
 
 } // namespace
@@ -155,3 +178,21 @@
   REQUIRE_FALSE(response);
   CHECK(response.error().kind == error_kind::upstream_broken);
 }
+
+// Guards against calls to the store that time out one after the other, each on
+// another kept connection that has fallen silent.
+TEST_CASE_METHOD(own_call_fixture,
+                 "http client, kept connections fall silent, only the first "
+                 "call times out",
+                 "[own-call][stale-config]")
+{
+  Listen(AnswerWithStatus("200", ""));
+  for (const http_result& response : CallByHttpClient(3)) {
+    REQUIRE(response);
+  }
+  REQUIRE(connections == 3);
+  silent_connections = connections;
+  CHECK_FALSE(CallByHttpClient());
+  CHECK(CallByHttpClient());
+  CHECK(connections == 4);
+}
