eelgrasstrackd: a silent watch hides a change for at most 11 s

Cause: the store holds a watch open for 25 s, and its call is given up 3 s later. When the connections of the watches fall silent, nobody notices a change for up to 28 s; the promise is 15 s. In an outage in which calls get no answer, each attempt takes 28 s as well, and the backoff of up to 5 s comes on top.

Change: a watch waits between 6 and 8 s, drawn anew each time; after a failure the watcher reads until the store answers again. The sums: 8 + 3 s and a first retry of 0.2 s for silent watches, 3 + 5 s after an outage. The answer of a watch carries the whole configuration (50 KB at 140 services), about 7 KB/s for a watcher; a shorter wait does not fit into 9 KB/s.

--- a/src/fleet/store-follower.cc
+++ b/src/fleet/store-follower.cc
@@ -13,8 +13,12 @@
 
 constexpr duration kInitialRetryDelay = milliseconds(200);
 constexpr duration kMaxRetryDelay = seconds(5);
-/// How long the store holds a watch call open (long poll).
-constexpr duration kWatchTimeout = seconds(25);
+/// How long the store holds a watch call open (long poll). A watch whose
+/// connection has fallen silent hides a change for this time and the call
+/// timeout. The answer carries the whole configuration, so a shorter wait costs
+/// bandwidth. The waits differ, as all watches start again at each change.
+constexpr duration kMinWatchTimeout = seconds(6);
+constexpr duration kMaxWatchTimeout = seconds(8);
 /// Starting nodes spread their first reads over time, so that a restart of the
 /// whole fleet stays below the store's rate limit: the read of the bootstrap
 /// record over a fixed time, and that of the configuration over a time that
@@ -224,33 +228,49 @@
 {
   mWatchPending = true;
   time_point startedAt = mClock.Now();
+  if (mStoreLost) {
+    // A read shows sooner than a watch whether the store answers again.
+    mStore.Get(kConfigKey, [this, startedAt](result<stored_object> aObject) {
+      HandleWatched(aObject, startedAt);
+    });
+    return;
+  }
+  std::uniform_int_distribution<duration::rep> draw(kMinWatchTimeout.count(),
+                                                    kMaxWatchTimeout.count());
+  duration wait(draw(mRandom));
   mStore.Watch(kConfigKey,
                mStoreVersion,
-               kWatchTimeout,
-               [this, startedAt](result<stored_object> aObject) {
-                 mWatchPending = false;
+               wait,
+               [this, startedAt, wait](result<stored_object> aObject) {
                  // What the call took beyond its wait may be the delay of the
                  // answer on its way.
                  time_point now = mClock.Now();
-                 duration delay =
-                   std::max(duration(0), now - startedAt - kWatchTimeout);
-                 bool handled = HandleConfig(aObject, now - delay);
-                 if (!mWatching) {
-                   return;
-                 }
-                 if (handled) {
-                   mWatchBackoff.Reset();
-                   Watch();
-                   return;
-                 }
-                 mWatchPending = true;
-                 mScheduler.RunAfter(mWatchBackoff.NextDelay(), [this] {
-                   mWatchPending = false;
-                   SetWatching(mWatching);
-                 });
+                 duration delay = std::max(duration(0), now - startedAt - wait);
+                 HandleWatched(aObject, now - delay);
                });
 }
 
+void
+store_follower::HandleWatched(const result<stored_object>& aObject,
+                              time_point aAsOf)
+{
+  mWatchPending = false;
+  bool handled = HandleConfig(aObject, aAsOf);
+  if (!mWatching) {
+    return;
+  }
+  if (handled) {
+    mWatchBackoff.Reset();
+    Watch();
+    return;
+  }
+  mWatchPending = true;
+  mScheduler.RunAfter(mWatchBackoff.NextDelay(), [this] {
+    mWatchPending = false;
+    SetWatching(mWatching);
+  });
+}
+
 void
 store_follower::PollEvery(duration aPeriod)
 {
--- a/src/fleet/store-follower.h
+++ b/src/fleet/store-follower.h
@@ -80,7 +80,10 @@
                       bootstrap_record aRecord,
                       std::uint64_t aVersion);
   void ReadConfig();
+  /// Starts a watch, or a read while the store does not answer.
   void Watch();
+  /// Handles what a watch or read returned, and starts the next one.
+  void HandleWatched(const result<stored_object>& aObject, time_point aAsOf);
   /// Passes the object, which the store held at `aAsOf`, to the owner. Returns
   /// false if it could not be read or decoded.
   bool HandleConfig(const result<stored_object>& aObject, time_point aAsOf);
--- a/test/unit/distribution-test.cc
+++ b/test/unit/distribution-test.cc
@@ -57,9 +57,34 @@
     return version;
   }
 
+  /// Writes a change to the store, as if the accepting node had died before it
+  /// sent the change on. Returns its version.
+  std::uint64_t WriteToStore(const std::string& aOperation)
+  {
+    std::uint64_t stored = 0;
+    config_state state;
+    fleet.Store().Get(kConfigKey, [&](const result<stored_object>& aObject) {
+      REQUIRE(aObject);
+      stored = aObject->version;
+      state = stored == 0 ? config_state{} : *DecodeConfigState(aObject->value);
+    });
+    fleet.Advance(milliseconds(100));
+    ++state.version;
+    state.documents = DocumentsWithVersion(aOperation);
+    fleet.Store().Put(
+      kConfigKey,
+      EncodeConfigState(state),
+      stored,
+      [](const result<std::uint64_t>& aWritten) { REQUIRE(aWritten); });
+    return state.version;
+  }
+
   virtual_fleet fleet;
 };
 
+/// Within this time an accepted change is in force everywhere.
+constexpr duration kInForceWithin = seconds(15);
+
 } // namespace
 
 TEST_CASE("ConfigReplica_OlderOrEqualVersionInstalled_KeepsTheCurrentSnapshot",
@@ -207,6 +232,50 @@
   CHECK(std::get<ping_message>(*decoded).digest == digest);
 }
 
+// Guards against nodes that serve an older configuration because the
+// connections of all watches have fallen silent.
+TEST_CASE_METHOD(fleet_fixture,
+                 "fleet node, watches never answered, change is in force in "
+                 "time",
+                 "[fleet][stale-config]")
+{
+  REQUIRE(Apply(0, "op-1") != 0);
+  fleet.Store().SilencePendingWatches();
+  std::uint64_t version = WriteToStore("op-2");
+  CHECK(fleet.MeasureConvergenceTime(version, seconds(60)) < kInForceWithin);
+}
+
+// Guards against the same when links and watches fall silent together.
+TEST_CASE_METHOD(
+  fleet_fixture,
+  "fleet node, links and watches fall silent, change is in force "
+  "in time",
+  "[fleet][stale-config]")
+{
+  REQUIRE(Apply(0, "op-1") != 0);
+  fleet.SilenceOpenLinks();
+  fleet.Store().SilencePendingWatches();
+  std::uint64_t version = Apply(0, "op-2");
+  CHECK(fleet.MeasureConvergenceTime(version, seconds(60)) < kInForceWithin);
+}
+
+// Guards against backoff that has grown during an outage in which calls get no
+// answer, so that a change is noticed late after it.
+TEST_CASE_METHOD(
+  fleet_fixture,
+  "fleet node, store answers again after an outage, change is in "
+  "force in time",
+  "[fleet][stale-config]")
+{
+  REQUIRE(Apply(0, "op-1") != 0);
+  fleet.Store().SilencePendingWatches();
+  fleet.Store().SetHanging(true);
+  fleet.Advance(seconds(GENERATE(61, 62, 63, 64, 65, 66, 67, 68)));
+  fleet.Store().SetHanging(false);
+  std::uint64_t version = WriteToStore("op-2");
+  CHECK(fleet.MeasureConvergenceTime(version, seconds(60)) < kInForceWithin);
+}
+
 TEST_CASE("PeerCodec_EncodedMessage_DecodesToTheSameMessage", "[codec]")
 {
   call_message call;
