eelgrasstrackd: a configuration that could not be decoded is read again

Cause: the follower noted the version of an object before decoding it. After an answer that was cut short, the next watch named that version as known, and the store answered it only at the end of the wait.

Change: the version is noted once the object is decoded.

--- a/src/fleet/store-follower.cc
+++ b/src/fleet/store-follower.cc
@@ -175,7 +175,6 @@
   if (!aObject) {
     return false;
   }
-  mStoreVersion = std::max(mStoreVersion, aObject->version);
   if (aObject->version == 0) {
     mConfigLoaded = true;
     mOwner.OnStoreEmpty(aAsOf);
@@ -189,6 +188,7 @@
     return false;
   }
   mConfigLoaded = true;
+  mStoreVersion = std::max(mStoreVersion, aObject->version);
   mOwner.OnStoreConfig(*state, aAsOf);
   return true;
 }
--- a/test/unit/distribution-test.cc
+++ b/test/unit/distribution-test.cc
@@ -276,6 +276,20 @@
   CHECK(fleet.MeasureConvergenceTime(version, seconds(60)) < kInForceWithin);
 }
 
+// Guards against a node that takes a version that it could not decode for the
+// one that it knows, and does not ask for it again.
+TEST_CASE_METHOD(fleet_fixture,
+                 "fleet node, answers of the store cut short, change is "
+                 "read again",
+                 "[fleet][stale-config]")
+{
+  constexpr duration kMaxRetryDelay = seconds(5);
+  REQUIRE(Apply(0, "op-1") != 0);
+  std::uint64_t version = WriteToStore("op-2");
+  fleet.Store().TruncateAnswers(8);
+  CHECK(fleet.MeasureConvergenceTime(version, seconds(60)) < kMaxRetryDelay);
+}
+
 TEST_CASE("PeerCodec_EncodedMessage_DecodesToTheSameMessage", "[codec]")
 {
   call_message call;
