eelgrasstrackd: a link that has fallen silent is replaced

Cause: a neighbour that sends nothing for 5 s is suspected, but its link stayed in use: Linked() was true, so neither the overlay nor the retries of unreachable nodes opened another, and the probes kept the silent one from being closed as idle. After all links had fallen silent, no node ever found another again, and every change depended on the store alone.

Change: peer_network::Reconnect opens a link beside an open one. It is called for a suspected neighbour at once, and for one unreachable node every 5 s, whether or not a link is open. Both nodes send on their newest open link; the older one stays for the answers that are expected on it and is closed when idle.

--- a/src/daemon/peer-switch.cc
+++ b/src/daemon/peer-switch.cc
@@ -1,5 +1,7 @@
 #include "daemon/peer-switch.h"
 
+#include <algorithm>
+
 #include "base/log.h"
 
 namespace eelgrasstrack {
@@ -18,15 +20,13 @@
 link_ptr
 peer_switch::FindLink(const node_id& aNode) const
 {
+  link_ptr open;
   link_ptr connecting;
   auto [begin, end] = mByNode.equal_range(aNode);
   for (auto entry = begin; entry != end; ++entry) {
-    if (entry->second->IsOpen()) {
-      return entry->second;
-    }
-    connecting = entry->second;
+    (entry->second->IsOpen() ? open : connecting) = entry->second;
   }
-  return connecting;
+  return open != nullptr ? open : connecting;
 }
 
 bool
@@ -40,10 +40,13 @@
 peer_switch::LinkTo(const node_id& aNode)
 {
   link_ptr link = FindLink(aNode);
-  if (link != nullptr) {
-    return link;
-  }
-  link = mTransport.Connect(ParseEndpoint(aNode));
+  return link != nullptr ? link : OpenLink(aNode);
+}
+
+link_ptr
+peer_switch::OpenLink(const node_id& aNode)
+{
+  link_ptr link = mTransport.Connect(ParseEndpoint(aNode));
   link->node = aNode;
   mLinks[link.get()] = link_state{ link, mLoop.Now(), false };
   mByNode.emplace(aNode, link);
@@ -58,6 +61,20 @@
   }
 }
 
+void
+peer_switch::Reconnect(const node_id& aNode)
+{
+  if (aNode == mSelf) {
+    return;
+  }
+  auto [begin, end] = mByNode.equal_range(aNode);
+  bool connecting = std::any_of(
+    begin, end, [](const auto& aEntry) { return !aEntry.second->IsOpen(); });
+  if (!connecting) {
+    OpenLink(aNode);
+  }
+}
+
 void
 peer_switch::Send(const node_id& aNode, const peer_message& aMessage)
 {
--- a/src/daemon/peer-switch.h
+++ b/src/daemon/peer-switch.h
@@ -56,6 +56,7 @@
               peer_transport_options aOptions);
 
   void Connect(const node_id& aNode) override;
+  void Reconnect(const node_id& aNode) override;
   void Send(const node_id& aNode, const peer_message& aMessage) override;
   bool Linked(const node_id& aNode) const override;
 
@@ -86,8 +87,10 @@
     bool hello_sent = false;
   };
 
-  /// Returns an open link to the node, else one that is connecting, else null.
+  /// Returns the newest open link to the node, else one that is connecting,
+  /// else null. The nodes may have opened it because an older one is silent.
   link_ptr FindLink(const node_id& aNode) const;
+  link_ptr OpenLink(const node_id& aNode);
   /// Sends a hello over each open link to the node that has not carried one.
   void SendHello(const node_id& aNode, const peer_message& aHello);
   /// Sets the node of an incoming link after its hello was received.
--- a/src/fleet/fleet-node.cc
+++ b/src/fleet/fleet-node.cc
@@ -221,6 +221,8 @@
     return;
   }
   for (const node_id& node : check.suspects) {
+    // The link may have fallen silent while new ones work.
+    mNetwork.Reconnect(node);
     const member_entry* entry = mMembers.Find(node);
     if (entry == nullptr || entry->record.state != member_state::alive) {
       continue;
@@ -331,7 +333,7 @@
   for (const auto& [node, entry] : mMembers.Entries()) {
     bool suspectOrDead = entry.record.state == member_state::suspect ||
                          entry.record.state == member_state::dead;
-    if (suspectOrDead && !mNetwork.Linked(node)) {
+    if (suspectOrDead) {
       unreachable.push_back(node);
     }
   }
@@ -346,7 +348,7 @@
     return;
   }
   std::uniform_int_distribution<std::size_t> draw(0, unreachable.size() - 1);
-  mNetwork.Connect(unreachable[draw(mRandom)]);
+  mNetwork.Reconnect(unreachable[draw(mRandom)]);
 }
 
 void
--- a/src/fleet/interfaces.h
+++ b/src/fleet/interfaces.h
@@ -17,6 +17,11 @@
   /// Opens a link unless one is open or being opened.
   virtual void Connect(const node_id& aNode) = 0;
 
+  /// Opens a new link, which replaces the open one for further messages, unless
+  /// a link is being opened. The open one may have fallen silent; it stays for
+  /// answers that are expected on it.
+  virtual void Reconnect(const node_id& aNode) = 0;
+
   /// Sends a message over the link and opens a link if there is none. Messages
   /// may be lost.
   virtual void Send(const node_id& aNode, const peer_message& aMessage) = 0;
--- a/test/harness/virtual-fleet.cc
+++ b/test/harness/virtual-fleet.cc
@@ -32,6 +32,10 @@
   {
     mFleet.Connect(mNode, IndexOf(aNode));
   }
+  void Reconnect(const node_id& aNode) override
+  {
+    mFleet.Reconnect(mNode, IndexOf(aNode));
+  }
   void Send(const node_id& aNode, const peer_message& aMessage) override
   {
     mFleet.Send(mNode, IndexOf(aNode), aMessage);
@@ -294,10 +298,17 @@
 
 void
 virtual_fleet::Connect(std::size_t aFrom, std::size_t aTo)
+{
+  if (mHosts[aFrom].links.count(aTo) == 0) {
+    Reconnect(aFrom, aTo);
+  }
+}
+
+void
+virtual_fleet::Reconnect(std::size_t aFrom, std::size_t aTo)
 {
   host& from = mHosts[aFrom];
-  if (aFrom == aTo || from.links.count(aTo) != 0 ||
-      !from.connecting.insert(aTo).second) {
+  if (aFrom == aTo || !from.connecting.insert(aTo).second) {
     return;
   }
   std::uint64_t generation = from.generation;
@@ -310,18 +321,18 @@
     bool established =
       reachable && Reachable(aFrom, aTo) && other.node != nullptr;
     if (!established) {
-      self.node->OnLinkDown(NameOf(aTo), false);
+      if (self.links.count(aTo) == 0) {
+        self.node->OnLinkDown(NameOf(aTo), false);
+      }
       return;
     }
     mSilentLinks.erase(EndsOf(aFrom, aTo));
-    bool isNewLink = self.links.insert(aTo).second;
+    self.links.insert(aTo);
     other.links.insert(aFrom);
-    if (isNewLink) {
-      self.node->OnLinkUp(NameOf(aTo));
-      RunOnNode(aTo, other.generation, duration(0), [this, aFrom, aTo] {
-        mHosts[aTo].node->OnLinkUp(NameOf(aFrom));
-      });
-    }
+    self.node->OnLinkUp(NameOf(aTo));
+    RunOnNode(aTo, other.generation, duration(0), [this, aFrom, aTo] {
+      mHosts[aTo].node->OnLinkUp(NameOf(aFrom));
+    });
   });
 }
 
--- a/test/harness/virtual-fleet.h
+++ b/test/harness/virtual-fleet.h
@@ -106,6 +106,8 @@
   void CheckServedVersion(std::size_t aNode);
   bool Reachable(std::size_t aFrom, std::size_t aTo) const;
   void Connect(std::size_t aFrom, std::size_t aTo);
+  /// Opens a link that replaces one that may be open.
+  void Reconnect(std::size_t aFrom, std::size_t aTo);
   void Send(std::size_t aFrom, std::size_t aTo, const peer_message& aMessage);
   void BreakLinks(std::size_t aNode);
   /// Both nodes, the lower one first.
--- a/test/unit/distribution-test.cc
+++ b/test/unit/distribution-test.cc
@@ -290,6 +290,22 @@
   CHECK(fleet.MeasureConvergenceTime(version, seconds(60)) < kMaxRetryDelay);
 }
 
+// Guards against nodes that serve an older configuration because all links to
+// the nodes that know of the change have fallen silent.
+TEST_CASE_METHOD(
+  fleet_fixture,
+  "fleet node, links fall silent, change is in force in time and "
+  "the nodes find each other again",
+  "[fleet][stale-config]")
+{
+  REQUIRE(Apply(0, "op-1") != 0);
+  fleet.SilenceOpenLinks();
+  std::uint64_t version = Apply(0, "op-2");
+  CHECK(fleet.MeasureConvergenceTime(version, seconds(60)) < kInForceWithin);
+  fleet.Advance(seconds(60));
+  CHECK(fleet.FindDisagreement() == "");
+}
+
 TEST_CASE("PeerCodec_EncodedMessage_DecodesToTheSameMessage", "[codec]")
 {
   call_message call;
