eelgrasstrackd: a node with old knowledge of the store reads it itself

Cause: a node that does not watch relied on the watchers without a bound. While watchers answer probes they stay chosen, although they may be cut off from the store. With all watchers of the fleet cut off, no node ever heard of a change.

Change: a node whose knowledge of the store is older than 9 s, and up to 1 s of jitter, reads the configuration itself, with a second attempt if the first one fails. Knowledge comes from the store, or with a probe's digest. The sum is 10 s, or 13.2 s if the first read gets no answer (3 s and 0.2 s).

A new test holds the rate at the target size below that of the store.

--- a/src/fleet/fleet-node.cc
+++ b/src/fleet/fleet-node.cc
@@ -202,6 +202,7 @@
     mNextRetry = now + kRetryUnreachablePeriod;
     RetryUnreachable(now);
   }
+  mFollower.ReadIfStale(mKnowledge.confirmed_at.value_or(mStartedAt));
   if (now >= mNextTombstonePurge) {
     mNextTombstonePurge = now + kTombstonePurgePeriod;
     mMembers.PurgeTombstones(now - kTombstoneRetention);
--- a/src/fleet/store-follower.cc
+++ b/src/fleet/store-follower.cc
@@ -19,6 +19,14 @@
 /// bandwidth. The waits differ, as all watches start again at each change.
 constexpr duration kMinWatchTimeout = seconds(6);
 constexpr duration kMaxWatchTimeout = seconds(8);
+/// A node whose knowledge of the store is older reads the store itself. That,
+/// the spread, and a read that gets no answer stay within the time in which a
+/// change is in force everywhere.
+constexpr duration kMaxKnowledgeAge = seconds(9);
+/// Nodes whose knowledge grows old together spread their reads over this time.
+constexpr duration kFreshReadSpread = seconds(1);
+/// The second attempt is for a kept connection that has fallen silent.
+constexpr unsigned kFreshReadAttempts = 2;
 /// Starting nodes spread their first reads over time, so that a restart of the
 /// whole fleet stays below the store's rate limit: the read of the bootstrap
 /// record over a fixed time, and that of the configuration over a time that
@@ -45,6 +53,7 @@
   , mBootstrapBackoff(kInitialRetryDelay, kMaxRetryDelay, aSeed + 1)
   , mConfigBackoff(kInitialRetryDelay, kMaxRetryDelay, aSeed + 2)
   , mWatchBackoff(kInitialRetryDelay, kMaxRetryDelay, aSeed + 3)
+  , mMaxKnowledgeAge(DrawMaxKnowledgeAge())
 {
 }
 
@@ -167,6 +176,48 @@
   });
 }
 
+duration
+store_follower::DrawMaxKnowledgeAge()
+{
+  std::uniform_int_distribution<duration::rep> draw(0,
+                                                    kFreshReadSpread.count());
+  return kMaxKnowledgeAge + duration(draw(mRandom));
+}
+
+void
+store_follower::ReadIfStale(time_point aKnownAt)
+{
+  time_point now = mClock.Now();
+  time_point since = std::max(aKnownAt, mFreshReadEnded);
+  if (mFreshReadPending || now - since < mMaxKnowledgeAge) {
+    return;
+  }
+  LogEvent(
+    log_level::info,
+    "store_knowledge_old",
+    { { "store_age_ms", std::to_string(Milliseconds(now - aKnownAt)) } });
+  mFreshReadPending = true;
+  ReadFresh(kFreshReadAttempts);
+}
+
+void
+store_follower::ReadFresh(unsigned aAttempts)
+{
+  time_point startedAt = mClock.Now();
+  mStore.Get(
+    kConfigKey, [this, startedAt, aAttempts](result<stored_object> aObject) {
+      bool handled = HandleConfig(aObject, startedAt);
+      if (!handled && aAttempts > 1) {
+        mScheduler.RunAfter(kInitialRetryDelay,
+                            [this, aAttempts] { ReadFresh(aAttempts - 1); });
+        return;
+      }
+      mFreshReadPending = false;
+      mFreshReadEnded = mClock.Now();
+      mMaxKnowledgeAge = DrawMaxKnowledgeAge();
+    });
+}
+
 bool
 store_follower::HandleConfig(const result<stored_object>& aObject,
                              time_point aAsOf)
--- a/src/fleet/store-follower.h
+++ b/src/fleet/store-follower.h
@@ -30,7 +30,8 @@
 };
 
 /// Reads the configuration at start, watches it while this node is one of its
-/// domain's watchers, and maintains the bootstrap record. At most one watch and
+/// domain's watchers, reads it when the node's knowledge of the store has grown
+/// old, and maintains the bootstrap record. At most one watch and
 /// one read of the bootstrap record are pending at a time. Failed reads and
 /// watches are retried with jittered backoff.
 class store_follower
@@ -54,6 +55,10 @@
   /// Reads the configuration every `aPeriod`, as a baseline for the bench.
   void PollEvery(duration aPeriod);
 
+  /// Reads the configuration if the store was last known at `aKnownAt`, too
+  /// long ago for a node that relies on others. Must be called regularly.
+  void ReadIfStale(time_point aKnownAt);
+
   /// Updates this domain's part of the bootstrap record if it differs from the
   /// owner's `BootstrapNodesOfDomain`.
   void RefreshBootstrap();
@@ -80,6 +85,9 @@
                       bootstrap_record aRecord,
                       std::uint64_t aVersion);
   void ReadConfig();
+  /// Reads the configuration, at most `aAttempts` times, for `ReadIfStale`.
+  void ReadFresh(unsigned aAttempts);
+  duration DrawMaxKnowledgeAge();
   /// Starts a watch, or a read while the store does not answer.
   void Watch();
   /// Handles what a watch or read returned, and starts the next one.
@@ -99,6 +107,10 @@
   jittered_backoff mBootstrapBackoff;
   jittered_backoff mConfigBackoff;
   jittered_backoff mWatchBackoff;
+  /// Knowledge of the store that is older makes this node read it.
+  duration mMaxKnowledgeAge;
+  time_point mFreshReadEnded{};
+  bool mFreshReadPending = false;
   std::uint64_t mStoreVersion = 0;
   bool mConfigLoaded = false;
   bool mStoreLost = false;
--- a/test/harness/fake-store.cc
+++ b/test/harness/fake-store.cc
@@ -57,13 +57,27 @@
   return admitted;
 }
 
+bool
+fake_store::Fails()
+{
+  bool fails = mHanging || mUnavailable;
+  mFailedCalls += fails ? 1 : 0;
+  return fails;
+}
+
 template<typename T>
 void
-fake_store::TimeOut(std::function<void(result<T>)> aDone, duration aWait)
+fake_store::EndWithoutAnswer(std::function<void(result<T>)> aDone,
+                             duration aWait)
 {
-  mTime.RunAfter(aWait + kCallTimeout, [aDone] {
-    aDone(tl::unexpected<error>(UnavailableError(execution::unknown).error()));
-  });
+  result<T> unavailable =
+    tl::unexpected<error>(UnavailableError(execution::unknown).error());
+  if (!mHanging) {
+    Reply<T>(std::move(aDone), std::move(unavailable));
+    return;
+  }
+  mTime.RunAfter(aWait + kCallTimeout,
+                 [aDone, unavailable] { aDone(unavailable); });
 }
 
 stored_object
@@ -80,12 +94,8 @@
 void
 fake_store::Get(const std::string& aKey, get_callback aDone)
 {
-  if (mHanging) {
-    TimeOut<stored_object>(aDone, duration(0));
-    return;
-  }
-  if (mUnavailable) {
-    Reply<stored_object>(aDone, UnavailableError(execution::unknown));
+  if (Fails()) {
+    EndWithoutAnswer<stored_object>(aDone, duration(0));
     return;
   }
   if (!Admit(false)) {
@@ -106,12 +116,8 @@
     return result<std::uint64_t>(
       tl::unexpected<error>(UnavailableError(aRan).error()));
   };
-  if (mHanging) {
-    TimeOut<std::uint64_t>(aDone, duration(0));
-    return;
-  }
-  if (mUnavailable) {
-    Reply<std::uint64_t>(aDone, lost(execution::unknown));
+  if (Fails()) {
+    EndWithoutAnswer<std::uint64_t>(aDone, duration(0));
     return;
   }
   if (!Admit(true)) {
@@ -156,12 +162,8 @@
                   duration aWait,
                   get_callback aDone)
 {
-  if (mHanging) {
-    TimeOut<stored_object>(aDone, aWait);
-    return;
-  }
-  if (mUnavailable) {
-    Reply<stored_object>(aDone, UnavailableError(execution::unknown));
+  if (Fails()) {
+    EndWithoutAnswer<stored_object>(aDone, aWait);
     return;
   }
   if (!Admit(false)) {
@@ -184,7 +186,9 @@
       watch ended = *found;
       mWatches.erase(found);
       if (ended.silent) {
-        TimeOut<stored_object>(ended.done, duration(0));
+        mTime.RunAfter(kCallTimeout, [done = ended.done] {
+          done(UnavailableError(execution::unknown));
+        });
       } else {
         Reply<stored_object>(ended.done, Sent(aKey));
       }
--- a/test/harness/fake-store.h
+++ b/test/harness/fake-store.h
@@ -47,6 +47,9 @@
     return mObjects[aKey].value;
   }
   std::uint64_t Calls() const { return mCalls; }
+  /// Number of calls made while the store was unavailable or hanging, which
+  /// `Calls` does not count.
+  std::uint64_t FailedCalls() const { return mFailedCalls; }
   /// Number of calls refused by the rate limits.
   std::uint64_t RefusedCalls() const { return mRefused; }
   std::uint64_t PendingWatches() const { return mWatches.size(); }
@@ -64,12 +67,15 @@
     bool silent = false;
   };
 
+  /// Whether a call fails, because the store is unavailable or hanging. Counts
+  /// the failed calls.
+  bool Fails();
   duration Latency();
   bool Admit(bool aWrite);
-  /// Ends a call that got no answer, `aWait` and the call timeout after its
-  /// start.
+  /// Ends a failed call: at once, or, while hanging, `aWait` and the call
+  /// timeout after its start.
   template<typename T>
-  void TimeOut(std::function<void(result<T>)> aDone, duration aWait);
+  void EndWithoutAnswer(std::function<void(result<T>)> aDone, duration aWait);
   /// The object as a caller receives it.
   stored_object Sent(const std::string& aKey);
   template<typename T>
@@ -92,6 +98,7 @@
   std::uint64_t mNextVersion = 0;
   std::uint64_t mNextWatch = 0;
   std::uint64_t mCalls = 0;
+  std::uint64_t mFailedCalls = 0;
   std::uint64_t mRefused = 0;
   std::int64_t mCurrentSecond = 0;
   std::uint64_t mReadsInSecond = 0;
--- a/test/harness/virtual-fleet.cc
+++ b/test/harness/virtual-fleet.cc
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr duration kConnectTimeout = std::chrono::seconds(5);
+constexpr duration kStoreCallTimeout = std::chrono::seconds(3);
 constexpr std::size_t kFirstPort = 10000;
 
 } // namespace
@@ -50,6 +51,10 @@
   }
   void Get(const std::string& aKey, get_callback aDone) override
   {
+    if (StoreCut()) {
+      TimeOut<stored_object>(std::move(aDone), duration(0));
+      return;
+    }
     mFleet.mStore.Get(aKey, RunOnNodeLoop<stored_object>(std::move(aDone)));
   }
   void Put(const std::string& aKey,
@@ -57,6 +62,10 @@
            std::uint64_t aExpectedVersion,
            put_callback aDone) override
   {
+    if (StoreCut()) {
+      TimeOut<std::uint64_t>(std::move(aDone), duration(0));
+      return;
+    }
     mFleet.mStore.Put(aKey,
                       std::move(aValue),
                       aExpectedVersion,
@@ -67,6 +76,10 @@
              duration aWait,
              get_callback aDone) override
   {
+    if (StoreCut()) {
+      TimeOut<stored_object>(std::move(aDone), aWait);
+      return;
+    }
     mFleet.mStore.Watch(aKey,
                         aKnownVersion,
                         aWait,
@@ -79,6 +92,16 @@
   void OnEvidenceAck(const node_id&, const evidence_ack_message&) override {}
 
 private:
+  bool StoreCut() const { return mFleet.mHosts[mNode].store_cut; }
+
+  template<typename T>
+  void TimeOut(std::function<void(result<T>)> aDone, duration aWait)
+  {
+    RunAfter(aWait + kStoreCallTimeout, [aDone = std::move(aDone)] {
+      aDone(Fail(error_kind::store_unavailable, "no answer"));
+    });
+  }
+
   template<typename T>
   std::function<void(result<T>)> RunOnNodeLoop(
     std::function<void(result<T>)> aDone)
--- a/test/harness/virtual-fleet.h
+++ b/test/harness/virtual-fleet.h
@@ -51,6 +51,12 @@
   /// Separates a failure domain from all others, or reconnects it.
   void SetDomainPartitioned(std::size_t aDomain, bool aCut);
 
+  /// Cuts a node off from the store, or reconnects it: its calls get no answer.
+  void SetStoreCut(std::size_t aNode, bool aCut)
+  {
+    mHosts[aNode].store_cut = aCut;
+  }
+
   void Advance(duration aTime) { mTime.Advance(aTime); }
 
   bool Running(std::size_t aNode) const
@@ -95,6 +101,7 @@
     time_point paused_until{};
     /// Highest version that a ready process of this host has had.
     std::uint64_t highest_served_version = 0;
+    bool store_cut = false;
     std::set<std::size_t> links;
     std::set<std::size_t> connecting;
     message_traffic sent;
--- a/test/unit/distribution-test.cc
+++ b/test/unit/distribution-test.cc
@@ -306,6 +306,79 @@
   CHECK(fleet.FindDisagreement() == "");
 }
 
+// Guards against a node that relies on watchers that stand still, and whose
+// links to all other nodes have fallen silent.
+TEST_CASE_METHOD(fleet_fixture,
+                 "fleet node, watchers stand still, change is in force in time",
+                 "[fleet][stale-config]")
+{
+  REQUIRE(Apply(0, "op-1") != 0);
+  fleet.SilenceOpenLinks();
+  std::set<std::size_t> running;
+  for (std::size_t i = 0; i < fleet.Size(); ++i) {
+    if (fleet.Node(i).WatchesStore()) {
+      fleet.Pause(i, seconds(60));
+    } else {
+      running.insert(i);
+    }
+  }
+  REQUIRE(running.size() == 4);
+  std::uint64_t version = WriteToStore("op-2");
+  fleet.Advance(kInForceWithin);
+  for (std::size_t node : running) {
+    CAPTURE(node);
+    CHECK(fleet.Node(node).Config()->version == version);
+  }
+}
+
+// Guards against nodes that rely on watchers which answer probes but are cut
+// off from the store.
+TEST_CASE_METHOD(
+  fleet_fixture,
+  "fleet node, all watchers cut off from the store, change is in "
+  "force in time",
+  "[fleet][stale-config]")
+{
+  REQUIRE(Apply(0, "op-1") != 0);
+  fleet.Store().SilencePendingWatches();
+  for (std::size_t i = 0; i < fleet.Size(); ++i) {
+    fleet.SetStoreCut(i, fleet.Node(i).WatchesStore());
+  }
+  fleet.Advance(seconds(GENERATE(0, 30, 60)));
+  std::uint64_t version = WriteToStore("op-2");
+  CHECK(fleet.MeasureConvergenceTime(version, seconds(60)) < kInForceWithin);
+}
+
+// Guards against nodes that read the store themselves so often that a fleet of
+// the target size uses up the store's rate.
+TEST_CASE("fleet node, store out or in order, calls stay within its rate",
+          "[fleet][stale-config]")
+{
+  constexpr std::size_t kNodes = 104;
+  constexpr std::size_t kDomains = 13;
+  constexpr double kReadsPerSecond = 2000;
+  constexpr double kTargetNodes = 2100;
+  constexpr double kSeconds = 60;
+  virtual_fleet fleet(virtual_fleet_options{ kNodes, kDomains, 3 });
+  fleet.StartAll();
+  fleet.Advance(seconds(40));
+  enum class store_state
+  {
+    in_order,
+    unavailable,
+    hanging,
+  };
+  auto state = GENERATE(
+    store_state::in_order, store_state::unavailable, store_state::hanging);
+  fleet.Store().SetUnavailable(state == store_state::unavailable);
+  fleet.Store().SetHanging(state == store_state::hanging);
+  std::uint64_t before = fleet.Store().Calls() + fleet.Store().FailedCalls();
+  fleet.Advance(seconds(static_cast<int>(kSeconds)));
+  std::uint64_t after = fleet.Store().Calls() + fleet.Store().FailedCalls();
+  double perNode = static_cast<double>(after - before) / kSeconds / kNodes;
+  CHECK(perNode * kTargetNodes < kReadsPerSecond);
+}
+
 TEST_CASE("PeerCodec_EncodedMessage_DecodesToTheSameMessage", "[codec]")
 {
   call_message call;
