--- a/test/random/fleet-random-main.cc
+++ b/test/random/fleet-random-main.cc
@@ -1,8 +1,8 @@
 // Randomised long run of many fleet nodes on virtual time. Faults: messages are
 // reordered and lost, the store is unavailable or slow, its answers are lost,
 // operators submit concurrent changes, nodes are killed (also many at once),
-// restarted and paused, failure domains are partitioned. At the end all faults
-// are removed, and the nodes must agree.
+// restarted and paused, failure domains are partitioned, open links and watches
+// fall silent. At the end all faults are removed, and the nodes must agree.
 #include <cstdio>
 #include <cxxopts.hpp>
 
@@ -122,6 +122,12 @@
           mFleet.Store().SetUnavailable(true);
         }
         break;
+      case 25:
+        mFleet.SilenceOpenLinks();
+        break;
+      case 26:
+        mFleet.Store().SilencePendingWatches();
+        break;
       default:
         SubmitRandomChange(RandomNode());
         break;
