Integration test: connections to the store fall silent

Four eelgrasstrackd processes behind a proxy whose open connections fall silent while new ones work; the change is written to the store directly, as if the accepting node had died.

--- a/test/integration/distribution-test.cc
+++ b/test/integration/distribution-test.cc
@@ -1,3 +1,4 @@
+#include "distribution/config-state.h"
 #include "integration/fixture.h"
 
 using namespace eelgrasstrack;
@@ -143,3 +144,40 @@
   REQUIRE(test.fleet.WaitUntilVersion(2, seconds(15)));
   test.RequireNoBrokenInvariant();
 }
+
+// Guards against nodes that serve an older configuration because all their
+// connections to the store have fallen silent, and the node that accepted the
+// change died before it sent it on.
+TEST_CASE("Distribution_StoreConnectionsFallSilent_ChangeIsInForceInTime",
+          "[distribution]")
+{
+  constexpr duration kInForceWithin = seconds(15);
+  fleet_shape shape{ 4, 2 };
+  endpoint through{ "127.0.0.1", 9991 };
+  shape.store_proxy = through;
+  deployment_fixture test(shape);
+  fault_proxy proxy(through, test.fleet.StoreEndpoint());
+  test.Start();
+  test.ApplyExample("seri-kenanga");
+  test.fleet.RunFor(seconds(8));
+  proxy.SilenceOpenConnections();
+  test.fleet.RunFor(seconds(1));
+  http_request read;
+  read.method = "GET";
+  read.path = "/v1/objects/" + std::string(kConfigKey);
+  http_result stored = test.fleet.Call(test.fleet.StoreEndpoint(), read);
+  REQUIRE(stored);
+  json config = json::parse(stored->body);
+  config["version"] = 2;
+  http_request write;
+  write.method = "PUT";
+  write.path = read.path;
+  write.headers = { { "if-match",
+                      std::string(HeaderValue(stored->headers, "etag")) } };
+  write.body = config.dump();
+  http_result written = test.fleet.Call(test.fleet.StoreEndpoint(), write);
+  REQUIRE(written);
+  REQUIRE(written->status == 200);
+  REQUIRE(test.fleet.WaitUntilVersion(2, kInForceWithin));
+  test.RequireNoBrokenInvariant();
+}
