eelgrasstrackd: an answer without a configuration is no knowledge

Cause: a node with a configuration took 'no such object' for an answer of the store that confirms its version, cleared its doubts about it, and started the next watch at once, which the store answers at once.

Change: such an answer counts as a failed call, with backoff, and is logged as store_config_missing. A node without a configuration takes it as before.

--- a/src/fleet/fleet-node.h
+++ b/src/fleet/fleet-node.h
@@ -99,6 +99,7 @@
   void OnStoreEmpty(time_point aAsOf) override;
   void OnBootstrap(const bootstrap_record& aRecord) override;
   std::vector<node_id> BootstrapNodesOfDomain() const override;
+  std::uint64_t ConfigVersion() const override { return mReplica.Version(); }
   std::size_t FleetSize() const override { return mMembers.AliveCount(); }
 
 private:
--- a/src/fleet/store-follower.cc
+++ b/src/fleet/store-follower.cc
@@ -226,6 +226,14 @@
   if (!aObject) {
     return false;
   }
+  bool missing = aObject->version == 0 && mOwner.ConfigVersion() > 0;
+  if (missing && !mConfigMissing) {
+    LogEvent(log_level::error, "store_config_missing");
+  }
+  mConfigMissing = missing;
+  if (missing) {
+    return false;
+  }
   if (aObject->version == 0) {
     mConfigLoaded = true;
     mOwner.OnStoreEmpty(aAsOf);
--- a/src/fleet/store-follower.h
+++ b/src/fleet/store-follower.h
@@ -25,6 +25,8 @@
   virtual void OnBootstrap(const bootstrap_record& aRecord) = 0;
   /// Nodes that the bootstrap record should list for this failure domain.
   virtual std::vector<node_id> BootstrapNodesOfDomain() const = 0;
+  /// Version in force at this node, 0 if there is none.
+  virtual std::uint64_t ConfigVersion() const = 0;
   /// Number of nodes that are alive.
   virtual std::size_t FleetSize() const = 0;
 };
@@ -93,7 +95,8 @@
   /// Handles what a watch or read returned, and starts the next one.
   void HandleWatched(const result<stored_object>& aObject, time_point aAsOf);
   /// Passes the object, which the store held at `aAsOf`, to the owner. Returns
-  /// false if it could not be read or decoded.
+  /// false if it could not be read or decoded, or is missing although this node
+  /// has a configuration.
   bool HandleConfig(const result<stored_object>& aObject, time_point aAsOf);
   /// Logs the first failed call in a row and the first answer after it.
   void LogStoreState(const result<stored_object>& aObject);
@@ -114,6 +117,7 @@
   std::uint64_t mStoreVersion = 0;
   bool mConfigLoaded = false;
   bool mStoreLost = false;
+  bool mConfigMissing = false;
   bool mWatching = false;
   bool mWatchPending = false;
   bool mBootstrapPending = false;
--- a/test/harness/fake-store.cc
+++ b/test/harness/fake-store.cc
@@ -83,6 +83,9 @@
 stored_object
 fake_store::Sent(const std::string& aKey)
 {
+  if (aKey == mMissingKey) {
+    return {};
+  }
   stored_object object = mObjects[aKey];
   if (mAnswersToTruncate > 0 && object.version != 0) {
     --mAnswersToTruncate;
@@ -171,7 +174,7 @@
       aDone, Fail(error_kind::overloaded, "object store: rate limit exceeded"));
     return;
   }
-  if (mObjects[aKey].version != aKnownVersion) {
+  if (aKey == mMissingKey || mObjects[aKey].version != aKnownVersion) {
     Reply<stored_object>(aDone, Sent(aKey));
     return;
   }
--- a/test/harness/fake-store.h
+++ b/test/harness/fake-store.h
@@ -35,6 +35,9 @@
   void SilencePendingWatches();
   /// While hanging, new calls get no answer and end with their timeout.
   void SetHanging(bool aHanging) { mHanging = aHanging; }
+  /// Reads and watches of this key are answered as if there were no such
+  /// object; an empty key ends that.
+  void SetMissing(std::string aKey) { mMissingKey = std::move(aKey); }
   /// Cuts the next `aCount` answers with an object short.
   void TruncateAnswers(unsigned aCount) { mAnswersToTruncate = aCount; }
   /// Each step of a call takes between half of `aDelay` and twice `aDelay`.
@@ -94,6 +97,7 @@
   double mLostAnswerChance = 0;
   bool mUnavailable = false;
   bool mHanging = false;
+  std::string mMissingKey;
   unsigned mAnswersToTruncate = 0;
   std::uint64_t mNextVersion = 0;
   std::uint64_t mNextWatch = 0;
--- a/test/unit/distribution-test.cc
+++ b/test/unit/distribution-test.cc
@@ -349,6 +349,31 @@
   CHECK(fleet.MeasureConvergenceTime(version, seconds(60)) < kInForceWithin);
 }
 
+// Guards against a node that takes the answer of a store without a
+// configuration for knowledge that its own is the latest, and asks again
+// without pause.
+TEST_CASE_METHOD(fleet_fixture,
+                 "fleet node, store answers with nothing, knowledge grows old "
+                 "and change is in force in time after it",
+                 "[fleet][stale-config]")
+{
+  constexpr double kNodeCallsPerSecond = 4;
+  constexpr double kSeconds = 60;
+  REQUIRE(Apply(0, "op-1") != 0);
+  fleet.Store().SetMissing(kConfigKey);
+  std::uint64_t before = fleet.Store().Calls();
+  fleet.Advance(seconds(static_cast<int>(kSeconds)));
+  double calls = static_cast<double>(fleet.Store().Calls() - before);
+  CHECK(calls / kSeconds < kNodeCallsPerSecond * fleet.Size());
+  std::optional<duration> age =
+    fleet.Node(1).Knowledge().StoreAge(fleet.Time().Now());
+  REQUIRE(age);
+  CHECK(*age > seconds(30));
+  fleet.Store().SetMissing({});
+  std::uint64_t version = WriteToStore("op-2");
+  CHECK(fleet.MeasureConvergenceTime(version, seconds(60)) < kInForceWithin);
+}
+
 // Guards against nodes that read the store themselves so often that a fleet of
 // the target size uses up the store's rate.
 TEST_CASE("fleet node, store out or in order, calls stay within its rate",
