eelgrasstrackd: conflicting writes of the bootstrap record back off

Cause: each successful read of the record reset the backoff, also if the write that followed met a conflict. While reads and writes of the store disagree, the first node of a domain repeated both about ten times a second, which uses up the call budget that its watch and reads of the configuration need as well.

Change: the backoff is reset when the record was written, or needs no change.

--- a/src/fleet/store-follower.cc
+++ b/src/fleet/store-follower.cc
@@ -80,7 +80,6 @@
                           [this, aPurpose] { ReadBootstrap(aPurpose); });
       return;
     }
-    mBootstrapBackoff.Reset();
     HandleBootstrap(aPurpose, *aObject);
   });
 }
@@ -118,10 +117,12 @@
       }
     }
   }
-  if (listed != before) {
-    record.fleet_size = std::max<std::size_t>(mOwner.FleetSize(), 1);
-    WriteBootstrap(aPurpose, std::move(record), aObject.version);
+  if (listed == before) {
+    mBootstrapBackoff.Reset();
+    return;
   }
+  record.fleet_size = std::max<std::size_t>(mOwner.FleetSize(), 1);
+  WriteBootstrap(aPurpose, std::move(record), aObject.version);
 }
 
 void
@@ -148,7 +149,11 @@
              EncodeBootstrap(aRecord),
              aVersion,
              [this, retryPurpose](result<std::uint64_t> aWritten) {
-               if (!aWritten && aWritten.error().kind == error_kind::conflict) {
+               if (aWritten) {
+                 mBootstrapBackoff.Reset();
+                 return;
+               }
+               if (aWritten.error().kind == error_kind::conflict) {
                  mScheduler.RunAfter(
                    mBootstrapBackoff.NextDelay(),
                    [this, retryPurpose] { ReadBootstrap(retryPurpose); });
--- a/test/unit/distribution-test.cc
+++ b/test/unit/distribution-test.cc
@@ -374,6 +374,22 @@
   CHECK(fleet.MeasureConvergenceTime(version, seconds(60)) < kInForceWithin);
 }
 
+// Guards against retries without backoff: each read of the bootstrap record
+// reset it, although the write that followed met a conflict again.
+TEST_CASE_METHOD(fleet_fixture,
+                 "fleet node, writes of the bootstrap record conflict, calls "
+                 "back off",
+                 "[fleet][stale-config]")
+{
+  constexpr double kNodeCallsPerSecond = 4;
+  constexpr double kSeconds = 60;
+  fleet.Store().SetMissing(kBootstrapKey);
+  std::uint64_t before = fleet.Store().Calls();
+  fleet.Advance(seconds(static_cast<int>(kSeconds)));
+  double calls = static_cast<double>(fleet.Store().Calls() - before);
+  CHECK(calls / kSeconds < kNodeCallsPerSecond * fleet.Size());
+}
+
 // Guards against nodes that read the store themselves so often that a fleet of
 // the target size uses up the store's rate.
 TEST_CASE("fleet node, store out or in order, calls stay within its rate",
