--- a/test/integration/distribution-test.cc
+++ b/test/integration/distribution-test.cc
@@ -181,3 +181,44 @@
   REQUIRE(test.fleet.WaitUntilVersion(2, kInForceWithin));
   test.RequireNoBrokenInvariant();
 }
+
+// Guards against a 404 whose cause can't be told from the node alone: by which
+// configuration it decided, from whom that came, and how old its knowledge was.
+TEST_CASE("Distribution_RequestWithoutRoute_LogAndMetricsShowTheConfiguration",
+          "[distribution]")
+{
+  deployment_fixture test;
+  test.Start();
+  test.ApplyExample("seri-kenanga");
+  test.fleet.RunFor(seconds(3));
+  http_request request;
+  request.method = "GET";
+  request.path = "/no-such-route";
+  http_result answer =
+    test.fleet.Call(test.fleet.NodeEndpoints(2).callers, std::move(request));
+  REQUIRE(answer);
+  REQUIRE(answer->status == 404);
+  http_result metrics = test.fleet.Rpc(2, "GET", "/metrics");
+  REQUIRE(metrics);
+  for (const char* name : { "config_version 1\n",
+                            "config_source{source=\"",
+                            "config_age_seconds ",
+                            "store_knowledge_age_seconds ",
+                            "store_watcher " }) {
+    CAPTURE(name);
+    CHECK(metrics->body.find(std::string("eelgrasstrack_") + name) !=
+          std::string::npos);
+  }
+  std::ifstream log(test.fleet.Folder() + "/node-2.log");
+  std::string lines((std::istreambuf_iterator<char>(log)),
+                    std::istreambuf_iterator<char>());
+  std::size_t at = lines.find("no_route");
+  REQUIRE(at != std::string::npos);
+  std::string line = lines.substr(at, lines.find('\n', at) - at);
+  CAPTURE(line);
+  CHECK(line.find("target=/no-such-route") != std::string::npos);
+  CHECK(line.find("config=1") != std::string::npos);
+  CHECK(line.find("source=") != std::string::npos);
+  CHECK(line.find("store_age_ms=") != std::string::npos);
+  CHECK(line.find("store_age_ms=unknown") == std::string::npos);
+}
