Read the store when the knowledge of it is too old

Cause: every stage that brings a configuration to a node was watched by a time-out of its own, and nobody watched the sum. A node whose watchers, or whose links to them, had fallen silent had no way to know that it was behind: a watch could hide that for 3.2 s and then for as long again on the next silent connection; a watcher counted as one for 3 s after the store's last answer; messages of watchers of other domains counted too, even when they held an older version; a fetch from another node waited 0.9 s for each silent connection.

Change: a node knows how old its knowledge of the store is. The store's answers confirm it at the watchers, which announce the age to their domain; it is not passed on further, as it would seem younger with each node. At 0.6 to 0.7 of propagation_s without a confirmation a node reads the configuration itself, on a new connection, and begins its watches anew if it has any, whatever has failed on the way. Watches of the configuration last 0.4 of propagation_s. More nodes of a domain watch when the knowledge is too old, not when messages of watchers are missing. A watcher announces itself only while the store itself confirms its configuration. A configuration that can't be decoded is not confirmed.

--- a/src/mesh/config-follower.cc
+++ b/src/mesh/config-follower.cc
@@ -13,12 +13,27 @@
 using nlohmann::json;
 
 constexpr duration kFetchTimeout = std::chrono::milliseconds(900);
+/// A fetch without an answer is made again on a new connection after this time.
+constexpr duration kFetchResendAfter = std::chrono::milliseconds(250);
+/// Part of the propagation time after which knowledge of the store is too old.
+constexpr double kMaxStoreAgeShare = 0.6;
+/// Part of the propagation time over which the nodes spread their reads, since
+/// all of them may have lost their watchers at the same moment.
+constexpr double kReadSpreadShare = 0.1;
+constexpr duration kFirstReadRetryDelay = std::chrono::milliseconds(200);
+constexpr duration kMaxReadRetryDelay = std::chrono::milliseconds(1200);
 /// Delay before a configuration is fetched from another failure domain, so that
 /// the watchers of the own domain can supply it first.
 constexpr duration kOtherDomainFetchDelay = std::chrono::milliseconds(600);
 constexpr std::size_t kMaxConfigBytes = 16U << 20U;
 constexpr const char* kStoreSource = "store";
 
+duration
+Scaled(duration aDuration, double aFactor)
+{
+  return std::chrono::duration_cast<duration>(aDuration * aFactor);
+}
+
 /// Age in milliseconds, or an empty text if there is none.
 std::string
 AgeText(const std::optional<duration>& aAge)
@@ -40,7 +55,78 @@
   , mCounters(aCounters)
   , mDomain(std::move(aDomain))
   , mDelegate(aDelegate)
+  , mReadBackoff(kFirstReadRetryDelay,
+                 kMaxReadRetryDelay,
+                 std::random_device{}())
+  , mRandom(std::random_device{}())
+{
+}
+
+void
+config_follower::Start()
+{
+  mStarted = mLoop.Now();
+  CheckAfter(MaxStoreAge());
+}
+
+duration
+config_follower::MaxStoreAge() const
+{
+  return Scaled(mPropagationTime, kMaxStoreAgeShare);
+}
+
+duration
+config_follower::StoreAge() const
+{
+  return mLoop.Now() - mKnowledge.confirmed_at.value_or(mStarted);
+}
+
+bool
+config_follower::HasFreshRead() const
+{
+  std::optional<duration> age = mKnowledge.ReadAge(mLoop.Now());
+  return age && *age < MaxStoreAge();
+}
+
+void
+config_follower::CheckAfter(duration aDelay)
+{
+  std::uniform_real_distribution<double> spread(0, kReadSpreadShare);
+  duration jitter = Scaled(mPropagationTime, spread(mRandom));
+  mLoop.RunAfter(aDelay + jitter, [this] { CheckStoreAge(); });
+}
+
+void
+config_follower::CheckStoreAge()
 {
+  duration age = StoreAge();
+  duration limit = MaxStoreAge();
+  if (age < limit) {
+    mUnconfirmed = false;
+    CheckAfter(limit - age);
+    return;
+  }
+  if (!mUnconfirmed) {
+    LogEvent(log_level::info,
+             "configuration_unconfirmed",
+             { { "version", std::to_string(Version()) },
+               { "source", mKnowledge.source },
+               { "store_age_ms", std::to_string(Milliseconds(age)) } });
+  }
+  mUnconfirmed = true;
+  mCounters.Add(proxy_event::config_read);
+  mStore.ReadConfig([this](const result<void>& aRead) { HandleRead(aRead); });
+}
+
+void
+config_follower::HandleRead(const result<void>& aRead)
+{
+  if (aRead) {
+    mReadBackoff.Reset();
+    CheckAfter(MaxStoreAge());
+    return;
+  }
+  CheckAfter(mReadBackoff.NextDelay());
 }
 
 void
@@ -53,6 +139,13 @@
 
 void
 config_follower::HandleConfirmed(time_point aTime)
+{
+  mKnowledge.read_at = std::max(mKnowledge.read_at.value_or(aTime), aTime);
+  Confirm(aTime);
+}
+
+void
+config_follower::Confirm(time_point aTime)
 {
   std::optional<time_point>& confirmed = mKnowledge.confirmed_at;
   confirmed = std::max(confirmed.value_or(aTime), aTime);
@@ -63,18 +156,27 @@
                                  std::uint64_t aVersion,
                                  std::optional<duration> aStoreAge)
 {
+  config_source source{ aFrom, aVersion, std::nullopt };
+  if (aStoreAge) {
+    source.confirmed_at = mLoop.Now() - *aStoreAge;
+  }
   if (aVersion <= Version()) {
-    if (aStoreAge) {
-      HandleConfirmed(mLoop.Now() - *aStoreAge);
-    }
+    ConfirmBy(source);
     return;
   }
   if (aFrom.domain == mDomain || Version() == 0) {
-    Fetch(aFrom, aVersion);
+    Fetch(source);
     return;
   }
-  mLoop.RunAfter(kOtherDomainFetchDelay,
-                 [this, from = aFrom, aVersion] { Fetch(from, aVersion); });
+  mLoop.RunAfter(kOtherDomainFetchDelay, [this, source] { Fetch(source); });
+}
+
+void
+config_follower::ConfirmBy(const config_source& aSource)
+{
+  if (aSource.confirmed_at && aSource.version <= Version()) {
+    Confirm(*aSource.confirmed_at);
+  }
 }
 
 bool
@@ -99,30 +201,30 @@
 }
 
 void
-config_follower::Fetch(const host_record& aFrom, std::uint64_t aVersion)
+config_follower::Fetch(const config_source& aSource)
 {
-  if (Version() >= aVersion) {
+  if (Version() >= aSource.version) {
+    ConfirmBy(aSource);
     return;
   }
   if (mFetching) {
-    mPendingFetch = config_source{ aFrom, aVersion };
+    mPendingFetch = aSource;
     return;
   }
   mFetching = true;
   buffered_request request;
   request.target = "/v1/config";
   mCounters.Add(proxy_event::peer_message);
-  mClient.Call(aFrom.control,
+  mClient.Call(aSource.host.control,
                std::move(request),
-               kFetchTimeout,
-               [this, source = config_source{ aFrom, aVersion }](
-                 result<buffered_response> aResponse) {
+               { .timeout = kFetchTimeout, .resend_after = kFetchResendAfter },
+               [this, source = aSource](result<buffered_response> aResponse) {
                  mFetching = false;
                  HandleFetched(source, std::move(aResponse));
                  // A version announced during this fetch.
                  if (std::optional<config_source> next =
                        std::exchange(mPendingFetch, std::nullopt)) {
-                   Fetch(next->host, next->version);
+                   Fetch(*next);
                  }
                });
 }
@@ -152,7 +254,9 @@
       { { "from", aSource.host.name }, { "reason", table.error().message } });
     return;
   }
-  if (Take(*table, aSource.host.name)) {
+  bool taken = Take(*table, aSource.host.name);
+  ConfirmBy(aSource);
+  if (taken) {
     mDelegate.OnConfigTaken(table->table, aSource.host.name);
   }
 }
--- a/src/mesh/config-follower.h
+++ b/src/mesh/config-follower.h
@@ -7,6 +7,7 @@
 #include "mesh/host-record.h"
 #include "proxy/config-knowledge.h"
 #include "proxy/proxy-counters.h"
+#include "store/call-budget.h"
 #include "wire/control-client.h"
 
 namespace eelgrasstrack {
@@ -24,7 +25,9 @@
 
 /// Takes over each later configuration, from the store or from the hosts that
 /// announce one, and records where it is from and how old the knowledge of the
-/// store is.
+/// store is. When that is too old, whatever the reason, the configuration is
+/// read from the store: the watchers, the messages between nodes and their
+/// connections may all fail without a sign.
 class config_follower
 {
 public:
@@ -36,9 +39,21 @@
                   std::string aDomain,
                   config_follower_delegate& aDelegate);
 
+  /// Starts to check the age of the knowledge.
+  void Start();
+  /// Sets the time within which a configuration has to be in force.
+  void SetPropagationTime(duration aTime) { mPropagationTime = aTime; }
+  /// Age at which the knowledge of the store is too old: other nodes step in.
+  duration MaxStoreAge() const;
+  /// Age of the knowledge of the store, or time since the start.
+  duration StoreAge() const;
+  /// Whether the store itself has answered this node, not too long ago.
+  bool HasFreshRead() const;
+
   /// Handles a configuration that was read from the store.
   void HandleStored(const accepted_table& aTable);
-  /// The store held no later version than those handled so far at `aTime`.
+  /// The store has answered that it held no later version than those handled so
+  /// far at `aTime`.
   void HandleConfirmed(time_point aTime);
   /// Handles the announcement of a host that holds `aVersion`, which was the
   /// store's latest version `aStoreAge` ago as far as that host knows.
@@ -63,14 +78,24 @@
   {
     host_record host;
     std::uint64_t version = 0;
+    /// When the host knew it to be the latest one in the store, if it did.
+    std::optional<time_point> confirmed_at;
   };
 
   /// Takes a configuration if it is later than the current one. Returns whether
   /// it was taken.
   bool Take(const accepted_table& aTable, const std::string& aSource);
-  void Fetch(const host_record& aFrom, std::uint64_t aVersion);
+  /// Takes over what a host knows of the store, if this node holds the version
+  /// that the host announced.
+  void ConfirmBy(const config_source& aSource);
+  void Confirm(time_point aTime);
+  void Fetch(const config_source& aSource);
   void HandleFetched(const config_source& aSource,
                      result<buffered_response> aResponse);
+  /// Checks the age of the knowledge after this time.
+  void CheckAfter(duration aDelay);
+  void CheckStoreAge();
+  void HandleRead(const result<void>& aRead);
   void LogFetchFailed(const config_source& aSource, const std::string& aReason);
 
   loop& mLoop;
@@ -81,6 +106,12 @@
   config_follower_delegate& mDelegate;
   config_knowledge mKnowledge;
   std::string mCompressedText;
+  duration mPropagationTime{ std::chrono::seconds(2) };
+  time_point mStarted{};
+  jittered_backoff mReadBackoff;
+  std::mt19937_64 mRandom;
+  /// The knowledge was too old at the last check.
+  bool mUnconfirmed = false;
   bool mFetching = false;
   /// A newer configuration announced while a fetch was in progress.
   std::optional<config_source> mPendingFetch;
--- a/src/mesh/control-store.h
+++ b/src/mesh/control-store.h
@@ -82,6 +82,16 @@
   /// for changes. Nodes that do not watch receive both from nodes that do.
   virtual void SetWatching(bool aWatching) = 0;
 
+  /// Sets how long the store may hold a watch of the configuration open without
+  /// a change. The end of each watch shows that nothing has changed until then.
+  virtual void SetConfigWatchWait(duration aWait) = 0;
+
+  /// Reads the configuration on a new connection and passes it on like a watch
+  /// does. For a node that has not heard of the store for too long: its watch,
+  /// or the nodes that watch for it, may have failed without a sign. If this
+  /// node watches, its watches begin again on new connections.
+  virtual void ReadConfig(done_callback aDone) = 0;
+
   /// Era of the store as last received, 0 before. It rises by one when the
   /// store is restored from a backup; revisions continue from that of the
   /// backup.
--- a/src/mesh/gossip.cc
+++ b/src/mesh/gossip.cc
@@ -38,7 +38,8 @@
 constexpr unsigned kCrossDomainCompareOneIn = 3;
 
 constexpr const char* kEvacuationsField = "evacuated";
-/// Milliseconds since the configuration was the latest one in the store.
+/// Milliseconds since the store has told the sender that its configuration is
+/// the latest one.
 constexpr const char* kStoreAgeField = "store_age_ms";
 
 void
@@ -143,6 +144,22 @@
   return names;
 }
 
+std::vector<std::string>
+gossip::NextAnnounceTargets()
+{
+  std::vector<std::string> names = OwnDomainHosts();
+  if (names.size() <= kMaxDirectHosts) {
+    return names;
+  }
+  std::size_t first = mNextAnnounced % names.size();
+  std::rotate(names.begin(),
+              names.begin() + static_cast<std::ptrdiff_t>(first),
+              names.end());
+  mNextAnnounced = (first + kMaxDirectHosts) % names.size();
+  names.resize(kMaxDirectHosts);
+  return names;
+}
+
 std::vector<std::string>
 gossip::OtherDomainTargets(std::size_t aPerDomain)
 {
@@ -187,7 +204,9 @@
 {
   const config_knowledge& config = mDelegate.Configuration();
   json header = { { "from", mDirectory.Self() }, { "config", config.version } };
-  if (std::optional<duration> age = config.StoreAge(mLoop.Now())) {
+  // Not what other nodes have told: with each one that passes it on, it would
+  // seem younger by the time that messages take.
+  if (std::optional<duration> age = config.ReadAge(mLoop.Now())) {
     header[kStoreAgeField] = Milliseconds(*age);
   }
   if (mEvacuations.IsKnown()) {
@@ -199,10 +218,8 @@
 void
 gossip::SpreadConfigVersion(bool aWatcher)
 {
-  json message = MessageHeader();
-  message["watcher"] = aWatcher;
-  std::string text = message.dump();
-  for (const std::string& name : OwnDomainTargets()) {
+  std::string text = MessageHeader().dump();
+  for (const std::string& name : NextAnnounceTargets()) {
     Send(name, text);
   }
   if (!aWatcher) {
@@ -574,9 +591,6 @@
   std::vector<host_departure> departures = MergeDepartures(aMessage);
   bool evacuationsChanged = MergeEvacuations(aMessage);
   ForwardNews(hosts, canaries, crashes, departures, evacuationsChanged, from);
-  if (aMessage.value("watcher", false)) {
-    mLastWatcherMessage = mLoop.Now();
-  }
   std::uint64_t config =
     UnsignedIn<std::uint64_t>(aMessage.value("config", json(0)));
   mLatestPeerConfig = std::max(mLatestPeerConfig.value_or(0), config);
--- a/src/mesh/gossip.h
+++ b/src/mesh/gossip.h
@@ -70,15 +70,13 @@
   /// Sends the record of a host to all failure domains.
   void SpreadHost(const host_record& aRecord);
   /// Announces the version of the configuration held here to the own failure
-  /// domain. A watcher also announces it to one host of another domain, and
+  /// domain; in a large one, to a part of it, and to the next part the next
+  /// time. A watcher also announces it to one host of another domain, and
   /// repeats the announcement periodically, even without a change.
   void SpreadConfigVersion(bool aWatcher);
   /// Announces a configuration fetched from `aFrom` to the own failure domain,
   /// unless `aFrom` has announced it there already.
   void ForwardConfigVersion(const std::string& aFrom);
-  /// Time of the last message from a watcher that reaches the store.
-  time_point LastWatcherMessage() const { return mLastWatcherMessage; }
-
   /// Sends the state of a rollout to all failure domains.
   void SpreadCanary(const canary_rollout& aCanary);
 
@@ -136,6 +134,8 @@
   std::vector<std::string> OwnDomainHosts() const;
   /// Hosts of the own failure domain that this node sends updates to.
   std::vector<std::string> OwnDomainTargets();
+  /// Hosts of the own failure domain that the next announcement goes to.
+  std::vector<std::string> NextAnnounceTargets();
   /// Random reachable hosts, at most `aPerDomain` of each other failure domain.
   std::vector<std::string> OtherDomainTargets(std::size_t aPerDomain);
   bool IsInOwnDomain(const std::string& aName) const;
@@ -188,7 +188,9 @@
   std::function<void(const std::string&)> mOnUnreachable;
   std::set<std::string> mProbing;
   std::map<std::string, time_point> mLastCompared;
-  time_point mLastWatcherMessage{};
+  /// Position in the own failure domain after which the next announcement goes
+  /// on.
+  std::size_t mNextAnnounced = 0;
   std::optional<std::uint64_t> mLatestPeerConfig;
   std::mt19937_64 mRandom{ std::random_device{}() };
 };
--- a/src/mesh/mesh-node.cc
+++ b/src/mesh/mesh-node.cc
@@ -22,11 +22,16 @@
 constexpr duration kMaintenancePeriod = std::chrono::milliseconds(1000);
 constexpr duration kHopSweepPeriod = std::chrono::milliseconds(200);
 constexpr duration kRoleCheckPeriod = std::chrono::milliseconds(400);
-/// Time without a message from a watcher after which additional nodes of the
-/// failure domain watch the store.
-constexpr duration kWatcherTimeout = std::chrono::milliseconds(1200);
-/// A node that watches announces itself as a watcher only if the store has
-/// answered within this time, which is longer than one watch request.
+/// Time between two announcements of a watcher.
+constexpr duration kAnnouncePeriod = std::chrono::milliseconds(400);
+/// Minimum time between an announcement and one that tells that the store has
+/// confirmed the configuration.
+constexpr duration kMinAnnouncePeriod = std::chrono::milliseconds(100);
+/// Part of the propagation time for which the store holds a watch of the
+/// configuration open. Knowledge of the store is too old a little later.
+constexpr double kWatchWaitShare = 0.4;
+/// A node removes the entry of a host from the store only if the store has
+/// answered within this time.
 constexpr duration kStoreAnswerWindow = std::chrono::milliseconds(3000);
 /// Time for the first listing of hosts, before a node that knows no others
 /// watches the store.
@@ -154,6 +159,10 @@
   mRetries.SetOptions(retryOptions);
   mCanaryDriver.SetBounds(mSettings.bounds);
   mQuota.SetBounds(mSettings.bounds.quota);
+  duration propagation = mSettings.bounds.propagation_time;
+  mConfig.SetPropagationTime(propagation);
+  mStore.SetConfigWatchWait(
+    std::chrono::duration_cast<duration>(propagation * kWatchWaitShare));
   bool evacuates = mSettings.bounds.evacuation_time.has_value();
   mEvacuations.SetEnabled(evacuates);
   mStore.SetFollowsEvacuations(evacuates);
@@ -246,6 +255,7 @@
   mCanaryDriver.Start();
   mQuota.Start([this](const std::string& aName) { mGossip.ProbeTwice(aName); });
   mStore.SetObserver(*this);
+  mConfig.Start();
   Join();
   mLoop.RunEvery(kMaintenancePeriod, [this] { RunMaintenance(); });
   mLoop.RunEvery(kRoleCheckPeriod, [this] { UpdateWatcherRole(); });
@@ -700,23 +710,30 @@
     return; // no other host is known yet, so every node would watch
   }
   // While no watcher reaches the store, more nodes watch as time passes.
-  duration sinceWatcher =
-    now - std::max(mGossip.LastWatcherMessage(), mStarted);
-  auto additional = static_cast<std::size_t>(sinceWatcher / kWatcherTimeout);
+  duration age = mConfig.StoreAge();
+  auto additional = static_cast<std::size_t>(age / mConfig.MaxStoreAge());
   std::vector<std::string> watchers = WatchersOf(
     mDirectory, mOwnRecord.domain, kWatchersPerDomain * (1 + additional));
   bool watches = !mDraining && IndexOf(watchers, mOwnRecord.name) >= 0;
   if (watches != mWatches) {
     mWatches = watches;
-    LogEvent(
-      log_level::info,
-      watches ? "store_watch_started" : "store_watch_stopped",
-      { { "watchers", std::to_string(watchers.size()) },
-        { "since_watcher_ms", std::to_string(Milliseconds(sinceWatcher)) } });
+    LogEvent(log_level::info,
+             watches ? "store_watch_started" : "store_watch_stopped",
+             { { "watchers", std::to_string(watchers.size()) },
+               { "store_age_ms", std::to_string(Milliseconds(age)) } });
   }
   mStore.SetWatching(watches);
   mEntryRepair.SetActive(watches);
-  if (watches && mStore.AnsweredSince(now - kStoreAnswerWindow)) {
+  AnnounceAsWatcher(kAnnouncePeriod);
+}
+
+void
+mesh_node::AnnounceAsWatcher(duration aMinPeriod)
+{
+  time_point now = mLoop.Now();
+  if (mWatches && mConfig.HasFreshRead() &&
+      now - mAnnouncedConfigAt >= aMinPeriod) {
+    mAnnouncedConfigAt = now;
     mGossip.SpreadConfigVersion(true);
   }
 }
@@ -779,6 +796,7 @@
 mesh_node::OnConfigConfirmed(time_point aTime)
 {
   mConfig.HandleConfirmed(aTime);
+  AnnounceAsWatcher(kMinAnnouncePeriod);
 }
 
 void
@@ -878,7 +896,8 @@
   mQuota.SetTable(aTable);
   UpdateColdLimit();
   if (aFrom.empty()) {
-    mGossip.SpreadConfigVersion(false);
+    mAnnouncedConfigAt = mLoop.Now();
+    mGossip.SpreadConfigVersion(mWatches);
   } else {
     mGossip.ForwardConfigVersion(aFrom);
   }
--- a/src/mesh/mesh-node.h
+++ b/src/mesh/mesh-node.h
@@ -168,6 +168,9 @@
   void RemoveUnreachableHosts();
   /// Starts or stops watching the store, by the current role assignment.
   void UpdateWatcherRole();
+  /// As a watcher that knows the store's latest configuration, announces it to
+  /// other nodes, unless it has done so within `aMinPeriod`.
+  void AnnounceAsWatcher(duration aMinPeriod);
   /// Lets all requests end before this process exits.
   void LimitServingTime();
   void CheckDrained();
@@ -217,6 +220,7 @@
   bool mDraining = false;
   /// Whether this node watches the store for its failure domain.
   bool mWatches = false;
+  time_point mAnnouncedConfigAt{};
 };
 
 } // namespace eelgrasstrack
--- a/src/mesh/mesh-settings.h
+++ b/src/mesh/mesh-settings.h
@@ -15,6 +15,9 @@
   /// Requests may reach an instance for this long after it announced that it
   /// drains.
   duration drain_time = std::chrono::seconds(2);
+  /// A configuration is in force on all nodes this long after the store has
+  /// confirmed it.
+  duration propagation_time = std::chrono::seconds(2);
   /// Time from SIGTERM to SIGKILL.
   duration shutdown_grace = std::chrono::seconds(6);
   /// Retry budget: the retries in a window stay below `retry_ratio` times the
--- a/src/proxy/config-knowledge.h
+++ b/src/proxy/config-knowledge.h
@@ -20,12 +20,20 @@
   /// Latest time at which the store is known to have held no later version;
   /// nothing before the first answer of the store, or of a node that had one.
   std::optional<time_point> confirmed_at;
+  /// Same, as far as the store itself has answered this node.
+  std::optional<time_point> read_at;
 
   /// Age of the knowledge of the store.
   std::optional<duration> StoreAge(time_point aNow) const
   {
     return confirmed_at ? std::optional(aNow - *confirmed_at) : std::nullopt;
   }
+
+  /// Same, as far as the store itself has answered this node.
+  std::optional<duration> ReadAge(time_point aNow) const
+  {
+    return read_at ? std::optional(aNow - *read_at) : std::nullopt;
+  }
 };
 
 } // namespace eelgrasstrack
--- a/src/proxy/proxy-counters.cc
+++ b/src/proxy/proxy-counters.cc
@@ -21,6 +21,7 @@
     "peer_failed",      "refused_quarantined",
     "unknown_key",      "refused_quota",
     "refused_memory",   "upload_stalled",
+    "config_read",
   };
 
 } // namespace
--- a/src/proxy/proxy-counters.h
+++ b/src/proxy/proxy-counters.h
@@ -39,6 +39,7 @@
   refused_quota,
   refused_memory,
   upload_stalled,
+  config_read,
   count,
 };
 
--- a/test/harness/mesh-world.cc
+++ b/test/harness/mesh-world.cc
@@ -94,6 +94,22 @@
   mLoop.RunAfter(duration(1), [this] { NotifyTable(); });
 }
 
+void
+store_access::ReadConfig(done_callback aDone)
+{
+  mLoop.RunAfter(duration(1), [this, done = std::move(aDone)] {
+    if (!IsReachable()) {
+      done(Fail(error_kind::store_unavailable, "store unavailable"));
+      return;
+    }
+    NotifyTable();
+    if (mObserver != nullptr) {
+      mObserver->OnConfigConfirmed(mLoop.Now());
+    }
+    done({});
+  });
+}
+
 result<accepted_table>
 store_access::ParseTable(std::string aText)
 {
--- a/test/harness/mesh-world.h
+++ b/test/harness/mesh-world.h
@@ -42,6 +42,8 @@
   void SetObserver(control_store_observer& aObserver) override;
   void SetFollowsEvacuations(bool) override {}
   void SetWatching(bool) override {}
+  void SetConfigWatchWait(duration) override {}
+  void ReadConfig(done_callback aDone) override;
   std::uint64_t Era() const override { return 1; }
   bool AnsweredSince(time_point) const override { return IsReachable(); }
   result<accepted_table> ParseTable(std::string aText) override;
--- a/test/unit/config-propagation-test.cc
+++ b/test/unit/config-propagation-test.cc
@@ -135,7 +135,7 @@
 TEST_CASE_METHOD(config_propagation_fixture,
                  "config propagation, links between nodes silent, change is in "
                  "force in time",
-                 "[config-propagation][known-red]")
+                 "[config-propagation]")
 {
   CheckFaults({ "node links silent" }, 1);
 }
@@ -145,7 +145,7 @@
 TEST_CASE_METHOD(config_propagation_fixture,
                  "config propagation, links to the store silent, change is in "
                  "force in time",
-                 "[config-propagation][known-red]")
+                 "[config-propagation]")
 {
   CheckFaults({ "store links silent" }, 1);
 }
@@ -155,7 +155,7 @@
 TEST_CASE_METHOD(config_propagation_fixture,
                  "config propagation, all links silent, change is in force in "
                  "time",
-                 "[config-propagation][known-red]")
+                 "[config-propagation]")
 {
   CheckFaults({ "all links silent" }, 1);
 }
@@ -164,7 +164,7 @@
 TEST_CASE_METHOD(small_fleet_fixture,
                  "config propagation of a small fleet, links between nodes "
                  "silent, change is in force in time",
-                 "[config-propagation][small-fleet][known-red]")
+                 "[config-propagation][small-fleet]")
 {
   CheckFaults({ "node links silent" }, 1);
 }
@@ -173,7 +173,7 @@
 TEST_CASE_METHOD(small_fleet_fixture,
                  "config propagation of a small fleet, links to the store "
                  "silent, change is in force in time",
-                 "[config-propagation][small-fleet][known-red]")
+                 "[config-propagation][small-fleet]")
 {
   CheckFaults({ "store links silent", "all links silent" }, 1);
 }
@@ -200,7 +200,7 @@
 TEST_CASE_METHOD(config_propagation_fixture,
                  "config propagation, all links silent and watchers frozen, "
                  "change is in force in time at the others",
-                 "[config-propagation][known-red]")
+                 "[config-propagation]")
 {
   CheckFaults({ "all links silent, watchers frozen" }, 1);
 }
--- a/test/unit/store-client-test.cc
+++ b/test/unit/store-client-test.cc
@@ -245,6 +245,44 @@
   CHECK(WaitForVersion(8));
 }
 
+// Guards against a node that takes its configuration for the latest one after
+// it could not decode a later one.
+TEST_CASE_METHOD(store_client_fixture,
+                 "store client, malformed configuration, is not confirmed",
+                 "[store-client]")
+{
+  client.SetWatching(true);
+  REQUIRE(WaitForVersion(3));
+  store.Put("config", "main", { { "version", 7 } });
+  RunFor(milliseconds(100));
+  time_point before = observer.confirmed_at;
+  RunFor(milliseconds(1500));
+  CHECK(observer.confirmed_at == before);
+  store.Put("config", "main", MakeTable(9));
+  REQUIRE(WaitForVersion(9));
+  RunFor(milliseconds(50));
+  CHECK(observer.confirmed_at > before);
+}
+
+// Guards against a node that knows nothing of the store although it answers.
+TEST_CASE_METHOD(store_client_fixture,
+                 "store client, configuration read, is reported and confirmed",
+                 "[store-client]")
+{
+  std::optional<result<void>> done;
+  client.ReadConfig([&](result<void> aDone) {
+    done = std::move(aDone);
+    event_loop.Stop();
+  });
+  time_point started = event_loop.Now();
+  event_loop.Run();
+  REQUIRE(done);
+  CHECK(*done);
+  CHECK(observer.versions == std::vector<std::uint64_t>{ 3 });
+  CHECK(observer.confirmed_at <= started);
+  CHECK(observer.confirmed_at > time_point{});
+}
+
 TEST_CASE_METHOD(store_client_fixture,
                  "store client, hosts on several pages, lists all valid ones",
                  "[store-client]")
