eelgrasstrackd: watches of a restored store wait again

Cause: the follower kept the highest object version that it had seen. After a restore to an older object, each watch named a version that the store did not have, was answered at once, and was followed by the next.

Change: a watch names the version of the last object that was read. The version in force still never goes back.

--- a/src/fleet/store-follower.cc
+++ b/src/fleet/store-follower.cc
@@ -252,7 +252,7 @@
     return false;
   }
   mConfigLoaded = true;
-  mStoreVersion = std::max(mStoreVersion, aObject->version);
+  mStoreVersion = aObject->version;
   mOwner.OnStoreConfig(*state, aAsOf);
   return true;
 }
--- a/test/harness/fake-store.h
+++ b/test/harness/fake-store.h
@@ -45,6 +45,15 @@
   /// Sets the probability that a write takes effect but its answer is lost.
   void SetLostAnswerChance(double aChance) { mLostAnswerChance = aChance; }
 
+  const stored_object& ObjectOf(const std::string& aKey)
+  {
+    return mObjects[aKey];
+  }
+  /// Puts back an earlier object, like a restore from a backup.
+  void Restore(const std::string& aKey, stored_object aObject)
+  {
+    mObjects[aKey] = std::move(aObject);
+  }
   const std::string& ValueOf(const std::string& aKey)
   {
     return mObjects[aKey].value;
--- a/test/unit/distribution-test.cc
+++ b/test/unit/distribution-test.cc
@@ -390,6 +390,27 @@
   CHECK(calls / kSeconds < kNodeCallsPerSecond * fleet.Size());
 }
 
+// Guards against watches that name a version which the store no longer has, so
+// that each is answered at once and the next one follows without pause.
+TEST_CASE_METHOD(fleet_fixture,
+                 "fleet node, store restored to an older version, watches wait "
+                 "again",
+                 "[fleet][stale-config]")
+{
+  constexpr double kNodeCallsPerSecond = 4;
+  constexpr double kSeconds = 60;
+  REQUIRE(Apply(0, "op-1") != 0);
+  stored_object older = fleet.Store().ObjectOf(kConfigKey);
+  std::uint64_t version = WriteToStore("op-2");
+  REQUIRE(fleet.MeasureConvergenceTime(version, seconds(60)) < kInForceWithin);
+  fleet.Store().Restore(kConfigKey, older);
+  std::uint64_t before = fleet.Store().Calls();
+  fleet.Advance(seconds(static_cast<int>(kSeconds)));
+  double calls = static_cast<double>(fleet.Store().Calls() - before);
+  CHECK(calls / kSeconds < kNodeCallsPerSecond * fleet.Size());
+  CHECK(fleet.Node(1).Config()->version == version);
+}
+
 // Guards against nodes that read the store themselves so often that a fleet of
 // the target size uses up the store's rate.
 TEST_CASE("fleet node, store out or in order, calls stay within its rate",
