Test: watchers of a fleet with one failure domain are cut off from the store

Guards against nodes that wait for watchers which no longer reach the store, where no other domain makes up for them.

--- a/test/unit/config-propagation-test.cc
+++ b/test/unit/config-propagation-test.cc
@@ -196,6 +196,16 @@
   CheckFaults({ "watchers cut off from the store", "watchers get 503" }, 1);
 }
 
+// Guards against a node that waits for watchers whose last answer of the store
+// is too old, where no other failure domain supplies the change.
+TEST_CASE_METHOD(small_fleet_fixture,
+                 "config propagation of a small fleet, watchers cut off from "
+                 "the store, change is in force in time at the other",
+                 "[config-propagation][small-fleet]")
+{
+  CheckFaults({ "watchers cut off from the store" }, 1);
+}
+
 // Guards against watchers and connections that have to be replaced at once.
 TEST_CASE_METHOD(config_propagation_fixture,
                  "config propagation, all links silent and watchers frozen, "
