--- a/src/proxy/hop-client.cc
+++ b/src/proxy/hop-client.cc
@@ -15,9 +15,8 @@
 constexpr duration kConnectTimeout = std::chrono::milliseconds(400);
 /// Bytes unacknowledged for this long break a connection to a node.
 constexpr duration kUnacknowledgedTimeout = std::chrono::milliseconds(1500);
-/// An idle connection to a node is closed after this time. It may have fallen
-/// silent without a reset, which only a request would show.
-constexpr duration kIdleTimeout = std::chrono::milliseconds(2500);
+/// An idle connection to a node is closed after this time.
+constexpr duration kIdleTimeout = std::chrono::seconds(15);
 
 } // namespace
 
