A store that answers without a configuration confirms none

A listing without the configuration, which the store had held before, was taken for the latest state: the watch went on from its revision, so that a change made before it stayed unknown until the next one, and the older version counted as confirmed.

The test 'listing lacks the configuration, lists again' fails without the change (version 8 never arrives).

config_knowledge moves to src/config, as both programs use it, and the text of its age stands once.

--- a/src/call/call-types.h
+++ b/src/call/call-types.h
@@ -3,8 +3,8 @@
 
 #include <functional>
 
+#include "config/config-knowledge.h"
 #include "peer/messages.h"
-#include "proxy/config-knowledge.h"
 #include "routing/upstream-picker.h"
 
 namespace eelgrasstrack {
--- a/src/call/first-hop.cc
+++ b/src/call/first-hop.cc
@@ -6,7 +6,6 @@
 #include "base/invariant.h"
 #include "base/log.h"
 #include "base/parse-number.h"
-#include "fleet/store-age-text.h"
 #include "http/error-response.h"
 #include "routing/route-table.h"
 
--- a/src/config/config-knowledge.h
+++ b/src/config/config-knowledge.h
@@ -1,5 +1,5 @@
-#ifndef EELGRASSTRACK_PROXY_CONFIG_KNOWLEDGE_H_
-#define EELGRASSTRACK_PROXY_CONFIG_KNOWLEDGE_H_
+#ifndef EELGRASSTRACK_CONFIG_CONFIG_KNOWLEDGE_H_
+#define EELGRASSTRACK_CONFIG_CONFIG_KNOWLEDGE_H_
 
 #include <optional>
 #include <string>
@@ -36,6 +36,14 @@
   }
 };
 
+/// Age of the knowledge of the store in milliseconds, for a log line.
+inline std::string
+StoreAgeText(const config_knowledge& aConfig, time_point aNow)
+{
+  std::optional<duration> age = aConfig.StoreAge(aNow);
+  return age ? std::to_string(Milliseconds(*age)) : "unknown";
+}
+
 } // namespace eelgrasstrack
 
-#endif // EELGRASSTRACK_PROXY_CONFIG_KNOWLEDGE_H_
+#endif // EELGRASSTRACK_CONFIG_CONFIG_KNOWLEDGE_H_
--- a/src/fleet/fleet-node.cc
+++ b/src/fleet/fleet-node.cc
@@ -4,7 +4,6 @@
 
 #include "base/hash.h"
 #include "base/log.h"
-#include "fleet/store-age-text.h"
 
 namespace eelgrasstrack {
 
--- a/src/fleet/fleet-node.h
+++ b/src/fleet/fleet-node.h
@@ -5,13 +5,13 @@
 #include <random>
 #include <set>
 
+#include "config/config-knowledge.h"
 #include "distribution/config-replica.h"
 #include "distribution/config-writer.h"
 #include "fleet/interfaces.h"
 #include "fleet/store-follower.h"
 #include "membership/failure-detector.h"
 #include "membership/overlay.h"
-#include "proxy/config-knowledge.h"
 #include "rollout/rollout-state.h"
 
 namespace eelgrasstrack {
--- a/src/mesh/config-follower.cc
+++ b/src/mesh/config-follower.cc
@@ -34,13 +34,6 @@
   return std::chrono::duration_cast<duration>(aDuration * aFactor);
 }
 
-/// Age in milliseconds, or an empty text if there is none.
-std::string
-AgeText(const std::optional<duration>& aAge)
-{
-  return aAge ? std::to_string(Milliseconds(*aAge)) : "";
-}
-
 } // namespace
 
 config_follower::config_follower(loop& aLoop,
@@ -121,7 +114,9 @@
 void
 config_follower::HandleRead(const result<void>& aRead)
 {
-  if (aRead) {
+  bool none =
+    !aRead && aRead.error().kind == error_kind::not_found && Version() == 0;
+  if (aRead || none) {
     mReadBackoff.Reset();
     CheckAfter(MaxStoreAge());
     return;
@@ -191,7 +186,7 @@
            { { "version", std::to_string(aTable.table->Version()) },
              { "before", std::to_string(Version()) },
              { "source", aSource },
-             { "store_age_ms", AgeText(mKnowledge.StoreAge(now)) },
+             { "store_age_ms", StoreAgeText(mKnowledge, now) },
              { "routes", std::to_string(aTable.table->RouteCount()) } });
   mKnowledge.version = aTable.table->Version();
   mKnowledge.source = aSource;
@@ -270,7 +265,7 @@
            { { "from", aSource.host.name },
              { "version", std::to_string(aSource.version) },
              { "held", std::to_string(Version()) },
-             { "store_age_ms", AgeText(mKnowledge.StoreAge(mLoop.Now())) },
+             { "store_age_ms", StoreAgeText(mKnowledge, mLoop.Now()) },
              { "reason", aReason } });
 }
 
--- a/src/mesh/config-follower.h
+++ b/src/mesh/config-follower.h
@@ -3,9 +3,9 @@
 
 #include <nlohmann/json.hpp>
 
+#include "config/config-knowledge.h"
 #include "mesh/control-store.h"
 #include "mesh/host-record.h"
-#include "proxy/config-knowledge.h"
 #include "proxy/proxy-counters.h"
 #include "store/call-budget.h"
 #include "wire/control-client.h"
--- a/src/mesh/gossip.h
+++ b/src/mesh/gossip.h
@@ -6,10 +6,10 @@
 #include <random>
 #include <set>
 
+#include "config/config-knowledge.h"
 #include "mesh/evacuation-table.h"
 #include "mesh/gossip-codec.h"
 #include "mesh/host-directory.h"
-#include "proxy/config-knowledge.h"
 #include "proxy/crash-table.h"
 #include "proxy/proxy-counters.h"
 #include "proxy/version-selector.h"
--- a/src/proxy/ingress.h
+++ b/src/proxy/ingress.h
@@ -1,10 +1,10 @@
 #ifndef EELGRASSTRACK_PROXY_INGRESS_H_
 #define EELGRASSTRACK_PROXY_INGRESS_H_
 
+#include "config/config-knowledge.h"
 #include "mesh/evacuation-table.h"
 #include "mesh/host-directory.h"
 #include "proxy/caller-wait-estimator.h"
-#include "proxy/config-knowledge.h"
 #include "proxy/crash-table.h"
 #include "proxy/hop-client.h"
 #include "proxy/instance-chooser.h"
--- a/src/proxy/proxied-request.cc
+++ b/src/proxy/proxied-request.cc
@@ -792,14 +792,12 @@
 proxied_request::LogNoRoute()
 {
   const config_knowledge& config = mDependencies.config;
-  std::optional<duration> storeAge = config.StoreAge(Now());
   Log(
     "no_route",
     { { "target", mReceived.head.target },
       { "source", config.source },
       { "taken_ms_ago", std::to_string(Milliseconds(Now() - config.taken_at)) },
-      { "store_age_ms",
-        storeAge ? std::to_string(Milliseconds(*storeAge)) : "unknown" } });
+      { "store_age_ms", StoreAgeText(config, Now()) } });
 }
 
 void
--- a/test/unit/store-client-test.cc
+++ b/test/unit/store-client-test.cc
@@ -264,6 +264,27 @@
   CHECK(observer.confirmed_at > before);
 }
 
+// Guards against a node that takes its configuration for the latest one
+// because a listing does not hold any, and goes on from that listing's
+// revision.
+TEST_CASE_METHOD(store_client_fixture,
+                 "store client, listing lacks the configuration, lists again",
+                 "[store-client]")
+{
+  client.ReadConfig([](const result<void>&) {});
+  REQUIRE(WaitForVersion(3));
+  time_point confirmed = observer.confirmed_at;
+  store.SetFault(platform_store::fault::empty_listings);
+  client.SetWatching(true);
+  RunFor(milliseconds(300));
+  store.Put("config", "main", MakeTable(8));
+  RunFor(milliseconds(1500));
+  CHECK(observer.versions.back() == 3);
+  CHECK(observer.confirmed_at == confirmed);
+  store.SetFault(platform_store::fault::none);
+  CHECK(WaitForVersion(8));
+}
+
 // Guards against a node that knows nothing of the store although it answers.
 TEST_CASE_METHOD(store_client_fixture,
                  "store client, configuration read, is reported and confirmed",
