Send no store age that is of no use, and take any

A node that has read the store once sends the age of that with every message. After 49.7 days it exceeded 32 bits, and the others refused each message of that node halfway.

Change: ages over a minute are not sent, and count as unknown when received.

Evidence: the test 'message with a great store age, is taken' got 400 before (the range of the field), and 200 now.

--- a/src/mesh/gossip.cc
+++ b/src/mesh/gossip.cc
@@ -41,6 +41,8 @@
 /// Milliseconds since the store has told the sender that its configuration is
 /// the latest one.
 constexpr const char* kStoreAgeField = "store_age_ms";
+/// Older knowledge of the store is of no use to others.
+constexpr duration kMaxSentStoreAge = std::chrono::minutes(1);
 
 void
 AddDepartures(json& aMessage, const std::vector<host_departure>& aDepartures)
@@ -58,8 +60,8 @@
   if (!aMessage.contains(kStoreAgeField)) {
     return std::nullopt;
   }
-  return std::chrono::milliseconds(
-    UnsignedIn<std::uint32_t>(aMessage.at(kStoreAgeField)));
+  std::chrono::milliseconds age(TimeIn(aMessage.at(kStoreAgeField)));
+  return age <= kMaxSentStoreAge ? std::optional<duration>(age) : std::nullopt;
 }
 
 void
@@ -206,7 +208,8 @@
   json header = { { "from", mDirectory.Self() }, { "config", config.version } };
   // Not what other nodes have told: with each one that passes it on, it would
   // seem younger by the time that messages take.
-  if (std::optional<duration> age = config.ReadAge(mLoop.Now())) {
+  std::optional<duration> age = config.ReadAge(mLoop.Now());
+  if (age && *age <= kMaxSentStoreAge) {
     header[kStoreAgeField] = Milliseconds(*age);
   }
   if (mEvacuations.IsKnown()) {
--- a/test/unit/mesh-node-test.cc
+++ b/test/unit/mesh-node-test.cc
@@ -220,6 +220,18 @@
   CHECK(world.Node(late).ConfigVersion() == 1);
 }
 
+// Guards against a node whose messages are all refused once it has not read the
+// store for seven weeks.
+TEST_CASE_METHOD(mesh_fixture,
+                 "mesh node, message with a great store age, is taken",
+                 "[mesh-node]")
+{
+  nlohmann::json message = { { "from", "elsewhere" },
+                             { "config", 0 },
+                             { "store_age_ms", 5'000'000'000 } };
+  CHECK(world.PostToNode(front, "/v1/gossip", message.dump()) == 200);
+}
+
 TEST_CASE_METHOD(mesh_fixture,
                  "mesh node, two hosts join at once, all nodes know both",
                  "[mesh-node]")
