Bound the calls to the store while it is of no use

Change: at most twice the usual number of watchers steps in, the other nodes read; a node whose watch is refused leaves it at the retries of that watch; a read that confirms nothing counts as failed for the backoff, whose limit grows with the propagation time; a refused configuration renews no watches; the next check counts from what is known, not from the end of the read.

Faults of the three kinds of silent links are now played at all three offsets.

--- a/src/mesh/config-follower.cc
+++ b/src/mesh/config-follower.cc
@@ -21,7 +21,6 @@
 /// all of them may have lost their watchers at the same moment.
 constexpr double kReadSpreadShare = 0.1;
 constexpr duration kFirstReadRetryDelay = std::chrono::milliseconds(200);
-constexpr duration kMaxReadRetryDelay = std::chrono::milliseconds(1200);
 /// Delay before a configuration is fetched from another failure domain, so that
 /// the watchers of the own domain can supply it first.
 constexpr duration kOtherDomainFetchDelay = std::chrono::milliseconds(600);
@@ -48,9 +47,7 @@
   , mCounters(aCounters)
   , mDomain(std::move(aDomain))
   , mDelegate(aDelegate)
-  , mReadBackoff(kFirstReadRetryDelay,
-                 kMaxReadRetryDelay,
-                 std::random_device{}())
+  , mReadBackoff(kFirstReadRetryDelay, MaxStoreAge(), std::random_device{}())
   , mRandom(std::random_device{}())
 {
 }
@@ -62,6 +59,14 @@
   CheckAfter(MaxStoreAge());
 }
 
+void
+config_follower::SetPropagationTime(duration aTime)
+{
+  mPropagationTime = aTime;
+  mReadBackoff = jittered_backoff(
+    kFirstReadRetryDelay, MaxStoreAge(), std::random_device{}());
+}
+
 duration
 config_follower::MaxStoreAge() const
 {
@@ -116,9 +121,11 @@
 {
   bool none =
     !aRead && aRead.error().kind == error_kind::not_found && Version() == 0;
-  if (aRead || none) {
+  duration left = none ? MaxStoreAge() : MaxStoreAge() - StoreAge();
+  // A configuration that can't be decoded is read, but does not count.
+  if ((aRead || none) && left > duration(0)) {
     mReadBackoff.Reset();
-    CheckAfter(MaxStoreAge());
+    CheckAfter(left);
     return;
   }
   CheckAfter(mReadBackoff.NextDelay());
--- a/src/mesh/config-follower.h
+++ b/src/mesh/config-follower.h
@@ -42,7 +42,7 @@
   /// Starts to check the age of the knowledge.
   void Start();
   /// Sets the time within which a configuration has to be in force.
-  void SetPropagationTime(duration aTime) { mPropagationTime = aTime; }
+  void SetPropagationTime(duration aTime);
   /// Age at which the knowledge of the store is too old: other nodes step in.
   duration MaxStoreAge() const;
   /// Age of the knowledge of the store, or time since the start.
--- a/src/mesh/control-store.h
+++ b/src/mesh/control-store.h
@@ -90,7 +90,8 @@
   /// does. For a node that has not heard of the store for too long: its watch,
   /// or the nodes that watch for it, may have failed without a sign. If this
   /// node watches, its watches begin again on new connections. Fails with
-  /// `not_found` if the store holds no configuration.
+  /// `not_found` if the store holds no configuration, and without a call if
+  /// this node watches and the store refuses that.
   virtual void ReadConfig(done_callback aDone) = 0;
 
   /// Era of the store as last received, 0 before. It rises by one when the
--- a/src/mesh/mesh-node.cc
+++ b/src/mesh/mesh-node.cc
@@ -30,6 +30,9 @@
 /// Part of the propagation time for which the store holds a watch of the
 /// configuration open. Knowledge of the store is too old a little later.
 constexpr double kWatchWaitShare = 0.4;
+/// Limit to the multiples of the usual number of watchers that are added; the
+/// other nodes read the configuration.
+constexpr std::size_t kMaxAdditionalWatchers = 2;
 /// A node removes the entry of a host from the store only if the store has
 /// answered within this time.
 constexpr duration kStoreAnswerWindow = std::chrono::milliseconds(3000);
@@ -711,7 +714,9 @@
   }
   // While no watcher reaches the store, more nodes watch as time passes.
   duration age = mConfig.StoreAge();
-  auto additional = static_cast<std::size_t>(age / mConfig.MaxStoreAge());
+  std::size_t additional =
+    std::min(kMaxAdditionalWatchers,
+             static_cast<std::size_t>(age / mConfig.MaxStoreAge()));
   std::vector<std::string> watchers = WatchersOf(
     mDirectory, mOwnRecord.domain, kWatchersPerDomain * (1 + additional));
   bool watches = !mDraining && IndexOf(watchers, mOwnRecord.name) >= 0;
--- a/test/unit/config-propagation-test.cc
+++ b/test/unit/config-propagation-test.cc
@@ -137,7 +137,8 @@
                  "force in time",
                  "[config-propagation]")
 {
-  CheckFaults({ "node links silent" }, 1);
+  CheckFaults({ "node links silent", "node links silent", "node links silent" },
+              1);
 }
 
 // Guards against watchers that wait for the store over one silent connection
@@ -147,7 +148,8 @@
                  "force in time",
                  "[config-propagation]")
 {
-  CheckFaults({ "store links silent" }, 1);
+  CheckFaults(
+    { "store links silent", "store links silent", "store links silent" }, 1);
 }
 
 // Guards against both at once: neither the store nor a watcher is reached
@@ -157,7 +159,8 @@
                  "time",
                  "[config-propagation]")
 {
-  CheckFaults({ "all links silent" }, 1);
+  CheckFaults({ "all links silent", "all links silent", "all links silent" },
+              1);
 }
 
 // Guards against the first one in a fleet without other failure domains.
@@ -166,7 +169,8 @@
                  "silent, change is in force in time",
                  "[config-propagation][small-fleet]")
 {
-  CheckFaults({ "node links silent" }, 1);
+  CheckFaults({ "node links silent", "node links silent", "node links silent" },
+              1);
 }
 
 // Guards against the others in a fleet without other failure domains.
@@ -178,6 +182,32 @@
   CheckFaults({ "store links silent", "all links silent" }, 1);
 }
 
+// Guards against nodes that together call the store more often than it bears
+// while it answers none of them, or with a configuration that they refuse.
+TEST_CASE("config propagation, store of no use, calls stay within its rate",
+          "[config-propagation]")
+{
+  // The store takes 2,000 reads a second, of 300 hosts at the most.
+  constexpr double kCallsPerHost = 2000.0 / 300;
+  constexpr duration kTime = seconds(6);
+  config_fleet fleet({});
+  fleet.RunFor(seconds(3));
+  auto callsPerHost = [&] {
+    unsigned before = fleet.Store().CallCount();
+    fleet.RunFor(kTime);
+    return static_cast<double>(fleet.Store().CallCount() - before) /
+           std::chrono::duration<double>(kTime).count() /
+           static_cast<double>(fleet.Size());
+  };
+  fleet.Store().SetFault(platform_store::fault::unavailable);
+  CHECK(callsPerHost() < kCallsPerHost);
+  fleet.Store().SetFault(platform_store::fault::drops_answers);
+  CHECK(callsPerHost() < kCallsPerHost);
+  fleet.Store().SetFault(platform_store::fault::none);
+  fleet.Store().Put("config", "main", { { "version", 7 } });
+  CHECK(callsPerHost() < kCallsPerHost);
+}
+
 // Guards against nodes that wait for watchers which no longer serve them.
 TEST_CASE_METHOD(config_propagation_fixture,
                  "config propagation, watchers of a domain fail, change is in "
