--- a/test/unit/config-propagation-test.cc
+++ b/test/unit/config-propagation-test.cc
@@ -2,6 +2,8 @@
 #include <catch2/catch.hpp>
 #include <cstdio>
 #include <cstdlib>
+#include <fstream>
+#include <sstream>
 
 #include "base/log.h"
 #include "harness/config-faults.h"
@@ -30,6 +32,34 @@
   return text == nullptr ? "" : text;
 }
 
+fleet_size
+FleetSizeFromEnvironment()
+{
+  return { NumberFromEnvironment("CONFIG_DOMAINS", 4),
+           NumberFromEnvironment("CONFIG_HOSTS", 4) };
+}
+
+/// Bytes of all IP packets that this machine has sent, by the kernel's count.
+std::uint64_t
+SentOctets()
+{
+  std::ifstream file("/proc/net/netstat");
+  std::string names;
+  std::string values;
+  while (std::getline(file, names) && std::getline(file, values)) {
+    std::istringstream name(names);
+    std::istringstream value(values);
+    std::string column;
+    std::string number;
+    while (name >> column && value >> number) {
+      if (column == "OutOctets") {
+        return std::stoull(number);
+      }
+    }
+  }
+  return 0;
+}
+
 std::string
 Describe(const config_play& aPlay)
 {
@@ -91,12 +121,11 @@
   std::string wanted = TextFromEnvironment("CONFIG_FAULT");
   std::uint64_t plays = NumberFromEnvironment("CONFIG_PLAYS", 6);
   std::uint64_t seed = NumberFromEnvironment("CONFIG_SEED", 1);
-  config_fleet fleet({ NumberFromEnvironment("CONFIG_DOMAINS", 4),
-                       NumberFromEnvironment("CONFIG_HOSTS", 4) });
   for (const config_fault& fault : AllConfigFaults()) {
     if (fault.name.find(wanted) == std::string::npos) {
       continue;
     }
+    config_fleet fleet(FleetSizeFromEnvironment());
     timing_source timings(seed);
     std::uint64_t late = 0;
     duration latest{ 0 };
@@ -190,7 +219,7 @@
   // The store takes 2,000 reads a second, of 300 hosts at the most.
   constexpr double kCallsPerHost = 2000.0 / 300;
   constexpr duration kTime = seconds(6);
-  config_fleet fleet({});
+  config_fleet fleet(FleetSizeFromEnvironment());
   fleet.RunFor(seconds(3));
   auto callsPerHost = [&] {
     unsigned before = fleet.Store().CallCount();
@@ -254,26 +283,32 @@
   CheckFaults({ "store was out for 4 s", "store drops its history" }, 1);
 }
 
-// Prints what calm changes cost and how soon they are in force.
+// Prints what calm changes cost and how soon they are in force, on a fleet of
+// CONFIG_DOMAINS times CONFIG_HOSTS nodes. The bytes are those of the whole
+// machine.
 TEST_CASE("config propagation, calm fleet, prints calls and times",
           "[.measure]")
 {
   constexpr int kChanges = 20;
   constexpr duration kPeriod = seconds(1);
-  config_fleet fleet({});
+  config_fleet fleet(FleetSizeFromEnvironment());
   fleet.RunFor(seconds(3));
   auto print = [&fleet](const char* aPhase, const auto& aRun) {
     time_point began = fleet.Now();
     unsigned calls = fleet.Store().CallCount();
     std::uint64_t messages = fleet.Count(proxy_event::peer_message);
+    std::uint64_t octets = SentOctets();
     aRun();
     double elapsed = std::chrono::duration<double>(fleet.Now() - began).count();
-    std::printf(
-      "%s: %.1f calls to the store a second, %.1f messages a second\n",
-      aPhase,
-      static_cast<double>(fleet.Store().CallCount() - calls) / elapsed,
-      static_cast<double>(fleet.Count(proxy_event::peer_message) - messages) /
-        elapsed);
+    auto rate = [elapsed](std::uint64_t aCount) {
+      return static_cast<double>(aCount) / elapsed;
+    };
+    std::printf("%s: %.1f calls to the store a second, %.1f messages a second, "
+                "%.1f KB a second\n",
+                aPhase,
+                rate(fleet.Store().CallCount() - calls),
+                rate(fleet.Count(proxy_event::peer_message) - messages),
+                rate(SentOctets() - octets) / 1000);
   };
   print("calm", [&] { fleet.RunFor(seconds(20)); });
   std::vector<duration> times;
--- a/test/unit/distribution-test.cc
+++ b/test/unit/distribution-test.cc
@@ -57,6 +57,17 @@
     return version;
   }
 
+  /// Lets a minute pass and checks that calls to the store are backed off.
+  void CheckCallsOfAMinute()
+  {
+    constexpr double kNodeCallsPerSecond = 4;
+    constexpr double kSeconds = 60;
+    std::uint64_t before = fleet.Store().Calls();
+    fleet.Advance(seconds(static_cast<int>(kSeconds)));
+    double calls = static_cast<double>(fleet.Store().Calls() - before);
+    CHECK(calls / kSeconds < kNodeCallsPerSecond * fleet.Size());
+  }
+
   /// Writes a change to the store, as if the accepting node had died before it
   /// sent the change on. Returns its version.
   std::uint64_t WriteToStore(const std::string& aOperation)
@@ -357,14 +368,9 @@
                  "and change is in force in time after it",
                  "[fleet][stale-config]")
 {
-  constexpr double kNodeCallsPerSecond = 4;
-  constexpr double kSeconds = 60;
   REQUIRE(Apply(0, "op-1") != 0);
   fleet.Store().SetMissing(kConfigKey);
-  std::uint64_t before = fleet.Store().Calls();
-  fleet.Advance(seconds(static_cast<int>(kSeconds)));
-  double calls = static_cast<double>(fleet.Store().Calls() - before);
-  CHECK(calls / kSeconds < kNodeCallsPerSecond * fleet.Size());
+  CheckCallsOfAMinute();
   std::optional<duration> age =
     fleet.Node(1).Knowledge().StoreAge(fleet.Time().Now());
   REQUIRE(age);
@@ -381,13 +387,8 @@
                  "back off",
                  "[fleet][stale-config]")
 {
-  constexpr double kNodeCallsPerSecond = 4;
-  constexpr double kSeconds = 60;
   fleet.Store().SetMissing(kBootstrapKey);
-  std::uint64_t before = fleet.Store().Calls();
-  fleet.Advance(seconds(static_cast<int>(kSeconds)));
-  double calls = static_cast<double>(fleet.Store().Calls() - before);
-  CHECK(calls / kSeconds < kNodeCallsPerSecond * fleet.Size());
+  CheckCallsOfAMinute();
 }
 
 // Guards against watches that name a version which the store no longer has, so
@@ -397,17 +398,12 @@
                  "again",
                  "[fleet][stale-config]")
 {
-  constexpr double kNodeCallsPerSecond = 4;
-  constexpr double kSeconds = 60;
   REQUIRE(Apply(0, "op-1") != 0);
   stored_object older = fleet.Store().ObjectOf(kConfigKey);
   std::uint64_t version = WriteToStore("op-2");
   REQUIRE(fleet.MeasureConvergenceTime(version, seconds(60)) < kInForceWithin);
   fleet.Store().Restore(kConfigKey, older);
-  std::uint64_t before = fleet.Store().Calls();
-  fleet.Advance(seconds(static_cast<int>(kSeconds)));
-  double calls = static_cast<double>(fleet.Store().Calls() - before);
-  CHECK(calls / kSeconds < kNodeCallsPerSecond * fleet.Size());
+  CheckCallsOfAMinute();
   CHECK(fleet.Node(1).Config()->version == version);
 }
 
--- a/test/unit/store-client-test.cc
+++ b/test/unit/store-client-test.cc
@@ -304,6 +304,24 @@
   CHECK(observer.confirmed_at > time_point{});
 }
 
+// Guards against the time that each read takes to decode a large configuration
+// that has not changed.
+TEST_CASE_METHOD(
+  store_client_fixture,
+  "store client, same configuration read twice, is reported once "
+  "and confirmed twice",
+  "[store-client]")
+{
+  client.ReadConfig([](const result<void>&) {});
+  REQUIRE(WaitForVersion(3));
+  RunFor(milliseconds(50));
+  time_point confirmed = observer.confirmed_at;
+  client.ReadConfig([](const result<void>&) {});
+  RunFor(milliseconds(50));
+  CHECK(observer.versions == std::vector<std::uint64_t>{ 3 });
+  CHECK(observer.confirmed_at > confirmed);
+}
+
 TEST_CASE_METHOD(store_client_fixture,
                  "store client, hosts on several pages, lists all valid ones",
                  "[store-client]")
